--- /dev/null
+++ b/pollenwalk/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The subcommands, each a small function beside its parser."""
--- /dev/null
+++ b/pollenwalk/commands/demo.py
@@ -0,0 +1,96 @@
+"""`pollenwalk demo`: the whole system on stand-ins, in one process."""
+
+import argparse
+import asyncio
+import json
+import sys
+from typing import Any
+
+from pollenwalk.process.logs import set_up_logs
+
+DEFAULT_PROGRAMS = 20
+DEFAULT_PORT = 8400
+LABELS = (
+    ('programs_begun', 'programs begun'),
+    ('programs_completed', 'programs completed'),
+    ('calls', 'calls'),
+    ('lost', 'lost'),
+    ('mixed', 'mixed'),
+    ('doubled', 'doubled'),
+    ('out_of_order', 'out of order'),
+    ('over_budget', 'over budget'),
+    ('held_after_end', 'engine tokens held after end'),
+    ('wasted_cache_tokens', 'wasted cache, tokens'),
+    ('cross_region_bytes', 'cross-region bytes'),
+)
+BROKEN = ('lost', 'mixed', 'doubled', 'out_of_order', 'over_budget')
+
+
+def add_parser(subparsers: Any) -> None:
+    """Add the subcommand."""
+    parser: argparse.ArgumentParser = subparsers.add_parser(
+        'demo',
+        help='run two deployments on stand-ins and show what came of it',
+        description=(
+            'Runs stand-ins, two entries and a sidecar beside each upstream '
+            'on loopback, and the two deployments\' programs through them. '
+            'Every figure is counted at the stand-ins and the callers.'
+        ),
+    )
+    parser.add_argument(
+        '--json',
+        action='store_true',
+        help='print one JSON object instead of a table',
+    )
+    parser.add_argument('--seed', type=int, default=1, help='of all randomness')
+    parser.add_argument(
+        '--programs',
+        type=int,
+        default=DEFAULT_PROGRAMS,
+        help=f'programs of each deployment (default {DEFAULT_PROGRAMS})',
+    )
+    parser.add_argument(
+        '--serve',
+        action='store_true',
+        help='bring the system up and keep it running until SIGTERM',
+    )
+    parser.add_argument(
+        '--port',
+        type=int,
+        default=DEFAULT_PORT,
+        help=(
+            'with --serve: the two entries take calls on this port and the '
+            f'next (default {DEFAULT_PORT})'
+        ),
+    )
+    parser.add_argument('--log-level', default='ERROR', help='of the JSON log')
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> int:
+    """Run or serve the demo."""
+    # The stand-ins are no part of an installation, only of the source tree.
+    from standin import demo  # noqa: PLC0415, WPS433
+
+    set_up_logs(options.log_level)
+    if options.serve:
+        asyncio.run(demo.serve(options.port, options.seed))
+        return 0
+    report = asyncio.run(demo.run_demo(options.programs, options.seed))
+    show(report, as_json=options.json)
+    figures = report._asdict()
+    held = report.held_after_end
+    return int(bool(held) or any(figures[name] for name in BROKEN))
+
+
+def show(report: Any, *, as_json: bool) -> None:
+    """Print the report."""
+    figures = {**report._asdict(), 'latency_ms': report.latency_ms._asdict()}
+    if as_json:
+        sys.stdout.write(f'{json.dumps(figures)}\n')
+        return
+    for name, label in LABELS:
+        sys.stdout.write(f'{label:<30}{figures[name]:>12}\n')
+    for rank, value in figures['latency_ms'].items():
+        label = f'whole program {rank}, ms'
+        sys.stdout.write(f'{label:<30}{value:>12.0f}\n')
--- /dev/null
+++ b/pollenwalk/commands/main.py
@@ -0,0 +1,62 @@
+"""The command line: picks a subcommand and shows errors as one line."""
+
+import argparse
+import sys
+from collections.abc import Sequence
+
+from pollenwalk import __version__
+from pollenwalk.commands import demo
+from pollenwalk.errors import PollenwalkError, UserError
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+EPILOG = """\
+exit codes:
+  0  done
+  1  the work failed: a promise was broken, a run did not complete
+  2  the command line, a settings file or a resource file is wrong
+"""
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Build the parser of all subcommands."""
+    parser = argparse.ArgumentParser(
+        prog='pollenwalk',
+        description='A scheduler for agent programs.',
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument('--version', action='version', version=__version__)
+    subparsers = parser.add_subparsers(
+        dest='command',
+        required=True,
+        metavar='COMMAND',
+    )
+    for module in (demo,):
+        module.add_parser(subparsers)
+    return parser
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one subcommand.
+
+    Args:
+        arguments: the words after the program's name; those of the process
+            when None.
+
+    Returns:
+        The exit code.
+    """
+    options = make_parser().parse_args(arguments)
+    try:
+        return options.run(options)
+    except UserError as error:
+        sys.stderr.write(f'pollenwalk: {error.message}\n')
+        return EXIT_USAGE
+    except PollenwalkError as error:
+        sys.stderr.write(f'pollenwalk: {error.code}: {error.message}\n')
+        return EXIT_FAILED
+    except KeyboardInterrupt:
+        return EXIT_FAILED
--- /dev/null
+++ b/pollenwalk/connection/grpc_network.py
@@ -0,0 +1,204 @@
+"""Channels over grpc streams and datagrams over UDP.
+
+The frames carry their own codec, so the service needs no generated code.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import grpc
+
+from pollenwalk.connection.channel import (
+    Channel,
+    ChannelHandler,
+    DatagramHandler,
+    Listener,
+)
+from pollenwalk.errors import ConnectionLost
+
+SERVICE = 'pollenwalk.Peer'
+METHOD = 'Exchange'
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+CHANNEL_OPTIONS = (
+    ('grpc.max_send_message_length', MAX_FRAME_BYTES),
+    ('grpc.max_receive_message_length', MAX_FRAME_BYTES),
+    ('grpc.so_reuseport', 0),
+    ('grpc.enable_http_proxy', 0),
+    ('grpc.use_local_subchannel_pool', 1),
+)
+STOP_GRACE_S = 0.2
+
+
+class ClientChannel:
+    """The connecting side of a grpc stream."""
+
+    def __init__(self, channel: grpc.aio.Channel) -> None:
+        """Open the one stream that the channel carries."""
+        self.channel = channel
+        self.call = channel.stream_stream(f'/{SERVICE}/{METHOD}')(
+            wait_for_ready=False,
+        )
+
+    async def send(self, frame: bytes) -> None:
+        """Write one message."""
+        try:
+            await self.call.write(frame)
+        except (grpc.RpcError, asyncio.InvalidStateError) as error:
+            raise ConnectionLost('the stream has ended') from error
+
+    async def receive(self) -> bytes:
+        """Read one message."""
+        try:
+            frame = await self.call.read()
+        except (grpc.RpcError, asyncio.InvalidStateError) as error:
+            raise ConnectionLost('the stream has ended') from error
+        if frame is grpc.aio.EOF:
+            raise ConnectionLost('the peer closed the stream')
+        return frame
+
+    async def close(self) -> None:
+        """End the stream and its channel."""
+        self.call.cancel()
+        await self.channel.close()
+
+
+class ServerChannel:
+    """The listening side of a grpc stream."""
+
+    def __init__(
+        self,
+        requests: AsyncIterator[bytes],
+        context: grpc.aio.ServicerContext,
+    ) -> None:
+        """Wrap what grpc hands to a service method."""
+        self.requests = requests
+        self.context = context
+        self.closed = asyncio.Event()
+
+    async def send(self, frame: bytes) -> None:
+        """Write one message."""
+        try:
+            await self.context.write(frame)
+        except (grpc.RpcError, asyncio.InvalidStateError) as error:
+            raise ConnectionLost('the stream has ended') from error
+
+    async def receive(self) -> bytes:
+        """Read one message."""
+        try:
+            return await anext(self.requests)
+        except (StopAsyncIteration, grpc.RpcError) as error:
+            raise ConnectionLost('the peer closed the stream') from error
+
+    async def close(self) -> None:
+        """Let the service method return, which ends the stream."""
+        self.closed.set()
+
+
+class GrpcListener:
+    """A grpc server on one address."""
+
+    def __init__(self, server: grpc.aio.Server) -> None:
+        """Keep the server to stop it."""
+        self.server = server
+
+    async def close(self) -> None:
+        """Stop listening; open streams get a moment to end."""
+        await self.server.stop(STOP_GRACE_S)
+
+
+class DatagramListener(asyncio.DatagramProtocol):
+    """A bound UDP address."""
+
+    def __init__(self, handler: DatagramHandler) -> None:
+        """Hand each datagram to `handler`."""
+        self.handler = handler
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport for sending."""
+        self.transport = transport
+
+    def datagram_received(self, payload: bytes, sender: Any) -> None:
+        """Pass a datagram on."""
+        self.handler(payload, f'{sender[0]}:{sender[1]}')
+
+    async def close(self) -> None:
+        """Stop receiving."""
+        if self.transport is not None:
+            self.transport.close()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split `ip:port`."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+class GrpcNetwork:
+    """The network of the real daemons."""
+
+    def __init__(self) -> None:
+        """Start with nothing bound."""
+        self.bound: dict[str, DatagramListener] = {}
+
+    async def connect(self, address: str) -> Channel:
+        """Open a stream; the first write tells whether anybody listens."""
+        channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
+        return ClientChannel(channel)
+
+    async def listen(self, address: str, handler: ChannelHandler) -> Listener:
+        """Serve streams on an address.
+
+        Raises:
+            OSError: the address can't be bound.
+        """
+
+        async def exchange(  # noqa: WPS430
+            requests: AsyncIterator[bytes],
+            context: grpc.aio.ServicerContext,
+        ) -> None:
+            channel = ServerChannel(requests, context)
+            serving = asyncio.ensure_future(handler(channel))
+            closing = asyncio.ensure_future(channel.closed.wait())
+            try:
+                await asyncio.wait(
+                    (serving, closing),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            finally:
+                closing.cancel()
+                serving.cancel()
+
+        server = grpc.aio.server(options=CHANNEL_OPTIONS)
+        method = grpc.stream_stream_rpc_method_handler(exchange)
+        server.add_generic_rpc_handlers((
+            grpc.method_handlers_generic_handler(SERVICE, {METHOD: method}),
+        ))
+        try:
+            port = server.add_insecure_port(address)
+        except RuntimeError as error:
+            raise OSError(f'{address}: {error}') from error
+        if not port:
+            raise OSError(f'{address} cannot be bound')
+        await server.start()
+        return GrpcListener(server)
+
+    async def bind(self, address: str, handler: DatagramHandler) -> Listener:
+        """Receive datagrams on an address."""
+        loop = asyncio.get_running_loop()
+        _, listener = await loop.create_datagram_endpoint(
+            lambda: DatagramListener(handler),
+            local_addr=split_address(address),
+        )
+        self.bound[address] = listener
+        return listener
+
+    def send_datagram(self, source: str, target: str, payload: bytes) -> None:
+        """Send from a bound address; an unbound one sends nothing."""
+        listener = self.bound.get(source)
+        if listener is None or listener.transport is None:
+            return
+        if listener.transport.is_closing():
+            return
+        listener.transport.sendto(payload, split_address(target))
--- /dev/null
+++ b/pollenwalk/connection/http_api.py
@@ -0,0 +1,377 @@
+"""The callers' API over HTTP: JSON in and out, server-sent events for tokens."""
+
+from collections.abc import AsyncIterator
+from http import HTTPStatus
+from typing import Any, NotRequired, TypedDict
+
+import msgspec
+from loguru import logger
+from starlette.applications import Starlette
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from pollenwalk.connection.wire import (
+    Answer,
+    BeginProgram,
+    CallProgram,
+    EndProgram,
+    Tokens,
+    ViewCall,
+    ViewProgram,
+)
+from pollenwalk.errors import (
+    PollenwalkError,
+    Refusal,
+    RefusalBody,
+    RefusalCode,
+)
+from pollenwalk.process.entry import Entry
+from pollenwalk.process.metrics import EntryMetrics
+from pollenwalk.process.traces import HEADER as TRACE_HEADER
+from pollenwalk.program.view import problem
+from pollenwalk.version.resources import ProgramSpec
+
+MAX_BODY_BYTES = 1_000_000
+DEFAULT_DEADLINE_MS = 120_000
+MAX_DEADLINE_MS = 3_600_000
+KEY_HEADER = 'idempotency-key'
+CALLER_HEADER = 'x-pollenwalk-caller'
+ANONYMOUS = 'anonymous'
+PROBLEM_TYPE = 'application/problem+json'
+EVENT_TYPE = 'text/event-stream'
+MS_PER_SECOND = 1000
+
+STATUSES: dict[str, HTTPStatus] = {
+    RefusalCode.MALFORMED: HTTPStatus.BAD_REQUEST,
+    RefusalCode.KEY_MISSING: HTTPStatus.BAD_REQUEST,
+    RefusalCode.UNKNOWN_PROGRAM: HTTPStatus.NOT_FOUND,
+    RefusalCode.UNKNOWN_CALL: HTTPStatus.NOT_FOUND,
+    RefusalCode.UNKNOWN_DECLARATION: HTTPStatus.NOT_FOUND,
+    RefusalCode.UNKNOWN_UPSTREAM: HTTPStatus.NOT_FOUND,
+    RefusalCode.UNKNOWN_OPERATION: HTTPStatus.NOT_FOUND,
+    RefusalCode.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+    RefusalCode.SEQUENCE_TAKEN: HTTPStatus.CONFLICT,
+    RefusalCode.SEQUENCE_GAP: HTTPStatus.CONFLICT,
+    RefusalCode.PROGRAM_ENDED: HTTPStatus.CONFLICT,
+    RefusalCode.CANCELLED: HTTPStatus.CONFLICT,
+    RefusalCode.BUDGET_EXHAUSTED: HTTPStatus.PAYMENT_REQUIRED,
+    RefusalCode.LOOP_LIMIT: HTTPStatus.TOO_MANY_REQUESTS,
+    RefusalCode.OVERLOADED: HTTPStatus.TOO_MANY_REQUESTS,
+    RefusalCode.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    RefusalCode.DEADLINE: HTTPStatus.GATEWAY_TIMEOUT,
+    RefusalCode.UPSTREAM_FAILED: HTTPStatus.BAD_GATEWAY,
+    RefusalCode.OUTCOME_UNKNOWN: HTTPStatus.BAD_GATEWAY,
+}
+
+
+class BeginBody(TypedDict):
+    """Body of `POST /v1/programs`."""
+
+    program: str
+    budget: NotRequired[int | None]
+    deadline_ms: NotRequired[int | None]
+    parent: NotRequired[str | None]
+
+
+class CallBody(TypedDict):
+    """Body of `POST /v1/programs/{program}/calls`."""
+
+    sequence: int
+    upstream: str
+    operation: str
+    input: dict[str, Any]
+    deadline_ms: NotRequired[int]
+
+
+def refusal_response(refusal: Refusal) -> Response:
+    """Turn a refusal into a problem document."""
+    headers = {}
+    if refusal.retry_after_ms is not None:
+        seconds = -(-refusal.retry_after_ms // MS_PER_SECOND)
+        headers['Retry-After'] = str(seconds)
+    status = STATUSES.get(refusal.code, HTTPStatus.SERVICE_UNAVAILABLE)
+    body = {'status': int(status), **problem(RefusalBody.of(refusal))}
+    return JSONResponse(
+        body,
+        status_code=status,
+        headers=headers,
+        media_type=PROBLEM_TYPE,
+    )
+
+
+async def read_body(request: Request) -> bytes:
+    """Read a bounded body.
+
+    Raises:
+        Refusal: the body is too large.
+    """
+    parts = []
+    size = 0
+    async for part in request.stream():
+        size += len(part)
+        if size > MAX_BODY_BYTES:
+            raise Refusal(
+                RefusalCode.TOO_LARGE,
+                f'the body is larger than {MAX_BODY_BYTES} bytes',
+            )
+        parts.append(part)
+    return b''.join(parts)
+
+
+async def read_json(request: Request, form: Any) -> Any:
+    """Read and check a JSON body.
+
+    Raises:
+        Refusal: the body has another form.
+    """
+    text = await read_body(request)
+    try:
+        body = msgspec.json.decode(text, type=dict[str, Any])
+        fields = msgspec.convert(body, form)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise Refusal(RefusalCode.MALFORMED, f'body: {error}') from error
+    unknown = sorted(body.keys() - form.__annotations__.keys())
+    if unknown:
+        raise Refusal(
+            RefusalCode.MALFORMED,
+            f'body: unknown field {unknown[0]!r}',
+        )
+    return fields
+
+
+def caller_of(request: Request) -> str:
+    """Name the caller."""
+    return request.headers.get(CALLER_HEADER, ANONYMOUS)
+
+
+def offset_of(request: Request) -> int:
+    """Read where a stream should begin.
+
+    Raises:
+        Refusal: the offset is no whole number from 0 on.
+    """
+    text = request.query_params.get('offset', '0')
+    if not text.isdecimal():
+        raise Refusal(RefusalCode.MALFORMED, f'offset: {text!r} is no number')
+    return int(text)
+
+
+def clamp_deadline(deadline_ms: int) -> float:
+    """Check a call's deadline.
+
+    Raises:
+        Refusal: it is out of bounds.
+    """
+    if not 1 <= deadline_ms <= MAX_DEADLINE_MS:
+        raise Refusal(
+            RefusalCode.MALFORMED,
+            f'deadline_ms must be from 1 to {MAX_DEADLINE_MS}',
+        )
+    return float(deadline_ms)
+
+
+def event(name: str, body: dict[str, Any]) -> bytes:
+    """Pack one server-sent event."""
+    return b'event: %b\ndata: %b\n\n' % (name.encode(), msgspec.json.encode(body))
+
+
+class CallersApi:
+    """The HTTP routes of one entry."""
+
+    def __init__(self, entry: Entry, metrics: EntryMetrics) -> None:
+        """Serve `entry`."""
+        self.entry = entry
+        self.metrics = metrics
+
+    def app(self) -> Starlette:
+        """Build the application."""
+        program = '/v1/programs/{program}'
+        return Starlette(
+            routes=[
+                Route('/v1/programs', self.begin, methods=['POST']),
+                Route(f'{program}/calls', self.call, methods=['POST']),
+                Route(f'{program}/calls/{{key}}', self.kept, methods=['GET']),
+                Route(program, self.view, methods=['GET']),
+                Route(program, self.end, methods=['DELETE']),
+                Route('/healthz', self.healthz),
+                Route('/readyz', self.readyz),
+                Route('/metrics', self.show_metrics),
+            ],
+            exception_handlers={
+                PollenwalkError: self.refused,
+                ClientDisconnect: self.gone,
+            },
+        )
+
+    async def refused(self, request: Request, error: Exception) -> Response:
+        """Answer with a problem document."""
+        refusal = error
+        if not isinstance(refusal, Refusal):
+            logger.warning('request_failed', reason=str(error))
+            refusal = Refusal(RefusalCode.OUTCOME_UNKNOWN, str(error))
+        self.metrics.refused(refusal)
+        return refusal_response(refusal)
+
+    async def gone(self, request: Request, error: Exception) -> Response:
+        """Note a caller that vanished while sending."""
+        return Response(status_code=HTTPStatus.BAD_REQUEST)
+
+    async def begin(self, request: Request) -> Response:
+        """`POST /v1/programs`."""
+        fields = await read_json(request, BeginBody)
+        message = BeginProgram(
+            fields['program'],
+            caller_of(request),
+            request.headers.get(KEY_HEADER, ''),
+            fields.get('budget'),
+            fields.get('deadline_ms'),
+            fields.get('parent'),
+        )
+        check_begin(message)
+        view = await self.entry.routing.begin(message)
+        self.metrics.begun()
+        return JSONResponse(view.body, status_code=HTTPStatus.CREATED)
+
+    async def call(self, request: Request) -> Response:
+        """`POST /v1/programs/{program}/calls`."""
+        fields = await read_json(request, CallBody)
+        program = request.path_params['program']
+        wants_events = EVENT_TYPE in request.headers.get('accept', '')
+        with self.entry.tracer.span(
+            'entry',
+            request.headers.get(TRACE_HEADER, ''),
+        ) as trace:
+            message = CallProgram(
+                program,
+                request.headers.get(KEY_HEADER, ''),
+                fields['sequence'],
+                fields['upstream'],
+                fields['operation'],
+                fields['input'],
+                offset_of(request),
+                clamp_deadline(fields.get('deadline_ms', DEFAULT_DEADLINE_MS)),
+                trace,
+            )
+            if wants_events:
+                return await self.stream(message)
+            return await self.whole(message)
+
+    async def whole(self, message: CallProgram) -> Response:
+        """Answer once, with the whole answer."""
+        with self.metrics.timed():
+            async for item in self.entry.routing.call(message):
+                if isinstance(item, Answer):
+                    return JSONResponse(answer_body(message, item))
+        raise Refusal(RefusalCode.OUTCOME_UNKNOWN, 'no answer came')
+
+    async def stream(self, message: CallProgram) -> Response:
+        """Answer with events; a refusal before the first is an HTTP error."""
+        events = self.events(message)
+        first = await anext(events)
+        return StreamingResponse(
+            chain(first, events),
+            media_type=EVENT_TYPE,
+            headers={'Cache-Control': 'no-store'},
+        )
+
+    async def events(self, message: CallProgram) -> AsyncIterator[bytes]:
+        """Give a call's tokens and answer as events."""
+        begun = False
+        try:
+            async for item in self.entry.routing.call(message):
+                begun = True
+                yield self.as_event(message, item)
+        except PollenwalkError as error:
+            if not begun:
+                raise
+            refusal = error
+            if not isinstance(refusal, Refusal):
+                refusal = Refusal(RefusalCode.OUTCOME_UNKNOWN, str(error))
+            yield event('error', problem(RefusalBody.of(refusal)))
+
+    def as_event(self, message: CallProgram, item: Tokens | Answer) -> bytes:
+        """Pack tokens or the answer."""
+        if isinstance(item, Tokens):
+            self.metrics.streamed(len(item.texts))
+            return event('tokens', {'offset': item.offset, 'texts': item.texts})
+        return event('answer', answer_body(message, item))
+
+    async def view(self, request: Request) -> Response:
+        """`GET /v1/programs/{program}`."""
+        message = ViewProgram(request.path_params['program'])
+        return JSONResponse((await self.entry.routing.view(message)).body)
+
+    async def kept(self, request: Request) -> Response:
+        """`GET /v1/programs/{program}/calls/{key}`."""
+        message = ViewCall(
+            request.path_params['program'],
+            request.path_params['key'],
+        )
+        return JSONResponse((await self.entry.routing.view(message)).body)
+
+    async def end(self, request: Request) -> Response:
+        """`DELETE /v1/programs/{program}`."""
+        message = EndProgram(request.path_params['program'])
+        return JSONResponse((await self.entry.routing.view(message)).body)
+
+    async def healthz(self, request: Request) -> Response:
+        """Tell that the process answers."""
+        return JSONResponse({'status': 'ok'})
+
+    async def readyz(self, request: Request) -> Response:
+        """Tell whether calls can be taken."""
+        ready = self.entry.ready and not self.entry.stopping and self.can_serve()
+        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return JSONResponse({'ready': ready}, status_code=status)
+
+    def can_serve(self) -> bool:
+        """Tell whether programs are declared and their upstreams report."""
+        names = [
+            name
+            for spec in self.entry.config.specs.values()
+            if isinstance(spec, ProgramSpec)
+            for name in spec.upstreams
+        ]
+        return bool(names) and all(self.entry.fleet.views(name) for name in names)
+
+    async def show_metrics(self, request: Request) -> Response:
+        """Show the metrics in the Prometheus text format."""
+        body, media_type = self.metrics.render(self.entry)
+        return Response(body, media_type=media_type)
+
+
+def check_begin(message: BeginProgram) -> None:
+    """Check a beginning's numbers.
+
+    Raises:
+        Refusal: one is out of bounds.
+    """
+    for name, number in (
+        ('budget', message.budget),
+        ('deadline_ms', message.deadline_ms),
+    ):
+        if number is not None and number < 1:
+            raise Refusal(RefusalCode.MALFORMED, f'{name} must be from 1 on')
+
+
+def answer_body(message: CallProgram, answer: Answer) -> dict[str, Any]:
+    """Show an answer."""
+    return {
+        'key': message.key,
+        'sequence': message.sequence,
+        'outcome': 'ran',
+        'output': answer.output,
+        'tokens': answer.tokens,
+    }
+
+
+async def chain(
+    first: bytes,
+    rest: AsyncIterator[bytes],
+) -> AsyncIterator[bytes]:
+    """Give one event and those that follow."""
+    yield first
+    async for following in rest:
+        yield following
+
--- /dev/null
+++ b/pollenwalk/connection/service_http.py
@@ -0,0 +1,105 @@
+"""A plain service over HTTP: `POST /OPERATION` with a JSON body."""
+
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import quote
+
+import aiohttp
+import msgspec
+
+from pollenwalk.errors import Outcome, Refusal, RefusalCode
+
+NOT_BEGUN = frozenset((
+    HTTPStatus.NOT_FOUND,
+    HTTPStatus.METHOD_NOT_ALLOWED,
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+))
+RETRY_AFTER_MS = 500
+OUTPUT_DECODER = msgspec.json.Decoder(dict[str, Any])
+
+
+class HttpService:
+    """A client of one plain service.
+
+    The call's timeout is the sidecar's, so none is set here.
+    """
+
+    def __init__(self, url: str) -> None:
+        """Talk to the service at `url`; connections open at first use."""
+        self.url = url
+        self.session: aiohttp.ClientSession | None = None
+
+    def open_session(self) -> aiohttp.ClientSession:
+        """Give the session, making it at first use.
+
+        Connections are not kept: a request on a kept one that the service
+        has just closed could not be told from one that ran.
+        """
+        if self.session is None:
+            self.session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            )
+        return self.session
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self.session is not None:
+            await self.session.close()
+
+    async def invoke(
+        self,
+        call: str,
+        operation: str,
+        argument: dict[str, Any],
+    ) -> dict[str, Any]:
+        """Run an operation once."""
+        try:
+            async with self.open_session().post(
+                f'{self.url}/{quote(operation)}',
+                json=argument,
+                headers={'Idempotency-Key': call},
+                timeout=aiohttp.ClientTimeout(total=None),
+            ) as response:
+                return read_output(response.status, await response.read())
+        except aiohttp.ClientConnectorError as error:
+            # No connection was made, so the service can't have begun.
+            raise Refusal(
+                RefusalCode.UPSTREAM_FAILED,
+                f'the service takes no connection: {error}',
+                retry_after_ms=RETRY_AFTER_MS,
+            ) from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise unknown(f'the connection broke: {error}') from error
+
+
+def read_output(status: int, body: bytes) -> dict[str, Any]:
+    """Read a service's answer.
+
+    Raises:
+        Refusal: it refused, failed, or sent garbage.
+    """
+    if status in NOT_BEGUN:
+        raise Refusal(
+            RefusalCode.UPSTREAM_FAILED,
+            f'the service answered {status}',
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+    if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        raise unknown(f'the service answered {status}')
+    try:
+        output = OUTPUT_DECODER.decode(body)
+    except msgspec.DecodeError as error:
+        raise unknown(f'the service sent garbage: {error}') from error
+    if status >= HTTPStatus.BAD_REQUEST:
+        raise Refusal(
+            RefusalCode.UPSTREAM_FAILED,
+            f'the service answered {status}: {output}',
+            Outcome.RAN,
+        )
+    return output
+
+
+def unknown(text: str) -> Refusal:
+    """Refuse without knowing whether the service acted."""
+    return Refusal(RefusalCode.OUTCOME_UNKNOWN, text, Outcome.UNKNOWN)
--- /dev/null
+++ b/pollenwalk/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that may vary: placement, admission and retention."""
--- /dev/null
+++ b/pollenwalk/policy/placement.py
@@ -0,0 +1,147 @@
+"""Which upstream host a call goes to."""
+
+import random
+from collections.abc import Sequence
+from typing import NamedTuple, Protocol
+
+ZONE_PATH_MS = 1.0
+REGION_PATH_MS = 60.0
+
+
+class HostView(NamedTuple):
+    """What an entry believes of an upstream host.
+
+    Attributes:
+        sidecar: the sidecar's id.
+        address: where it takes requests.
+        zone: its availability zone.
+        region: its region.
+        slots: calls it runs at a time.
+        running: calls running at its last report.
+        queued: calls waiting at its last report.
+        work_ms: its own estimate of the work before a new call.
+        sent: calls this entry has sent it since the report.
+    """
+
+    sidecar: str
+    address: str
+    zone: str
+    region: str
+    slots: int
+    running: int
+    queued: int
+    work_ms: float
+    sent: int
+
+
+class Need(NamedTuple):
+    """What is to be placed.
+
+    Attributes:
+        program: the program's id.
+        zone: where the entry is.
+        region: where the entry is.
+        prompt_tokens: tokens of the whole prompt.
+        held: prompt tokens known to be cached, by sidecar.
+        answer_ms: expected time of the answer once it runs.
+        prefill_ms: time to compute one prompt token.
+        avoid: sidecars that have just refused or failed.
+    """
+
+    program: str
+    zone: str
+    region: str
+    prompt_tokens: int
+    held: dict[str, int]
+    answer_ms: float
+    prefill_ms: float
+    avoid: frozenset[str] = frozenset()
+
+
+class Placement(Protocol):
+    """A policy that picks an upstream host."""
+
+    def choose(self, hosts: Sequence[HostView], need: Need) -> HostView | None:
+        """Pick one of the hosts; None when there is none to pick."""
+
+
+def path_ms(host: HostView, need: Need) -> float:
+    """Estimate the way to a host and back."""
+    if host.region != need.region:
+        return REGION_PATH_MS
+    return 0 if host.zone == need.zone else ZONE_PATH_MS
+
+
+def usable(hosts: Sequence[HostView], need: Need) -> Sequence[HostView]:
+    """Leave out hosts to be avoided unless no other is left."""
+    fresh = [host for host in hosts if host.sidecar not in need.avoid]
+    return fresh or hosts
+
+
+class ExpectedFinish:
+    """Pick the host that is expected to finish the call first."""
+
+    def choose(self, hosts: Sequence[HostView], need: Need) -> HostView | None:
+        """Compare the expected finish at every usable host."""
+        return min(
+            usable(hosts, need),
+            key=lambda host: (self.finish_ms(host, need), host.sidecar),
+            default=None,
+        )
+
+    def finish_ms(self, host: HostView, need: Need) -> float:
+        """Estimate wait, prefill and path; decoding is the same everywhere."""
+        cached = need.held.get(host.sidecar, 0)
+        prefill = max(need.prompt_tokens - cached, 0) * need.prefill_ms
+        ahead = host.running + host.queued + host.sent
+        excess = max(ahead + 1 - host.slots, 0)
+        wait = excess * need.answer_ms / max(host.slots, 1)
+        return path_ms(host, need) + max(host.work_ms, wait) + prefill
+
+
+class RoundRobin:
+    """Take the hosts in turn."""
+
+    def __init__(self) -> None:
+        """Start with the first."""
+        self.turn = 0
+
+    def choose(self, hosts: Sequence[HostView], need: Need) -> HostView | None:
+        """Pick the next host."""
+        choices = sorted(usable(hosts, need))
+        if not choices:
+            return None
+        self.turn += 1
+        return choices[self.turn % len(choices)]
+
+
+class LeastLoaded:
+    """Pick the host with the least reported load."""
+
+    def __init__(self, dice: random.Random) -> None:
+        """Break ties by `dice`."""
+        self.dice = dice
+
+    def choose(self, hosts: Sequence[HostView], need: Need) -> HostView | None:
+        """Compare the reports as they are."""
+        return min(
+            usable(hosts, need),
+            key=lambda host: (host.running + host.queued, self.dice.random()),
+            default=None,
+        )
+
+
+class Sticky:
+    """Stay with the host that served the program before."""
+
+    def __init__(self, dice: random.Random) -> None:
+        """Begin a program where the reported load is least."""
+        self.fallback = LeastLoaded(dice)
+
+    def choose(self, hosts: Sequence[HostView], need: Need) -> HostView | None:
+        """Pick the host with the most cached tokens."""
+        choices = usable(hosts, need)
+        holding = [host for host in choices if need.held.get(host.sidecar)]
+        if not holding:
+            return self.fallback.choose(choices, need)
+        return max(holding, key=lambda host: need.held[host.sidecar])
--- /dev/null
+++ b/pollenwalk/process/adoption.py
@@ -0,0 +1,139 @@
+"""Bringing a sealed home's programs into this entry's own journal."""
+
+import msgspec
+from loguru import logger
+
+from pollenwalk.errors import StoreConflict, StoreUnavailable
+from pollenwalk.process.directory import (
+    Directory,
+    encode_record,
+    record_key,
+)
+from pollenwalk.process.home import Home
+from pollenwalk.process.segments import segment_key
+from pollenwalk.process.store import Backoff, ObjectStore
+from pollenwalk.process.takeover import (
+    Takeover,
+    adopted_incarnations,
+    replay,
+)
+from pollenwalk.program.program import ProgramBook, snapshot_of
+from pollenwalk.program.records import Adopted, Claimed, Snapshot
+
+CHUNK_BYTES = 300_000
+
+
+class Adoption:
+    """Takes over dead entries for one home."""
+
+    def __init__(
+        self,
+        home: Home,
+        takeover: Takeover,
+        store: ObjectStore,
+        directory: Directory,
+    ) -> None:
+        """Adopt into `home`."""
+        self.home = home
+        self.takeover = takeover
+        self.store = store
+        self.directory = directory
+        self.adopted: dict[str, None] = {}
+
+    async def take_over(self, dead: str) -> bool:
+        """Take over a dead entry if its seal is or becomes ours.
+
+        Returns:
+            Whether its programs are here now.
+
+        Raises:
+            StoreUnavailable: the store does not answer; try again later.
+            Fenced: this home has itself been sealed.
+        """
+        if dead not in self.adopted:
+            owner = await self.takeover.owner(dead)
+            if owner != self.takeover.successor and not self.inherited(owner):
+                return False
+            await self.adopt(dead)
+        await self.name_successor(dead)
+        return True
+
+    def inherited(self, owner: str) -> bool:
+        """Tell whether the owner of a seal has itself been adopted here."""
+        return owner in self.adopted
+
+    async def adopt(self, dead: str) -> None:
+        """Copy all programs, then make the copy count."""
+        sealed = await self.takeover.read_sealed(dead)
+        book = replay(sealed)
+        for chunk in chunks(book, dead):
+            await self.home.parts.recorder.journal.commit(chunk)
+        await self.adopt_claims(book)
+        await self.home.parts.recorder.journal.commit([Adopted(dead)])
+        for program in book.programs.values():
+            self.home.book.add(program)
+        for identity, program_id in book.claims.items():
+            self.home.book.claims.setdefault(identity, program_id)
+        self.home.recover(book.programs.values())
+        inherited = adopted_incarnations(sealed.content)
+        self.adopted.update(dict.fromkeys([dead, *sorted(inherited)]))
+        logger.info('entry_adopted', dead=dead, programs=len(book.programs))
+        for incarnation in sorted(inherited):
+            await self.name_successor(incarnation)
+        await self.delete_segments(dead, sorted(sealed.content.segments))
+
+    async def adopt_claims(self, book: ProgramBook) -> None:
+        """Copy the keys that the dead home had settled."""
+        claims = [
+            Claimed(caller, key, program)
+            for (caller, key), program in book.claims.items()
+        ]
+        if claims:
+            await self.home.parts.recorder.journal.commit(claims)
+
+    async def name_successor(self, dead: str) -> None:
+        """Write into a dead entry's record who has its programs."""
+        backoff = Backoff(self.home.parts.clock)
+        while not await self.successor_named(dead):
+            await backoff.pause()
+
+    async def successor_named(self, dead: str) -> bool:
+        """Try once to write the successor."""
+        try:
+            stored = await self.store.get(record_key(dead))
+            if stored is None:
+                return True
+            self.directory.take(stored)
+            record = self.directory.records[dead]
+            if record.successor:
+                return True
+            named = record._replace(successor=self.takeover.successor)
+            body = encode_record(named)
+            version = await self.store.put(stored.key, body, stored.version)
+        except (StoreConflict, StoreUnavailable):
+            return False
+        self.directory.take(stored._replace(body=body, version=version))
+        return True
+
+    async def delete_segments(self, dead: str, numbers: list[int]) -> None:
+        """Delete a dead journal but for its seal, which fences for ever."""
+        for number in numbers[:-1]:
+            try:
+                await self.store.delete(segment_key(dead, number))
+            except StoreUnavailable:
+                return
+
+
+def chunks(book: ProgramBook, origin: str) -> list[list[Snapshot]]:
+    """Split a book into commits of bounded size."""
+    parts: list[list[Snapshot]] = [[]]
+    size = 0
+    for program in book.programs.values():
+        snapshot = snapshot_of(program, origin)
+        weight = len(msgspec.msgpack.encode(snapshot))
+        if parts[-1] and size + weight > CHUNK_BYTES:
+            parts.append([])
+            size = 0
+        parts[-1].append(snapshot)
+        size += weight
+    return [part for part in parts if part]
--- /dev/null
+++ b/pollenwalk/process/entry.py
@@ -0,0 +1,385 @@
+"""An entry: takes callers' requests and is home to a share of the programs."""
+
+import random
+from collections.abc import AsyncIterator
+from typing import Any, NamedTuple
+
+from loguru import logger
+
+from pollenwalk.connection.channel import Listener, Network
+from pollenwalk.connection.peer import PeerServer
+from pollenwalk.connection.wire import (
+    Beat,
+    Entries,
+    Report,
+    UpstreamConfig,
+    decode_datagram,
+    encode_datagram,
+)
+from pollenwalk.errors import (
+    ConnectionLost,
+    Fenced,
+    PollenwalkError,
+    Refusal,
+    StoreUnavailable,
+)
+from pollenwalk.policy.placement import ExpectedFinish, Placement
+from pollenwalk.process.acceptance import Acceptance
+from pollenwalk.process.adoption import Adoption
+from pollenwalk.process.clock import Clock
+from pollenwalk.process.compaction import Compaction
+from pollenwalk.process.directory import (
+    Directory,
+    EntryRecord,
+    encode_record,
+    record_key,
+    rendezvous,
+)
+from pollenwalk.process.entry_service import EntryService
+from pollenwalk.process.fleet import Fleet, Location
+from pollenwalk.process.home import Home
+from pollenwalk.process.journal import Journal
+from pollenwalk.process.liveness import BEAT_MS, Liveness
+from pollenwalk.process.peers import Peers
+from pollenwalk.process.recorder import Recorder
+from pollenwalk.process.segments import WitnessRef
+from pollenwalk.process.store import ObjectStore, create_once
+from pollenwalk.process.takeover import Takeover
+from pollenwalk.process.tasks import TaskSet
+from pollenwalk.process.traces import Tracer
+from pollenwalk.process.witness import WitnessLog
+from pollenwalk.program.program import ProgramBook
+from pollenwalk.request.execution import Parts
+from pollenwalk.request.retry import RetryBudgets
+from pollenwalk.request.routing import Routing
+from pollenwalk.version.config import Configuration
+from pollenwalk.version.resources import Kind, ResourceId
+
+ID_BITS = 48
+FORGET_SILENT_MS = 60_000
+HANDOVER_PATIENCE_MS = 10_000
+DRAIN_CHECK_MS = 20
+DRAIN_PATIENCE_MS = 120_000
+JUDGE = 'judge'
+
+
+class EntrySettings(NamedTuple):
+    """Where an entry runs.
+
+    Attributes:
+        address: `ip:port` for peers, TCP and UDP.
+        zone: its availability zone.
+        regions: the region of each zone.
+        witnesses: how many other entries hold its batches; fewer than that
+            many other entries alive means none.
+        journal_interval_ms: shortest time between two segments.
+    """
+
+    address: str
+    zone: str
+    regions: dict[str, str]
+    witnesses: int = 2
+    journal_interval_ms: float = 2.0
+
+
+class Entry:
+    """One start of an entry."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        network: Network,
+        store: ObjectStore,
+        clock: Clock,
+        dice: random.Random,
+        tracer: Tracer,
+        placement: Placement | None = None,
+    ) -> None:
+        """Put the parts together; nothing is started yet."""
+        self.settings = settings
+        self.network = network
+        self.store = store
+        self.clock = clock
+        self.dice = dice
+        self.tracer = tracer
+        self.placement = placement or ExpectedFinish()
+        self.tasks = TaskSet()
+        self.config = Configuration()
+        self.acceptance = Acceptance(store, clock, self.config)
+        self.fleet = Fleet(clock, settings.regions)
+        self.peers = Peers(network, clock, self.tasks)
+        self.directory = Directory(store, clock)
+        self.liveness = Liveness(self.directory, network, clock)
+        self.witness_log = WitnessLog()
+        self.retries = RetryBudgets()
+        self.listeners: list[Listener] = []
+        self.taking_over: dict[str, None] = {}
+        self.ready = False
+        self.stopping = False
+        self.home_tasks = TaskSet()
+        self.incarnate()
+
+    @property
+    def location(self) -> Location:
+        """Give where this entry is."""
+        zone = self.settings.zone
+        return Location(zone, self.settings.regions.get(zone, ''))
+
+    @property
+    def own(self) -> EntryRecord:
+        """Give this entry's record as written at its start."""
+        return EntryRecord(
+            self.incarnation,
+            self.settings.address,
+            self.location.zone,
+            self.location.region,
+            self.started_ms,
+        )
+
+    def incarnate(self) -> None:
+        """Begin a new incarnation with no programs."""
+        self.incarnation = f'{self.dice.getrandbits(ID_BITS):012x}'
+        self.started_ms = self.clock.wall_ms()
+        self.peers.identify(self.incarnation, self.settings.zone)
+        self.journal = Journal(
+            self.store,
+            self.clock,
+            self.home_tasks,
+            self.incarnation,
+        )
+        self.journal.interval_ms = self.settings.journal_interval_ms
+        self.journal.peers = self.peers.at
+        self.journal.on_fenced = self.fenced
+        book = ProgramBook()
+        recorder = Recorder(self.journal, book, self.clock, self.home_tasks)
+        parts = Parts(
+            self.incarnation,
+            self.clock,
+            self.dice,
+            self.location,
+            self.config,
+            self.fleet,
+            self.peers.at,
+            self.placement,
+            self.retries,
+            recorder,
+            self.tracer,
+        )
+        self.home = Home(parts, book, self.home_tasks)
+        self.compaction = Compaction(self.home, self.store)
+        self.takeover = Takeover(
+            self.store,
+            self.clock,
+            self.peers.at,
+            self.witness_log,
+            self.incarnation,
+        )
+        self.adoption = Adoption(
+            self.home,
+            self.takeover,
+            self.store,
+            self.directory,
+        )
+        self.routing = Routing(self.home, self.directory, self.peers.at, self.location)
+        self.service = EntryService(self)
+        self.server = PeerServer(self.clock, self.service.handle, self.incarnation)
+
+    async def start(self) -> None:
+        """Listen, register and begin to work."""
+        address = self.settings.address
+        self.listeners = [
+            await self.network.listen(address, self.serve),
+            await self.network.bind(address, self.datagram),
+        ]
+        self.tasks.spawn(self.directory.follow(), 'directory')
+        self.tasks.spawn(self.acceptance.follow_verdicts(), 'verdicts')
+        self.tasks.spawn(self.acceptance.follow_wishes(), 'wishes')
+        self.tasks.spawn(self.acceptance.judge_wishes(self.judges), 'judge')
+        self.tasks.spawn(self.watch_entries(), 'liveness')
+        self.tasks.spawn(self.register(), 'register')
+
+    async def serve(self, channel: Any) -> None:
+        """Serve a peer's channel under the present incarnation."""
+        await self.server.serve(channel)
+
+    async def register(self) -> None:
+        """Write this incarnation's record, then be home to programs."""
+        own = self.own
+        key = record_key(own.incarnation)
+        await create_once(self.store, self.clock, key, encode_record(own))
+        while own.incarnation not in self.directory.records:
+            await self.try_refresh()
+        while not self.acceptance.synced:
+            await self.clock.sleep_ms(DRAIN_CHECK_MS)
+        self.journal.start()
+        self.compaction.start()
+        self.home.start()
+        self.ready = True
+        logger.info('entry_ready', incarnation=own.incarnation)
+
+    async def try_refresh(self) -> None:
+        """Read the directory once; a silent store is asked again later."""
+        try:
+            await self.directory.refresh()
+        except StoreUnavailable:
+            await self.clock.sleep_ms(BEAT_MS)
+
+    def fenced(self) -> None:
+        """Go on as a new incarnation: a successor has our programs."""
+        self.ready = False
+        if not self.stopping:
+            self.tasks.spawn(self.reincarnate(), 'reincarnate')
+
+    async def reincarnate(self) -> None:
+        """Leave the old programs to their successor and register anew."""
+        old_tasks = self.home_tasks
+        self.home_tasks = TaskSet()
+        await self.server.close()
+        self.incarnate()
+        await self.register()
+        await old_tasks.cancel()
+
+    def judges(self) -> bool:
+        """Tell whether this entry is the one that judges wishes."""
+        names = [record.incarnation for record in self.directory.live()]
+        ranked = rendezvous(JUDGE, names)
+        return bool(ranked) and ranked[0] == self.incarnation
+
+    async def watch_entries(self) -> None:
+        """Send heartbeats and take over the dead, as long as we live."""
+        while True:
+            if self.ready:
+                self.liveness.beat(self.own)
+                self.choose_witnesses()
+                for record in self.liveness.suspects(self.own):
+                    self.suspect(record)
+                for record in self.forerunners():
+                    self.suspect(record)
+            self.fleet.forget_silent(FORGET_SILENT_MS)
+            await self.clock.sleep_ms(BEAT_MS)
+
+    def forerunners(self) -> list[EntryRecord]:
+        """Give earlier incarnations at our own address; they are dead."""
+        return [
+            record
+            for record in self.directory.live()
+            if record.address == self.settings.address
+            and record.incarnation != self.incarnation
+        ]
+
+    def choose_witnesses(self) -> None:
+        """Name the entries that should hold our batches."""
+        count = self.settings.witnesses
+        failed = self.journal.failed_witnesses()
+        refs = [
+            WitnessRef(record.incarnation, record.address)
+            for record in self.directory.witnesses(self.incarnation, count + 1)
+        ]
+        usable = [ref for ref in refs if ref not in failed][:count]
+        self.journal.want_witnesses(usable if len(usable) == count else [])
+
+    def suspect(self, record: EntryRecord) -> None:
+        """Start looking into a silent entry, once at a time."""
+        if record.incarnation in self.taking_over or self.stopping:
+            return
+        self.taking_over[record.incarnation] = None
+        self.tasks.spawn(self.look_into(record), 'takeover')
+
+    async def look_into(self, record: EntryRecord) -> None:
+        """Take a silent entry over unless it answers."""
+        try:
+            if await self.answers(record):
+                self.liveness.heard(record.incarnation)
+                return
+            logger.warning('entry_silent', incarnation=record.incarnation)
+            await self.take_over(record.incarnation)
+        finally:
+            self.taking_over.pop(record.incarnation, None)
+
+    async def answers(self, record: EntryRecord) -> bool:
+        """Tell whether this very incarnation still answers."""
+        if record.address == self.settings.address:
+            return False
+        try:
+            connection = await self.peers.at(record.address).connected()
+            await connection.ask(Beat(self.incarnation, 0))
+        except PollenwalkError:
+            return False
+        return connection.boot == record.incarnation
+
+    async def take_over(self, dead: str) -> bool:
+        """Take a dead entry over; a silent store puts it off."""
+        try:
+            return await self.adoption.take_over(dead)
+        except (StoreUnavailable, Fenced) as error:
+            logger.warning('takeover_put_off', dead=dead, reason=error.message)
+            return False
+
+    def datagram(self, payload: bytes, sender: str) -> None:
+        """Take a report or a heartbeat; noise is dropped."""
+        try:
+            message = decode_datagram(payload)
+        except Refusal as refusal:
+            logger.debug('datagram_dropped', sender=sender, reason=refusal.message)
+            return
+        if isinstance(message, Beat):
+            self.liveness.heard(message.incarnation)
+        elif isinstance(message, Report):
+            self.fleet.take(message)
+            self.reply(message)
+
+    def reply(self, report: Report) -> None:
+        """Tell a sidecar which entries there are and what is in force."""
+        addresses = [record.address for record in self.directory.live()]
+        self.send(report.address, Entries(addresses))
+        accepted = self.config.accepted.get(
+            ResourceId(Kind.UPSTREAM, report.upstream),
+        )
+        if accepted is None or accepted.spec is None:
+            return
+        if accepted.version > report.versions:
+            self.send(
+                report.address,
+                UpstreamConfig(accepted.name, accepted.version, accepted.spec),
+            )
+
+    def send(self, address: str, message: Any) -> None:
+        """Send a datagram."""
+        payload = encode_datagram(message)
+        self.network.send_datagram(self.settings.address, address, payload)
+
+    async def stop(self) -> None:
+        """Stop gracefully: hand the programs over, finish what is open."""
+        self.stopping = True
+        await self.hand_over()
+        until_ms = self.clock.now_ms() + DRAIN_PATIENCE_MS
+        while self.routing.open_requests and self.clock.now_ms() < until_ms:
+            await self.clock.sleep_ms(DRAIN_CHECK_MS)
+        await self.close()
+
+    async def hand_over(self) -> None:
+        """Let another entry take over now, running calls included."""
+        if not self.ready or self.journal.fenced:
+            return
+        until_ms = self.clock.now_ms() + HANDOVER_PATIENCE_MS
+        while self.clock.now_ms() < until_ms:
+            others = self.directory.observers(self.incarnation, 1)
+            if not others:
+                break
+            if await self.service.ask_handover(others[0]):
+                return
+            await self.clock.sleep_ms(BEAT_MS)
+        self.home.stopping = True
+
+    async def close(self) -> None:
+        """End everything at once."""
+        self.ready = False
+        await self.home_tasks.cancel()
+        await self.tasks.cancel()
+        await self.server.close()
+        await self.peers.close()
+        for listener in self.listeners:
+            await listener.close()
+
+
+__all__ = ('AsyncIterator', 'Entry', 'EntrySettings')
--- /dev/null
+++ b/pollenwalk/process/fleet.py
@@ -0,0 +1,126 @@
+"""The upstream hosts as an entry knows them, from their sidecars' reports.
+
+Reports lag, so what this entry has sent since a report is added to it. A host
+that falls silent is left out, and a leaving one at its first word.
+"""
+
+from typing import NamedTuple
+
+from pollenwalk.connection.wire import Report
+from pollenwalk.policy.placement import HostView
+from pollenwalk.process.clock import Clock
+
+SILENT_AFTER_MS = 3500
+
+
+class Location(NamedTuple):
+    """Where a process runs."""
+
+    zone: str
+    region: str
+
+
+class UpstreamHost:
+    """One upstream host and what was sent to it."""
+
+    def __init__(self, report: Report, heard_ms: float) -> None:
+        """Start from the first report."""
+        self.report = report
+        self.heard_ms = heard_ms
+        self.sent: dict[str, float] = {}
+        self.refused_until_ms = 0.0
+
+    def take(self, report: Report, heard_ms: float) -> None:
+        """Replace the report unless it is older than the present one."""
+        same_boot = report.boot == self.report.boot
+        if same_boot and report.number < self.report.number:
+            return
+        left = self.report.leaving and same_boot
+        self.report = report._replace(leaving=report.leaving or left)
+        self.heard_ms = heard_ms
+        self.refused_until_ms = 0.0
+        self.sent = {
+            call: sent_ms
+            for call, sent_ms in self.sent.items()
+            if sent_ms > heard_ms - 1
+        }
+
+    def view(self, region: str) -> HostView:
+        """Give what placement needs."""
+        report = self.report
+        return HostView(
+            report.sidecar,
+            report.address,
+            report.zone,
+            region,
+            report.slots,
+            report.running,
+            report.queued,
+            report.work_ms,
+            len(self.sent),
+        )
+
+
+class Fleet:
+    """All upstream hosts that report to this entry."""
+
+    def __init__(self, clock: Clock, regions: dict[str, str]) -> None:
+        """Start empty; `regions` maps each zone to its region."""
+        self.clock = clock
+        self.regions = regions
+        self.hosts: dict[str, UpstreamHost] = {}
+
+    def take(self, report: Report) -> None:
+        """Note a report."""
+        now_ms = self.clock.now_ms()
+        host = self.hosts.get(report.sidecar)
+        if host is None:
+            self.hosts[report.sidecar] = UpstreamHost(report, now_ms)
+        else:
+            host.take(report, now_ms)
+
+    def views(self, upstream: str) -> list[HostView]:
+        """Give the hosts of an upstream that may take new work."""
+        now_ms = self.clock.now_ms()
+        return [
+            host.view(self.regions.get(host.report.zone, ''))
+            for _, host in sorted(self.hosts.items())
+            if host.report.upstream == upstream and self.takes_work(host, now_ms)
+        ]
+
+    def takes_work(self, host: UpstreamHost, now_ms: float) -> bool:
+        """Tell whether a host is heard, stays, and did not just refuse."""
+        if host.report.leaving or not host.report.slots or now_ms < host.refused_until_ms:
+            return False
+        return now_ms - host.heard_ms <= SILENT_AFTER_MS
+
+    def sent(self, sidecar: str, call: str) -> None:
+        """Note a call on its way to a host."""
+        self.hosts[sidecar].sent[call] = self.clock.now_ms()
+
+    def returned(self, sidecar: str, call: str) -> None:
+        """Note that a call is back."""
+        host = self.hosts.get(sidecar)
+        if host is not None:
+            host.sent.pop(call, None)
+
+    def leaves(self, sidecar: str) -> None:
+        """Note a host's own word that it leaves."""
+        host = self.hosts.get(sidecar)
+        if host is not None:
+            host.report = host.report._replace(leaving=True)
+
+    def refused(self, sidecar: str, pause_ms: float) -> None:
+        """Leave a host out for a while after a refusal or a lost path."""
+        host = self.hosts.get(sidecar)
+        if host is not None:
+            host.refused_until_ms = self.clock.now_ms() + pause_ms
+
+    def forget_silent(self, after_ms: float) -> None:
+        """Drop hosts that have been silent for long."""
+        limit_ms = self.clock.now_ms() - after_ms
+        self.hosts = {
+            sidecar: host
+            for sidecar, host in self.hosts.items()
+            if host.heard_ms > limit_ms
+        }
--- /dev/null
+++ b/pollenwalk/process/journal.py
@@ -0,0 +1,260 @@
+"""A home's journal: group commits into the store, ended by a seal.
+
+Each segment is a conditional create of the next number, so a sealed home
+loses its next commit and learns that it has a successor. Nothing here reads
+a clock to decide who may write.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from loguru import logger
+
+from pollenwalk.connection.wire import WitnessAppend
+from pollenwalk.errors import Fenced, StoreUnavailable
+from pollenwalk.process.clock import Clock
+from pollenwalk.process.segments import (
+    Segment,
+    WitnessRef,
+    encode_segment,
+    segment_key,
+)
+from pollenwalk.process.store import (
+    Backoff,
+    ObjectStore,
+    create_or_compare,
+    make_nonce,
+)
+from pollenwalk.process.tasks import TaskSet
+from pollenwalk.process.witness import PeerSource, WitnessLink
+from pollenwalk.program.records import Record, encode_records
+
+MAX_SEGMENT_BYTES = 600_000
+STALL_MS = 1500
+WITNESS_RETRY_MS = 200
+
+
+class Batch:
+    """Records that become durable together."""
+
+    def __init__(self, number: int, body: bytes, opened_ms: float) -> None:
+        """Hold an encoded batch that waits to become durable."""
+        self.number = number
+        self.body = body
+        self.opened_ms = opened_ms
+        self.durable: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def settle(self) -> None:
+        """Mark the batch durable."""
+        if not self.durable.done():
+            self.durable.set_result(None)
+
+    def fail(self) -> None:
+        """Mark the batch as lost to a successor."""
+        if not self.durable.done():
+            self.durable.set_exception(Fenced('sealed by a successor'))
+            self.durable.exception()
+
+
+class Journal:
+    """Appends records and tells when they are durable."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        clock: Clock,
+        tasks: TaskSet,
+        incarnation: str,
+    ) -> None:
+        """Prepare the journal of a fresh incarnation."""
+        self.store = store
+        self.clock = clock
+        self.tasks = tasks
+        self.incarnation = incarnation
+        self.interval_ms = 0.0
+        self.next_segment = 1
+        self.next_batch = 1
+        self.base = 0
+        self.open_records: list[Record] = []
+        self.open_batch: Batch | None = None
+        self.pending: list[Batch] = []
+        self.work = asyncio.Event()
+        self.witnessing = asyncio.Event()
+        self.fenced = False
+        self.wanted: list[WitnessRef] = []
+        self.effective: list[WitnessRef] = []
+        self.proposed: list[WitnessRef] = []
+        self.links: dict[WitnessRef, WitnessLink] = {}
+        self.on_segment: Callable[[int], None] = lambda number: None
+        self.on_fenced: Callable[[], None] = lambda: None
+        self.peers: PeerSource | None = None
+        self.segments_written = 0
+
+    def start(self) -> None:
+        """Begin writing."""
+        self.tasks.spawn(self.write_segments(), 'journal_segments')
+
+    async def commit(self, records: list[Record]) -> None:
+        """Append records and wait until they are durable.
+
+        Raises:
+            Fenced: a successor has sealed this journal.
+        """
+        if self.fenced:
+            raise Fenced('sealed by a successor')
+        if self.open_batch is None:
+            self.open_batch = Batch(0, b'', self.clock.now_ms())
+            asyncio.get_running_loop().call_soon(self.close_batch)
+        self.open_records.extend(records)
+        await asyncio.shield(self.open_batch.durable)
+
+    def close_batch(self) -> None:
+        """Number the open batch and offer it to the store and witnesses."""
+        batch = self.open_batch
+        if batch is None:
+            return
+        batch.number = self.next_batch
+        batch.body = encode_records(self.open_records)
+        self.next_batch += 1
+        self.open_records = []
+        self.open_batch = None
+        if self.fenced:
+            batch.fail()
+            return
+        self.pending.append(batch)
+        self.work.set()
+        self.witnessing.set()
+
+    @property
+    def stalled(self) -> bool:
+        """Tell whether a batch has waited too long to become durable."""
+        oldest = next((one for one in self.pending if not one.durable.done()), None)
+        if oldest is None:
+            return False
+        return self.clock.now_ms() - oldest.opened_ms > STALL_MS
+
+    async def write_segments(self) -> None:
+        """Write what is pending, one segment after the other."""
+        while not self.fenced:
+            await self.work.wait()
+            self.work.clear()
+            while not self.fenced and self.has_work():
+                await self.write_segment(list(self.fitting()))
+                await self.clock.sleep_ms(self.interval_ms)
+
+    def has_work(self) -> bool:
+        """Tell whether a segment is due."""
+        return bool(self.pending) or self.wanted != self.effective
+
+    def fitting(self) -> Iterable[Batch]:
+        """Give pending batches up to a segment's size, at least one."""
+        size = 0
+        for batch in self.pending:
+            size += len(batch.body)
+            if size > MAX_SEGMENT_BYTES and size > len(batch.body):
+                return
+            yield batch
+
+    async def write_segment(self, batches: list[Batch]) -> None:
+        """Create the next segment, however often its answer is lost."""
+        self.proposed = list(self.wanted)
+        segment = Segment(
+            make_nonce(),
+            self.base + 1,
+            [batch.body for batch in batches],
+            self.proposed,
+        )
+        key = segment_key(self.incarnation, self.next_segment)
+        body = encode_segment(segment)
+        backoff = Backoff(self.clock)
+        while True:
+            try:
+                ours = await create_or_compare(self.store, key, body)
+            except StoreUnavailable:
+                await backoff.pause()
+                continue
+            break
+        if ours:
+            self.stored(batches)
+        else:
+            self.fence()
+
+    def stored(self, batches: list[Batch]) -> None:
+        """Note a written segment."""
+        number = self.next_segment
+        self.next_segment += 1
+        self.segments_written += 1
+        self.base += len(batches)
+        self.pending = [one for one in self.pending if one.number > self.base]
+        self.effective = self.proposed
+        for batch in batches:
+            batch.settle()
+        self.link_witnesses()
+        self.on_segment(number)
+
+    def fence(self) -> None:
+        """Stop for good: a successor owns the programs now."""
+        if self.fenced:
+            return
+        self.fenced = True
+        logger.warning('journal_fenced', incarnation=self.incarnation)
+        for batch in self.pending:
+            batch.fail()
+        self.pending = []
+        self.witnessing.set()
+        self.on_fenced()
+
+    def want_witnesses(self, refs: list[WitnessRef]) -> None:
+        """Ask for another set of witnesses, from the next segment on."""
+        if refs != self.wanted:
+            self.wanted = refs
+            self.work.set()
+
+    def failed_witnesses(self) -> list[WitnessRef]:
+        """Give the witnesses that can't acknowledge any more."""
+        return [ref for ref, link in self.links.items() if link.failed]
+
+    def link_witnesses(self) -> None:
+        """Start sending to new witnesses and stop sending to old ones."""
+        for ref in list(self.links):
+            if ref not in self.effective:
+                self.links.pop(ref)
+        if self.peers is None:
+            return
+        for ref in self.effective:
+            if ref not in self.links:
+                link = WitnessLink(ref, self.peers(ref.address))
+                self.links[ref] = link
+                self.tasks.spawn(self.feed(link), 'journal_witness')
+
+    async def feed(self, link: WitnessLink) -> None:
+        """Send pending batches to one witness while it is one of ours."""
+        while self.links.get(link.ref) is link and not link.failed:
+            batches = list(self.pending)
+            if not batches or batches[-1].number <= link.acknowledged:
+                self.witnessing.clear()
+                await self.witnessing.wait()
+                continue
+            message = WitnessAppend(
+                self.incarnation,
+                self.base,
+                batches[0].number,
+                [batch.body for batch in batches],
+            )
+            if await link.send(message):
+                self.acknowledge()
+            elif not link.failed:
+                await self.clock.sleep_ms(WITNESS_RETRY_MS)
+
+    def acknowledge(self) -> None:
+        """Settle the batches that every required witness holds."""
+        required = dict.fromkeys([*self.effective, *self.proposed])
+        links = [self.links.get(ref) for ref in required]
+        if not links or not all(links):
+            return
+        held = min(link.acknowledged for link in links if link is not None)
+        for batch in self.pending:
+            if batch.number <= held:
+                batch.settle()
--- /dev/null
+++ b/pollenwalk/process/peers.py
@@ -0,0 +1,42 @@
+"""The peers of a process, one connection for each address."""
+
+from pollenwalk.connection.channel import Network
+from pollenwalk.connection.peer import Peer
+from pollenwalk.process.clock import Clock
+from pollenwalk.process.tasks import TaskSet
+
+
+class Peers:
+    """Connections to other processes, opened at first use."""
+
+    def __init__(self, network: Network, clock: Clock, tasks: TaskSet) -> None:
+        """Start with none."""
+        self.network = network
+        self.clock = clock
+        self.tasks = tasks
+        self.incarnation = ''
+        self.zone = ''
+        self.known: dict[str, Peer] = {}
+
+    def identify(self, incarnation: str, zone: str) -> None:
+        """Set who this process is; earlier connections are dropped."""
+        self.incarnation = incarnation
+        self.zone = zone
+        earlier = self.known
+        self.known = {}
+        for peer in earlier.values():
+            self.tasks.spawn(peer.close(), 'peer_close')
+
+    def at(self, address: str) -> Peer:
+        """Give the peer at an address."""
+        peer = self.known.get(address)
+        if peer is None:
+            peer = Peer(address, self.network, self.clock, self.tasks)
+            peer.identify(self.incarnation, self.zone)
+            self.known[address] = peer
+        return peer
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for peer in list(self.known.values()):
+            await peer.close()
--- /dev/null
+++ b/pollenwalk/program/program.py
@@ -0,0 +1,224 @@
+"""The state of one program and how records change it."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from pollenwalk.connection.wire import Answer, HistoryItem
+from pollenwalk.errors import RefusalBody
+from pollenwalk.program.budget import Budget
+from pollenwalk.program.history import History
+from pollenwalk.program.records import (
+    Begun,
+    Claimed,
+    Dropped,
+    Ended,
+    Finished,
+    Forfeited,
+    Intended,
+    Record,
+    Reserved,
+    Snapshot,
+    Withdrawn,
+)
+
+
+class FinishedCall(NamedTuple):
+    """A kept answer."""
+
+    key: str
+    sequence: int
+    digest: str
+    upstream: str
+    operation: str
+    answer: Answer | None
+    refusal: RefusalBody | None
+
+
+class ProgramState(NamedTuple):
+    """Everything of a program that a successor needs."""
+
+    declaration: str
+    caller: str
+    key: str
+    parent: str
+    deadline_ms: int
+    budget: Budget
+    next_sequence: int
+    ended: bool
+    entries: list[HistoryItem]
+    finished: list[FinishedCall]
+    intents: list[Intended]
+    holders: list[str]
+    uncertain: bool = False
+
+
+class Program:
+    """A program at its home.
+
+    A program is uncertain when its last records were lost with its home and
+    all witnesses: a call may have run that nobody remembers.
+    """
+
+    def __init__(self, program_id: str, begun: Begun) -> None:
+        """Start from the record of its beginning."""
+        self.id = program_id
+        self.declaration = begun.declaration
+        self.caller = begun.caller
+        self.key = begun.key
+        self.parent = begun.parent
+        self.deadline_ms = begun.deadline_ms
+        self.budget = Budget(begun.limit).reserve(begun.reserve)
+        self.next_sequence = 1
+        self.ended = False
+        self.history = History()
+        self.finished: dict[str, FinishedCall] = {}
+        self.intents: dict[str, Intended] = {}
+        self.holders: dict[str, None] = {}
+        self.uncertain = False
+
+    def state(self) -> ProgramState:
+        """Take a snapshot."""
+        return ProgramState(
+            self.declaration,
+            self.caller,
+            self.key,
+            self.parent,
+            self.deadline_ms,
+            self.budget,
+            self.next_sequence,
+            self.ended,
+            list(self.history.entries),
+            list(self.finished.values()),
+            list(self.intents.values()),
+            list(self.holders),
+            self.uncertain,
+        )
+
+    @classmethod
+    def restore(cls, program_id: str, state: ProgramState) -> 'Program':
+        """Rebuild a program from a snapshot."""
+        begun = Begun(
+            program_id,
+            state.declaration,
+            state.caller,
+            state.key,
+            state.parent,
+            state.budget.limit,
+            0,
+            state.deadline_ms,
+        )
+        program = cls(program_id, begun)
+        program.budget = state.budget
+        program.next_sequence = state.next_sequence
+        program.ended = state.ended
+        program.history.extend(state.entries)
+        program.finished = {call.key: call for call in state.finished}
+        program.intents = {intent.key: intent for intent in state.intents}
+        program.holders = dict.fromkeys(state.holders)
+        program.uncertain = state.uncertain
+        return program
+
+    def finish(self, record: Finished) -> None:
+        """Keep a final answer and move on in the order."""
+        self.intents.pop(record.key, None)
+        self.finished[record.key] = FinishedCall(*record[1:8])
+        self.next_sequence = max(self.next_sequence, record.sequence + 1)
+        self.history.extend(record.entries)
+        self.budget = self.budget.settle(record.spent, record.reserve)
+        if record.holder:
+            self.holders[record.holder] = None
+
+
+def snapshot_of(program: Program, origin: str = '') -> Snapshot:
+    """Make the record that replaces all earlier ones of a program."""
+    return Snapshot(
+        program.id,
+        origin,
+        msgspec.to_builtins(program.state()),
+    )
+
+
+class ProgramBook:
+    """All programs of one home, changed by records alone."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.programs: dict[str, Program] = {}
+        self.by_key: dict[tuple[str, str], str] = {}
+        self.claims: dict[tuple[str, str], str] = {}
+
+    def apply(self, record: Record) -> None:
+        """Change the state by one record; unknown programs are skipped."""
+        if isinstance(record, Begun):
+            self.begin(record)
+            return
+        if isinstance(record, Claimed):
+            self.claims.setdefault((record.caller, record.key), record.program)
+            return
+        if isinstance(record, Snapshot):
+            state = msgspec.convert(record.state, ProgramState)
+            self.add(Program.restore(record.program, state))
+            return
+        program = self.programs.get(getattr(record, 'program', ''))
+        if program is not None:
+            APPLIERS[type(record)](self, program, record)
+
+    def begin(self, record: Begun) -> None:
+        """Add a program and carve its budget from its parent's."""
+        parent = self.programs.get(record.parent)
+        if parent is not None:
+            parent.budget = parent.budget.carve(record.limit)
+        self.add(Program(record.program, record))
+
+    def add(self, program: Program) -> None:
+        """File a program under its id and its key."""
+        self.programs[program.id] = program
+        if program.key:
+            self.by_key[program.caller, program.key] = program.id
+
+    def end(self, program: Program) -> None:
+        """End a program and return what is left to its parent."""
+        if program.ended:
+            return
+        program.ended = True
+        program.budget = program.budget.settle(0, 0)
+        parent = self.programs.get(program.parent)
+        if parent is not None:
+            parent.budget = parent.budget.give_back(
+                program.budget.limit,
+                program.budget.spent + program.budget.carved,
+            )
+
+    def drop(self, program: Program) -> None:
+        """Forget a program."""
+        self.programs.pop(program.id, None)
+        self.by_key.pop((program.caller, program.key), None)
+
+    def set_budget(self, program: Program, budget: Budget) -> None:
+        """Replace a program's budget."""
+        program.budget = budget
+
+
+Applier = Callable[[ProgramBook, Program, Any], None]
+APPLIERS: dict[type[Any], Applier] = {
+    Reserved: lambda book, program, record: book.set_budget(
+        program,
+        program.budget.reserve(record.amount),
+    ),
+    Forfeited: lambda book, program, record: book.set_budget(
+        program,
+        program.budget.forfeit(),
+    ),
+    Intended: lambda book, program, record: program.intents.update(
+        {record.key: record},
+    ),
+    Withdrawn: lambda book, program, record: program.intents.pop(
+        record.key,
+        None,
+    ),
+    Finished: lambda book, program, record: program.finish(record),
+    Ended: lambda book, program, record: book.end(program),
+    Dropped: lambda book, program, record: book.drop(program),
+}
--- /dev/null
+++ b/pollenwalk/program/view.py
@@ -0,0 +1,81 @@
+"""Programs and calls as the callers' API shows them."""
+
+from typing import Any
+
+from pollenwalk.errors import Refusal, RefusalBody, RefusalCode
+from pollenwalk.program.live import LiveProgram
+from pollenwalk.program.program import FinishedCall, Program
+
+
+def view_program(program: Program) -> dict[str, Any]:
+    """Show a program's state, budget, calls and history."""
+    return {
+        'id': program.id,
+        'program': program.declaration,
+        'parent': program.parent or None,
+        'state': 'ended' if program.ended else 'running',
+        'next_sequence': program.next_sequence,
+        'budget': {
+            'limit': program.budget.limit,
+            'spent': program.budget.spent,
+            'left': program.budget.left,
+        },
+        'calls': [view_finished(call) for call in program.finished.values()],
+        'history': [
+            {'role': entry.role, 'content': entry.content}
+            for entry in program.history.entries
+        ],
+    }
+
+
+def view_finished(call: FinishedCall) -> dict[str, Any]:
+    """Show an ended call without its answer."""
+    return {
+        'key': call.key,
+        'sequence': call.sequence,
+        'upstream': call.upstream,
+        'operation': call.operation,
+        'outcome': call.refusal.outcome if call.refusal else 'ran',
+        'code': call.refusal.code if call.refusal else None,
+    }
+
+
+def view_call(live: LiveProgram, key: str) -> dict[str, Any]:
+    """Show one call with its whole answer, or its state.
+
+    Raises:
+        Refusal: the program has no call with this key.
+    """
+    finished = live.program.finished.get(key)
+    if finished is not None:
+        return view_answer(finished)
+    running = live.calls.get(key)
+    if running is None:
+        raise Refusal(RefusalCode.UNKNOWN_CALL, f'no call with key {key}')
+    return {
+        'key': key,
+        'sequence': running.request.sequence,
+        'state': 'running' if running.running else 'waiting',
+        'tokens_so_far': len(running.stream.texts),
+    }
+
+
+def view_answer(finished: FinishedCall) -> dict[str, Any]:
+    """Show an ended call with its answer or refusal."""
+    body = {**view_finished(finished), 'state': 'done'}
+    if finished.answer is not None:
+        body['output'] = finished.answer.output
+        body['tokens'] = finished.answer.tokens
+    if finished.refusal is not None:
+        body['error'] = problem(finished.refusal)
+    return body
+
+
+def problem(refusal: RefusalBody) -> dict[str, Any]:
+    """Show a refusal as a problem document."""
+    return {
+        'title': refusal.message,
+        'code': refusal.code,
+        'outcome': refusal.outcome,
+        'retry_after_ms': refusal.retry_after_ms,
+    }
--- /dev/null
+++ b/pollenwalk/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one request."""
--- /dev/null
+++ b/pollenwalk/request/retry.py
@@ -0,0 +1,59 @@
+"""Retries that cannot make an outage worse.
+
+Each success earns a fraction of a retry, so while an upstream is down the
+retries sent are bounded by what succeeded before. The idea of a retry budget
+is described in Google's "Site Reliability Engineering" (2016), chapter 21.
+"""
+
+import random
+
+RETRIES_PER_SUCCESS = 0.2
+MAX_SAVED_RETRIES = 10.0
+FIRST_PAUSE_MS = 50
+LAST_PAUSE_MS = 2000
+BACKOFF = 2
+
+
+class RetryBudget:
+    """Retries that recent successes have earned."""
+
+    def __init__(self) -> None:
+        """Start with a full reserve."""
+        self.saved = MAX_SAVED_RETRIES
+
+    def earn(self) -> None:
+        """Note a success."""
+        self.saved = min(self.saved + RETRIES_PER_SUCCESS, MAX_SAVED_RETRIES)
+
+    def spend(self) -> bool:
+        """Take one retry; False when none is left."""
+        if self.saved < 1:
+            return False
+        self.saved -= 1
+        return True
+
+
+class RetryBudgets:
+    """One budget for each caller and upstream."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.budgets: dict[tuple[str, str], RetryBudget] = {}
+
+    def of(self, caller: str, upstream: str) -> RetryBudget:
+        """Give the budget of a pair, making it at first use."""
+        return self.budgets.setdefault((caller, upstream), RetryBudget())
+
+
+def pause_ms(attempt: int, dice: random.Random) -> float:
+    """Draw the pause before a retry, with full jitter.
+
+    Args:
+        attempt: how many attempts have failed, from 1 on.
+        dice: the process's source of randomness.
+
+    Returns:
+        Milliseconds to wait.
+    """
+    ceiling = min(FIRST_PAUSE_MS * BACKOFF ** (attempt - 1), LAST_PAUSE_MS)
+    return dice.uniform(0, ceiling)
--- /dev/null
+++ b/pollenwalk/request/routing.py
@@ -0,0 +1,297 @@
+"""From any entry to a program's home, across the home's death.
+
+The program's id names its first home and the directory its successors. An
+entry that is not the home can't know whether a call ran, so it never says
+"not run" of its own accord.
+"""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+from pollenwalk.connection.wire import (
+    Answer,
+    BeginProgram,
+    CallProgram,
+    ClaimKey,
+    EndProgram,
+    Tokens,
+    View,
+    ViewCall,
+    ViewProgram,
+)
+from pollenwalk.errors import (
+    ConnectionLost,
+    Fenced,
+    Outcome,
+    Refusal,
+    RefusalCode,
+    StoreUnavailable,
+)
+from pollenwalk.process.directory import Directory, EntryRecord, rendezvous
+from pollenwalk.process.fleet import Location
+from pollenwalk.process.home import Home, home_of, unknown_program
+from pollenwalk.process.witness import PeerSource
+from pollenwalk.program.view import view_call, view_program
+
+HOME_WAIT_MS = 30_000
+HOME_PAUSE_MS = 50
+FORWARD_TIMEOUT_MS = 10_000
+CLAIM_TIMEOUT_MS = 1000
+OLDER_REGISTRARS = 2
+RETRY_AFTER_MS = 1000
+
+
+class Routing:
+    """Brings requests to the programs' homes."""
+
+    def __init__(
+        self,
+        home: Home,
+        directory: Directory,
+        peers: PeerSource,
+        location: Location,
+    ) -> None:
+        """Serve `home`'s programs here and forward all others."""
+        self.home = home
+        self.directory = directory
+        self.peers = peers
+        self.location = location
+        self.clock = home.parts.clock
+        self.open_requests = 0
+        self.forwarded = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Give the incarnation whose programs are served here."""
+        return self.home.parts.incarnation
+
+    def is_here(self, program_id: str) -> bool:
+        """Tell whether this entry is a program's home."""
+        if program_id in self.home.book.programs:
+            return not self.home.parts.recorder.journal.fenced
+        return home_of(program_id) == self.incarnation
+
+    async def locate(self, program_id: str) -> EntryRecord:
+        """Give the present owner of a program.
+
+        Raises:
+            Refusal: no entry has ever had that incarnation.
+        """
+        incarnation = home_of(program_id)
+        owner = self.directory.owner(incarnation)
+        if owner is None:
+            await self.refresh()
+            owner = self.directory.owner(incarnation)
+        if owner is None:
+            raise unknown_program(program_id)
+        return owner
+
+    async def refresh(self) -> None:
+        """Read the directory; without the store nobody can tell.
+
+        Raises:
+            Refusal: the store does not answer.
+        """
+        try:
+            await self.directory.refresh()
+        except StoreUnavailable as error:
+            raise home_unreachable() from error
+
+    async def begin(self, request: BeginProgram) -> View:
+        """Begin a program, or give the one begun with the same key."""
+        self.open_requests += 1
+        try:
+            if request.parent:
+                return await self.at_home(request.parent, request)
+            return await self.begin_by_key(request)
+        finally:
+            self.open_requests -= 1
+
+    async def begin_by_key(self, request: BeginProgram) -> View:
+        """Begin here, or give what the same key began anywhere before."""
+        proposed = self.home.new_id()
+        if not request.key:
+            return await self.at_home(proposed, request._replace(program=proposed))
+        program_id = await self.claim(request, proposed)
+        return await self.at_home(
+            program_id,
+            request._replace(program=program_id),
+        )
+
+    async def claim(self, request: BeginProgram, proposed: str) -> str:
+        """Settle a key with its registrar, across the registrar's death."""
+        until_ms = self.clock.now_ms() + HOME_WAIT_MS
+        message = ClaimKey(request.caller, request.key, proposed)
+        while True:
+            try:
+                return await self.claim_once(message)
+            except (ConnectionLost, Fenced) as error:
+                await self.wait_or_give_up(until_ms, error)
+            except Refusal as refusal:
+                if refusal.code != RefusalCode.HOME_UNREACHABLE:
+                    raise
+                await self.wait_or_give_up(until_ms, refusal)
+
+    async def claim_once(self, message: ClaimKey) -> str:
+        """Settle a key with its present registrar."""
+        registrar = self.registrars(message)[0]
+        if registrar.incarnation == self.incarnation:
+            return await self.claim_here(message)
+        claim = await self.peers(registrar.address).ask(
+            message,
+            FORWARD_TIMEOUT_MS,
+        )
+        return claim.program
+
+    def registrars(self, message: ClaimKey) -> list[EntryRecord]:
+        """Rank the entries for a key.
+
+        Dead entries keep their rank: their successors know their keys.
+        """
+        ranked = rendezvous(
+            f'{message.caller}\0{message.key}',
+            self.directory.records,
+        )
+        owners = [self.directory.owner(incarnation) for incarnation in ranked]
+        known = {owner.incarnation: owner for owner in owners if owner is not None}
+        if not known:
+            raise home_unreachable()
+        return list(known.values())
+
+    async def claim_here(self, message: ClaimKey) -> str:
+        """Settle a key here, after asking who was its registrar before."""
+        identity = (message.caller, message.key)
+        if identity not in self.home.book.claims:
+            earlier = await self.claimed_before(message)
+            message = message._replace(program=earlier or message.program)
+        return await self.home.claim(*message)
+
+    async def claimed_before(self, message: ClaimKey) -> str:
+        """Ask the entries that owned the key before this one joined."""
+        own = self.directory.records.get(self.incarnation)
+        question = message._replace(program='')
+        older = [
+            record
+            for record in self.registrars(message)
+            if own is not None
+            and record.incarnation != self.incarnation
+            and record.started_ms <= own.started_ms
+        ]
+        for record in older[:OLDER_REGISTRARS]:
+            try:
+                claim = await self.peers(record.address).ask(
+                    question,
+                    CLAIM_TIMEOUT_MS,
+                )
+            except (ConnectionLost, Refusal):
+                continue
+            if claim.program:
+                return claim.program
+        return ''
+
+    async def call(self, request: CallProgram) -> AsyncIterator[Tokens | Answer]:
+        """Run a call at its program's home, wherever that moves to.
+
+        After a move the tokens begin again at offset 0.
+        """
+        until_ms = self.clock.now_ms() + min(request.deadline_in_ms, HOME_WAIT_MS)
+        deadline_ms = self.clock.now_ms() + request.deadline_in_ms
+        self.open_requests += 1
+        try:
+            while True:
+                left_ms = deadline_ms - self.clock.now_ms()
+                request = request._replace(deadline_in_ms=left_ms)
+                try:
+                    async for item in self.call_once(request):
+                        yield item
+                    return
+                except (ConnectionLost, Fenced) as error:
+                    until_ms = max(until_ms, self.clock.now_ms() + HOME_PAUSE_MS)
+                    await self.wait_or_give_up(until_ms, error)
+                except Refusal as refusal:
+                    if refusal.code != RefusalCode.HOME_UNREACHABLE:
+                        raise
+                    await self.wait_or_give_up(until_ms, refusal)
+                request = request._replace(offset=0)
+        finally:
+            self.open_requests -= 1
+
+    async def call_once(self, request: CallProgram) -> AsyncIterator[Tokens | Answer]:
+        """Run a call at the present home."""
+        if self.is_here(request.program):
+            source = self.home.call(request)
+        else:
+            owner = await self.locate(request.program)
+            if owner.incarnation == self.incarnation:
+                raise unknown_program(request.program)
+            self.forwarded += 1
+            source = self.peers(owner.address).stream(request)
+        try:
+            async for item in source:
+                yield item
+        finally:
+            await source.aclose()
+
+    async def wait_or_give_up(self, until_ms: float, error: Exception) -> None:
+        """Wait for a successor.
+
+        Raises:
+            Refusal: none came in time; whether the call ran is unknown.
+        """
+        if self.clock.now_ms() >= until_ms:
+            raise home_unreachable() from error
+        await self.clock.sleep_ms(HOME_PAUSE_MS)
+
+    async def at_home(self, program_id: str, message: Any) -> View:
+        """Ask a program's home one question, across its death."""
+        until_ms = self.clock.now_ms() + HOME_WAIT_MS
+        while True:
+            try:
+                return await self.ask_home(program_id, message)
+            except (ConnectionLost, Fenced) as error:
+                await self.wait_or_give_up(until_ms, error)
+            except Refusal as refusal:
+                if refusal.code != RefusalCode.HOME_UNREACHABLE:
+                    raise
+                await self.wait_or_give_up(until_ms, refusal)
+
+    async def ask_home(self, program_id: str, message: Any) -> View:
+        """Ask the present home once."""
+        if self.is_here(program_id):
+            return await self.answer(message)
+        owner = await self.locate(program_id)
+        if owner.incarnation != self.incarnation:
+            self.forwarded += 1
+            return await self.peers(owner.address).ask(message, FORWARD_TIMEOUT_MS)
+        if isinstance(message, BeginProgram):
+            return await self.answer(message)
+        raise unknown_program(program_id)
+
+    async def answer(self, message: Any) -> View:
+        """Answer a question about a program of this home."""
+        if isinstance(message, BeginProgram):
+            return View(view_program(await self.home.begin(message)))
+        if isinstance(message, EndProgram):
+            return View(view_program(await self.home.end(message.program)))
+        live = self.home.find(message.program)
+        if isinstance(message, ViewCall):
+            return View(view_call(live, message.key))
+        return View(view_program(live.program))
+
+    async def view(self, message: ViewProgram | ViewCall | EndProgram) -> View:
+        """Read or end a program at its home."""
+        self.open_requests += 1
+        try:
+            return await self.at_home(message.program, message)
+        finally:
+            self.open_requests -= 1
+
+
+def home_unreachable() -> Refusal:
+    """Refuse for want of a home; the call may have run there."""
+    return Refusal(
+        RefusalCode.HOME_UNREACHABLE,
+        "the program's home does not answer and has no successor yet",
+        Outcome.UNKNOWN,
+        RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the outside systems, for the demo, tests and experiments."""
--- /dev/null
+++ b/standin/caller.py
@@ -0,0 +1,247 @@
+"""Stand-in callers that run the two deployments' programs.
+
+A caller repeats a request with the same key when it gets no answer or a
+refusal that invites it, and notes what it was told; it compares each model
+answer with the history it knows.
+"""
+
+import random
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any, NamedTuple
+
+from pollenwalk.connection.wire import Answer, HistoryItem
+from pollenwalk.errors import ConnectionLost, Outcome, Refusal
+from pollenwalk.process.clock import Clock
+from pollenwalk.program.history import chat_entries, plain_entries
+from standin.door import BeginSpec, CallSpec, Door
+from standin.engine import prompt_digest
+
+MAX_TRIES = 60
+LOST_PAUSE_MS = 200
+DEFAULT_RETRY_MS = 200
+CHILD_CHANCE = 0.25
+CHILD_BUDGET = 400
+
+
+class Step(NamedTuple):
+    """One step of a program.
+
+    Attributes:
+        upstream: where to call.
+        operation: what to call.
+        tokens: tokens of the answer of a model call.
+        pause_ms: time before the next step.
+        child: whether a sub-agent runs before this step.
+    """
+
+    upstream: str
+    operation: str
+    tokens: int
+    pause_ms: float
+    child: bool = False
+
+
+class Story(NamedTuple):
+    """What a kind of program does.
+
+    Attributes:
+        declaration: name of the declared program.
+        model: its model upstream.
+        plain: its plain upstream.
+        orders: its non-idempotent operations in turn.
+        turns: fewest and most turns.
+        pause_ms: mean pause between steps.
+    """
+
+    declaration: str
+    model: str
+    plain: str
+    orders: tuple[str, ...]
+    turns: tuple[int, int]
+    pause_ms: float
+
+
+SPARES = Story(
+    'spares-dispatch',
+    'advisory',
+    'orders',
+    ('reserve', 'order', 'refund'),
+    (2, 6),
+    40.0,
+)
+TEA_CHEST = Story(
+    'tea-chest',
+    'appraisal',
+    'ledger',
+    ('reserve', 'invoice', 'release'),
+    (1, 5),
+    60.0,
+)
+
+
+def steps_of(story: Story, dice: random.Random) -> Iterator[Step]:
+    """Draw a program: its shape is known only as it runs."""
+    turns = dice.randint(*story.turns)
+    for turn in range(turns):
+        tokens = 4 + min(int(dice.expovariate(1 / 12)), 60)
+        pause_ms = dice.expovariate(1 / story.pause_ms)
+        child = dice.random() < CHILD_CHANCE
+        yield Step(story.model, 'chat', tokens, pause_ms, child)
+        yield Step(story.plain, 'lookup', 0, 0)
+        if dice.random() < 0.7:
+            yield Step(story.plain, story.orders[turn % len(story.orders)], 0, 0)
+
+
+class Tally:
+    """What all callers were told."""
+
+    def __init__(self) -> None:
+        """Start with nothing."""
+        self.begun = 0
+        self.completed = 0
+        self.calls = 0
+        self.lost: list[str] = []
+        self.mixed: list[str] = []
+        self.unknown: list[str] = []
+        self.refused: list[str] = []
+        self.not_run: list[str] = []
+        self.answered: dict[str, int] = {}
+        self.latency_ms: list[float] = []
+        self.first_ms: list[float] = []
+        self.programs: list[str] = []
+        self.budgets: dict[str, int] = {}
+        self.late_tries = 0
+
+
+class GaveUp(Exception):
+    """A program can't go on."""
+
+
+class Caller:
+    """Runs one program."""
+
+    def __init__(
+        self,
+        name: str,
+        door: Door,
+        clock: Clock,
+        dice: random.Random,
+        tally: Tally,
+    ) -> None:
+        """Run under a name that no other caller has."""
+        self.name = name
+        self.door = door
+        self.clock = clock
+        self.dice = dice
+        self.tally = tally
+        self.program = ''
+        self.sequence = 0
+        self.history: list[HistoryItem] = []
+
+    async def run(self, story: Story, parent: str | None = None) -> None:
+        """Run a program from its beginning to its end."""
+        begun_ms = self.clock.now_ms()
+        self.tally.begun += 1
+        try:
+            await self.run_steps(story, parent)
+        except GaveUp as error:
+            self.tally.refused.append(f'{self.name}: {error}')
+            return
+        self.tally.completed += 1
+        if parent is None:
+            self.tally.latency_ms.append(self.clock.now_ms() - begun_ms)
+
+    async def run_steps(self, story: Story, parent: str | None) -> None:
+        """Begin, make all calls in turn, and end."""
+        budget = CHILD_BUDGET if parent else None
+        spec = BeginSpec(story.declaration, self.name, self.name, budget, parent)
+        view = await self.insist(lambda: self.door.begin(spec), self.name)
+        self.program = view['id']
+        self.tally.programs.append(self.program)
+        self.tally.budgets[self.program] = view['budget']['limit']
+        for step in steps_of(story, self.dice):
+            if step.child and parent is None:
+                await self.run_child(story)
+            await self.make_call(step)
+            if step.pause_ms:
+                await self.clock.sleep_ms(step.pause_ms)
+        await self.insist(lambda: self.door.end(self.program), f'{self.name}/end')
+
+    async def run_child(self, story: Story) -> None:
+        """Run a sub-agent of the same kind, with a share of the budget."""
+        name = f'{self.name}.{self.sequence}'
+        child = Caller(name, self.door, self.clock, self.dice, self.tally)
+        small = story._replace(turns=(1, 1))
+        await child.run(small, self.program)
+
+    async def make_call(self, step: Step) -> None:
+        """Make one call and check its answer."""
+        self.sequence += 1
+        tag = f'{self.name}#{self.sequence}'
+        argument: dict[str, Any] = {'tag': tag}
+        if step.operation == 'chat':
+            words = ' '.join(f'w{number}' for number in range(self.dice.randint(3, 9)))
+            argument = {'message': f'tag:{tag} {words}', 'max_tokens': step.tokens}
+        spec = CallSpec(
+            self.program,
+            f'k{self.sequence}',
+            self.sequence,
+            step.upstream,
+            step.operation,
+            argument,
+        )
+        self.tally.calls += 1
+        answer = await self.insist(lambda: self.door.call(spec), tag)
+        self.check(spec, step, answer, tag)
+
+    def check(
+        self,
+        spec: CallSpec,
+        step: Step,
+        answer: dict[str, Any],
+        tag: str,
+    ) -> None:
+        """Compare an answer with what was asked."""
+        output = Answer(answer['output'])
+        if step.operation != 'chat':
+            if answer['output'].get('input') != spec.argument:
+                self.tally.mixed.append(tag)
+            self.tally.answered[tag] = answer['output'].get('execution', 0)
+            self.history.extend(plain_entries(spec.operation, spec.argument, output))
+            return
+        prompt = [*self.history, HistoryItem('user', spec.argument['message'])]
+        digest = prompt_digest(prompt)
+        expected = ''.join(f'{digest}:{number} ' for number in range(step.tokens))
+        if answer['output']['text'] != expected:
+            self.tally.mixed.append(tag)
+        if answer.get('streamed', expected) != expected:
+            self.tally.mixed.append(f'{tag} streamed')
+        self.history.extend(chat_entries(spec.argument, output))
+
+    async def insist(
+        self,
+        ask: Callable[[], Awaitable[dict[str, Any]]],
+        tag: str,
+    ) -> dict[str, Any]:
+        """Ask until there is an answer, always with the same key."""
+        for _ in range(MAX_TRIES):
+            try:
+                return await ask()
+            except ConnectionLost:
+                self.tally.late_tries += 1
+                await self.clock.sleep_ms(LOST_PAUSE_MS)
+            except Refusal as refusal:
+                await self.take_refusal(refusal, tag)
+        self.tally.lost.append(tag)
+        raise GaveUp(f'{tag}: no answer')
+
+    async def take_refusal(self, refusal: Refusal, tag: str) -> None:
+        """Wait where the refusal invites another try, else give up."""
+        if refusal.outcome == Outcome.NOT_RUN:
+            self.tally.not_run.append(tag)
+        if refusal.retry_after_ms is None:
+            if refusal.outcome == Outcome.UNKNOWN:
+                self.tally.unknown.append(tag)
+            raise GaveUp(f'{tag}: {refusal.code} {refusal.message}')
+        self.tally.late_tries += 1
+        await self.clock.sleep_ms(max(refusal.retry_after_ms, 1))
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the layout mirrors the package."""
