--- a/pollenwalk/process/acceptance.py
+++ b/pollenwalk/process/acceptance.py
@@ -23,7 +23,6 @@
 from pollenwalk.version.resources import (
     InvalidResources,
     Kind,
-    Resource,
     ResourceId,
     parse_section,
 )
@@ -242,8 +241,6 @@
         return spec_to_json(resource.spec), ''
 
 
-def wish_of(resource: Resource, keys: dict[str, str]) -> bytes:
-    """Pack a resource as an operator's wish."""
-    return msgspec.json.encode(
-        Wish(resource.id.kind, resource.id.name, keys),
-    )
+def encode_wish(resource_id: ResourceId, keys: dict[str, str] | None) -> bytes:
+    """Pack an operator's wish."""
+    return msgspec.json.encode(Wish(resource_id.kind, resource_id.name, keys))
--- a/pollenwalk/process/home.py
+++ b/pollenwalk/process/home.py
@@ -29,6 +29,7 @@
 )
 from pollenwalk.process.recorder import store_unavailable
 from pollenwalk.process.tasks import TaskSet
+from pollenwalk.program.budget import Budget
 from pollenwalk.program.history import digest_of, plain_entries
 from pollenwalk.program.live import LiveProgram
 from pollenwalk.program.program import FinishedCall, Program, ProgramBook
@@ -215,7 +216,7 @@
             request.key,
             request.parent or '',
             limit,
-            spec.reserve_tokens,
+            Budget(limit).ahead(spec.reserve_tokens),
             min(request.deadline_ms or spec.deadline_ms, spec.deadline_ms),
         )
         self.beginning[request.caller, request.key or program_id] = program_id
--- a/pollenwalk/process/sidecar.py
+++ b/pollenwalk/process/sidecar.py
@@ -211,21 +211,22 @@
                 bool(message.base),
             )
         except Refusal as refusal:
-            self.drop_unstarted(call, refusal)
+            self.refused(call, refusal)
             return
         call.started = True
         try:
             await self.run_upstream(call, deadline_ms)
         except Refusal as refusal:
-            call.fail(refusal, self.clock.now_ms())
+            self.refused(call, refusal)
         finally:
             self.admission.leave()
             if not call.result.done():
                 call.fail(cut_short(), self.clock.now_ms())
 
-    def drop_unstarted(self, call: SidecarCall, refusal: Refusal) -> None:
-        """Forget a call that never reached the upstream."""
-        self.calls.calls.pop(call.message.call, None)
+    def refused(self, call: SidecarCall, refusal: Refusal) -> None:
+        """Keep a refusal; a call that did not run may be handed over again."""
+        if refusal.outcome == Outcome.NOT_RUN:
+            self.calls.calls.pop(call.message.call, None)
         call.fail(refusal, self.clock.now_ms())
 
     async def run_upstream(self, call: SidecarCall, deadline_ms: float) -> None:
--- a/pollenwalk/program/budget.py
+++ b/pollenwalk/program/budget.py
@@ -7,6 +7,8 @@
 
 from typing import NamedTuple
 
+AHEAD_SHARE = 10
+
 
 class Budget(NamedTuple):
     """Tokens of one program.
@@ -33,6 +35,10 @@
         """Give what a caller may still count on."""
         return self.free + self.reserved
 
+    def ahead(self, amount: int) -> int:
+        """Bound what is reserved ahead, since a takeover forfeits it."""
+        return min(amount, self.limit // AHEAD_SHARE)
+
     def reserve(self, amount: int) -> 'Budget':
         """Set the reservation to `amount`, as far as it goes."""
         return self._replace(reserved=min(amount, self.left))
--- a/pollenwalk/request/execution.py
+++ b/pollenwalk/request/execution.py
@@ -419,7 +419,7 @@
             RefusalBody.of(refusal) if refusal else None,
             entries,
             spent,
-            self.declaration.reserve_tokens if model else self.program.budget.reserved,
+            self.next_reserve(model),
             host.address if model else '',
         )
         await self.parts.recorder.record(self.live, lambda: [record])
@@ -428,6 +428,13 @@
             self.note_held(host)
         return self.program.finished[self.request.key]
 
+    def next_reserve(self, model: bool) -> int:
+        """Give what to set aside for the program's next call."""
+        budget = self.program.budget
+        if model:
+            return budget.ahead(self.declaration.reserve_tokens)
+        return budget.reserved
+
     def entries(self, answer: Answer | None) -> list[HistoryItem]:
         """Give what the call adds to the history."""
         if answer is None:
--- a/standin/caller.py
+++ b/standin/caller.py
@@ -15,6 +15,7 @@
 from pollenwalk.program.history import chat_entries, plain_entries
 from standin.door import BeginSpec, CallSpec, Door
 from standin.engine import prompt_digest
+from standin.ledger import Ledger
 
 MAX_TRIES = 60
 LOST_PAUSE_MS = 200
@@ -95,8 +96,12 @@
 class Tally:
     """What all callers were told."""
 
-    def __init__(self) -> None:
-        """Start with nothing."""
+    def __init__(self, ledger: Ledger) -> None:
+        """Compare each 'not run' with `ledger` as it is told."""
+        self.ledger = ledger
+        self.false_not_run: list[str] = []
+        self.history_lost: list[str] = []
+        self.last_word: dict[str, str] = {}
         self.begun = 0
         self.completed = 0
         self.calls = 0
@@ -113,6 +118,15 @@
         self.late_tries = 0
 
 
+    def take_word(self, tag: str, refusal: Refusal) -> None:
+        """Note a refusal; a 'not run' must be true when it is told."""
+        self.last_word[tag] = str(refusal.outcome)
+        if refusal.outcome == Outcome.NOT_RUN:
+            self.not_run.append(tag)
+            if self.ledger.runs_of(tag):
+                self.false_not_run.append(tag)
+
+
 class GaveUp(Exception):
     """A program can't go on."""
 
@@ -137,6 +151,7 @@
         self.program = ''
         self.sequence = 0
         self.history: list[HistoryItem] = []
+        self.may_run_short = False
 
     async def run(self, story: Story, parent: str | None = None) -> None:
         """Run a program from its beginning to its end."""
@@ -154,7 +169,7 @@
     async def run_steps(self, story: Story, parent: str | None) -> None:
         """Begin, make all calls in turn, and end."""
         budget = CHILD_BUDGET if parent else None
-        spec = BeginSpec(story.declaration, self.name, self.name, budget, parent)
+        spec = self.begin_spec(story.declaration, budget, parent)
         view = await self.insist(lambda: self.door.begin(spec), self.name)
         self.program = view['id']
         self.tally.programs.append(self.program)
@@ -167,6 +182,15 @@
                 await self.clock.sleep_ms(step.pause_ms)
         await self.insist(lambda: self.door.end(self.program), f'{self.name}/end')
 
+    def begin_spec(
+        self,
+        declaration: str,
+        budget: int | None,
+        parent: str | None,
+    ) -> BeginSpec:
+        """Describe the program's beginning."""
+        return BeginSpec(declaration, self.name, self.name, budget, parent)
+
     async def run_child(self, story: Story) -> None:
         """Run a sub-agent of the same kind, with a share of the budget."""
         name = f'{self.name}.{self.sequence}'
@@ -174,8 +198,8 @@
         small = story._replace(turns=(1, 1))
         await child.run(small, self.program)
 
-    async def make_call(self, step: Step) -> None:
-        """Make one call and check its answer."""
+    async def make_call(self, step: Step) -> dict[str, Any]:
+        """Make one call, check its answer and give it."""
         self.sequence += 1
         tag = f'{self.name}#{self.sequence}'
         argument: dict[str, Any] = {'tag': tag}
@@ -193,6 +217,7 @@
         self.tally.calls += 1
         answer = await self.insist(lambda: self.door.call(spec), tag)
         self.check(spec, step, answer, tag)
+        return answer
 
     def check(
         self,
@@ -207,11 +232,15 @@
             if answer['output'].get('input') != spec.argument:
                 self.tally.mixed.append(tag)
             self.tally.answered[tag] = answer['output'].get('execution', 0)
+            self.tally.last_word[tag] = str(Outcome.RAN)
             self.history.extend(plain_entries(spec.operation, spec.argument, output))
             return
         prompt = [*self.history, HistoryItem('user', spec.argument['message'])]
         digest = prompt_digest(prompt)
-        expected = ''.join(f'{digest}:{number} ' for number in range(step.tokens))
+        tokens = min(step.tokens, answer.get('tokens', step.tokens))
+        if tokens < step.tokens and not self.may_run_short:
+            self.tally.mixed.append(f'{tag} cut short')
+        expected = ''.join(f'{digest}:{number} ' for number in range(tokens))
         if answer['output']['text'] != expected:
             self.tally.mixed.append(tag)
         if answer.get('streamed', expected) != expected:
@@ -237,8 +266,7 @@
 
     async def take_refusal(self, refusal: Refusal, tag: str) -> None:
         """Wait where the refusal invites another try, else give up."""
-        if refusal.outcome == Outcome.NOT_RUN:
-            self.tally.not_run.append(tag)
+        self.tally.take_word(tag, refusal)
         if refusal.retry_after_ms is None:
             if refusal.outcome == Outcome.UNKNOWN:
                 self.tally.unknown.append(tag)
--- a/standin/demo.py
+++ b/standin/demo.py
@@ -97,7 +97,7 @@
     await system.start([free_port(), free_port()])
     dice = random.Random(seed)
     door = HttpDoor(system.urls, random.Random(seed))
-    tally = Tally()
+    tally = Tally(system.ledger)
     running = []
     for number in range(programs):
         for story in (SPARES, TEA_CHEST):
--- a/standin/engine.py
+++ b/standin/engine.py
@@ -110,6 +110,7 @@
         self.cut_after: int | None = None
         self.down = False
         self.slow_factor = 1.0
+        self.taken = 0
 
     def start(self) -> None:
         """Begin to compute."""
@@ -188,6 +189,7 @@
                 'the engine sent garbage',
                 Outcome.UNKNOWN,
             )
+        self.taken += 1
         generation = Generation(request)
         self.generations[request.call] = generation
         self.ledger.saw(tag_of(request))
--- a/standin/service.py
+++ b/standin/service.py
@@ -35,6 +35,7 @@
         self.hang = False
         self.lose_answers = 0
         self.refuse = 0
+        self.taken = 0
 
     async def invoke(
         self,
@@ -46,6 +47,7 @@
         if self.refuse:
             self.refuse -= 1
             raise Refusal(RefusalCode.UPSTREAM_FAILED, 'not now', retry_after_ms=1)
+        self.taken += 1
         await self.clock.sleep_ms(self.shape.delay_ms / 2)
         number = self.ledger.executed(self.shape.name, operation, argument)
         if self.lose_answers:
--- a/standin/system.py
+++ b/standin/system.py
@@ -9,7 +9,7 @@
 from pollenwalk.connection.http_server import HttpServer, free_port
 from pollenwalk.connection.service_http import HttpService
 from pollenwalk.connection.store_http import HttpStore
-from pollenwalk.process.acceptance import wish_key, wish_of
+from pollenwalk.process.acceptance import encode_wish, wish_key
 from pollenwalk.process.clock import LoopClock
 from pollenwalk.process.entry import Entry, EntrySettings
 from pollenwalk.process.metrics import EntryMetrics
@@ -115,8 +115,7 @@
     async def declare(self) -> None:
         """Write the resources as an operator would."""
         for resource in parse_resources(DECLARATIONS, 'declarations'):
-            keys = section_keys(resource.id)
-            body = wish_of(resource, keys)
+            body = encode_wish(resource.id, section_keys(resource.id))
             await self.store.put(wish_key(resource.id), body, None)
 
     def place(self, zone: str) -> Place:
--- /dev/null
+++ b/standin/virtual/__init__.py
@@ -0,0 +1,1 @@
+"""A world with its own time: the real entries and sidecars over small fakes."""
