Vouch for 'not run' with a proof of ownership

Ruled out: the lost history itself (the successor had every acknowledged record). Change: a home confirms by an empty commit that it is not sealed before any 'not run' that rests on its state, and before a repeatable call when its last proof is older than a second; readers are shown a confirmed state.

A refusal that can't be vouched for says 'unknown'.

--- a/pollenwalk/process/acceptance.py
+++ b/pollenwalk/process/acceptance.py
@@ -208,13 +208,6 @@
         before = Verdict(kind, name, 0, 0, None, '')
         if present is not None:
             before = VERDICT_DECODER.decode(present.body)
-        if not stored.body:
-            return before._replace(
-                observed=stored.version,
-                version=stored.version,
-                spec=None,
-                reason='',
-            )
         spec, reason = self.check(stored)
         if reason:
             return before._replace(observed=stored.version, reason=reason)
@@ -226,13 +219,20 @@
         )
 
     def check(self, stored: StoredObject) -> tuple[dict[str, Any] | None, str]:
-        """Give a wish's spec, or the reason why it is refused."""
+        """Give a wish's spec, or the reason why it is refused.
+
+        A wish to delete has neither.
+        """
+        if not stored.body:
+            return None, ''
         try:
             wish = WISH_DECODER.decode(stored.body)
         except msgspec.DecodeError as error:
             return None, f'not a resource: {error}'
+        if wish.keys is None:
+            return None, ''
         section = f'{wish.kind} {wish.name}'
-        problems, resource = parse_section(section, wish.keys or {}, stored.key)
+        problems, resource = parse_section(section, wish.keys, stored.key)
         if resource is None:
             return None, InvalidResources(problems).message
         missing = dangling(resource, self.config)
--- a/pollenwalk/process/entry.py
+++ b/pollenwalk/process/entry.py
@@ -146,6 +146,7 @@
             self.clock,
             self.home_tasks,
             self.incarnation,
+            self.dice,
         )
         self.journal.interval_ms = self.settings.journal_interval_ms
         self.journal.peers = self.peers.at
@@ -173,6 +174,7 @@
             self.peers.at,
             self.witness_log,
             self.incarnation,
+            self.dice,
         )
         self.adoption = Adoption(
             self.home,
--- a/pollenwalk/process/home.py
+++ b/pollenwalk/process/home.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Iterable
 from typing import Any
 
@@ -57,6 +58,12 @@
 RETAIN_MS = 600_000
 RECOVERY_MS = 30_000
 RETRY_AFTER_MS = 1000
+CONFIRM_WAIT_MS = 1000
+ABOUT_FORM = frozenset((
+    RefusalCode.MALFORMED,
+    RefusalCode.KEY_MISSING,
+    RefusalCode.KEY_REUSED,
+))
 ID_BITS = 64
 PROGRAM_PREFIX = 'p'
 
@@ -295,6 +302,47 @@
             Fenced: this home has a successor; ask there.
         """
         check_request(request)
+        try:
+            async for item in self.answer(request):
+                yield item
+        except Refusal as refusal:
+            await self.vouch(refusal)
+            raise
+
+    async def vouch(self, refusal: Refusal) -> None:
+        """Let a 'not run' pass only while this home is surely the owner.
+
+        A successor may have run the very call that is refused here.
+
+        Raises:
+            Refusal: the same as unknown, when ownership can't be proven.
+            Fenced: this home has a successor; ask there.
+        """
+        if refusal.outcome != Outcome.NOT_RUN or refusal.code in ABOUT_FORM:
+            return
+        try:
+            await self.parts.recorder.confirm(CONFIRM_WAIT_MS)
+        except TimeoutError as error:
+            raise Refusal(
+                refusal.code,
+                f'{refusal.message}; an earlier try may have run elsewhere',
+                Outcome.UNKNOWN,
+                refusal.retry_after_ms or RETRY_AFTER_MS,
+            ) from error
+
+    async def look_again(self) -> None:
+        """See that a reader is not shown what a successor has changed.
+
+        Without the store and the witnesses the last known state is shown.
+
+        Raises:
+            Fenced: this home has a successor; ask there.
+        """
+        with contextlib.suppress(TimeoutError):
+            await self.parts.recorder.confirm(CONFIRM_WAIT_MS)
+
+    async def answer(self, request: CallProgram) -> AsyncIterator[Tokens | Answer]:
+        """Find or start a call and follow it to its end."""
         live = self.find(request.program)
         live.used_ms = self.parts.clock.now_ms()
         call = self.attach(live, request)
--- a/pollenwalk/process/journal.py
+++ b/pollenwalk/process/journal.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable, Iterable
 
 from loguru import logger
@@ -31,6 +32,7 @@
 
 MAX_SEGMENT_BYTES = 600_000
 STALL_MS = 1500
+FRESH_MS = 1000
 WITNESS_RETRY_MS = 200
 
 
@@ -67,8 +69,10 @@
         clock: Clock,
         tasks: TaskSet,
         incarnation: str,
+        dice: random.Random,
     ) -> None:
         """Prepare the journal of a fresh incarnation."""
+        self.dice = dice
         self.store = store
         self.clock = clock
         self.tasks = tasks
@@ -83,6 +87,7 @@
         self.work = asyncio.Event()
         self.witnessing = asyncio.Event()
         self.fenced = False
+        self.confirmed_ms = float('-inf')
         self.wanted: list[WitnessRef] = []
         self.effective: list[WitnessRef] = []
         self.proposed: list[WitnessRef] = []
@@ -110,6 +115,23 @@
         self.open_records.extend(records)
         await asyncio.shield(self.open_batch.durable)
 
+    async def confirm(self) -> None:
+        """Prove that no successor has sealed this journal until now.
+
+        Raises:
+            Fenced: one has.
+        """
+        await self.commit([])
+
+    @property
+    def fresh(self) -> bool:
+        """Tell whether the last proof is younger than any takeover can be.
+
+        This rests on the clock and so guards nothing that must not happen:
+        only that an outdated home seldom repeats what may be repeated.
+        """
+        return self.clock.now_ms() - self.confirmed_ms < FRESH_MS
+
     def close_batch(self) -> None:
         """Number the open batch and offer it to the store and witnesses."""
         batch = self.open_batch
@@ -161,7 +183,7 @@
         """Create the next segment, however often its answer is lost."""
         self.proposed = list(self.wanted)
         segment = Segment(
-            make_nonce(),
+            make_nonce(self.dice),
             self.base + 1,
             [batch.body for batch in batches],
             self.proposed,
@@ -189,8 +211,7 @@
         self.base += len(batches)
         self.pending = [one for one in self.pending if one.number > self.base]
         self.effective = self.proposed
-        for batch in batches:
-            batch.settle()
+        self.settle(batches)
         self.link_witnesses()
         self.on_segment(number)
 
@@ -255,6 +276,10 @@
         if not links or not all(links):
             return
         held = min(link.acknowledged for link in links if link is not None)
-        for batch in self.pending:
-            if batch.number <= held:
-                batch.settle()
+        self.settle([batch for batch in self.pending if batch.number <= held])
+
+    def settle(self, batches: list[Batch]) -> None:
+        """Note batches that are durable."""
+        for batch in batches:
+            batch.settle()
+            self.confirmed_ms = max(self.confirmed_ms, batch.opened_ms)
--- a/pollenwalk/process/recorder.py
+++ b/pollenwalk/process/recorder.py
@@ -98,6 +98,16 @@
             self.book.apply(record)
         self.touched(records, segment)
 
+    async def confirm(self, wait_ms: float) -> None:
+        """Prove that this home still owns its programs.
+
+        Raises:
+            Fenced: a successor owns them.
+            TimeoutError: neither the store nor the witnesses answer.
+        """
+        async with self.clock.timeout_ms(wait_ms):
+            await self.journal.confirm()
+
     def settle(self, address: str, call: str) -> None:
         """Let a sidecar drop a call whose result is durable."""
         self.settled.setdefault(address, []).append(call)
--- a/pollenwalk/process/store.py
+++ b/pollenwalk/process/store.py
@@ -5,7 +5,7 @@
 read back when its answer is missing.
 """
 
-import secrets
+import random
 from typing import NamedTuple, Protocol
 
 from pollenwalk.errors import StoreConflict, StoreUnavailable
@@ -16,7 +16,7 @@
 RETRY_FIRST_MS = 20
 RETRY_LAST_MS = 1000
 BACKOFF = 2
-NONCE_BYTES = 8
+NONCE_BITS = 64
 
 
 class StoredObject(NamedTuple):
@@ -67,9 +67,9 @@
         """Wait a bounded time for changes after a revision."""
 
 
-def make_nonce() -> str:
+def make_nonce(dice: random.Random) -> str:
     """Make an id that no other process makes."""
-    return secrets.token_hex(NONCE_BYTES)
+    return f'{dice.getrandbits(NONCE_BITS):016x}'
 
 
 class Backoff:
--- a/pollenwalk/process/takeover.py
+++ b/pollenwalk/process/takeover.py
@@ -5,6 +5,7 @@
 programs to the one who won it.
 """
 
+import random
 from typing import NamedTuple
 
 from loguru import logger
@@ -50,8 +51,10 @@
         peers: PeerSource,
         witness_log: WitnessLog,
         successor: str,
+        dice: random.Random,
     ) -> None:
         """Prepare to act for the incarnation `successor`."""
+        self.dice = dice
         self.store = store
         self.clock = clock
         self.peers = peers
@@ -75,7 +78,7 @@
             if content.sealed_by:
                 return content.sealed_by
             seal = Segment(
-                make_nonce(),
+                make_nonce(self.dice),
                 content.last_batch + 1,
                 [],
                 content.witnesses,
--- a/pollenwalk/request/execution.py
+++ b/pollenwalk/request/execution.py
@@ -22,7 +22,7 @@
 from pollenwalk.policy.placement import HostView, Need, Placement
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.fleet import Fleet, Location
-from pollenwalk.process.recorder import Recorder
+from pollenwalk.process.recorder import Recorder, store_unavailable
 from pollenwalk.process.traces import Tracer
 from pollenwalk.process.witness import PeerSource
 from pollenwalk.program.history import (
@@ -95,12 +95,25 @@
         Raises:
             Refusal: the call did not run and takes no place in the order.
         """
+        if not self.parts.recorder.journal.fresh:
+            await self.confirm()
         if self.spec.kind == 'model':
             return await self.run_model()
         if self.request.operation in self.spec.idempotent:
             return await self.run_plain()
         return await self.run_once()
 
+    async def confirm(self) -> None:
+        """See that no successor runs this program by now.
+
+        Raises:
+            Refusal: neither the store nor the witnesses answer.
+        """
+        try:
+            await self.parts.recorder.confirm(INTENT_WAIT_MS)
+        except TimeoutError as error:
+            raise store_unavailable() from error
+
     @property
     def message_tokens(self) -> int:
         """Count the tokens that the call adds to the prompt."""
--- a/pollenwalk/request/routing.py
+++ b/pollenwalk/request/routing.py
@@ -274,6 +274,7 @@
         if isinstance(message, EndProgram):
             return View(view_program(await self.home.end(message.program)))
         live = self.home.find(message.program)
+        await self.home.look_again()
         if isinstance(message, ViewCall):
             return View(view_call(live, message.key))
         return View(view_program(live.program))
