--- a/standin/caller.py
+++ b/standin/caller.py
@@ -5,6 +5,7 @@
 answer with the history it knows.
 """
 
+import contextlib
 import random
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any, NamedTuple
@@ -127,6 +128,15 @@
                 self.false_not_run.append(tag)
 
 
+class MadeCall(NamedTuple):
+    """An answered call."""
+
+    tag: str
+    spec: CallSpec
+    step: Step
+    answer: dict[str, Any]
+
+
 class GaveUp(Exception):
     """A program can't go on."""
 
@@ -151,6 +161,7 @@
         self.program = ''
         self.sequence = 0
         self.history: list[HistoryItem] = []
+        self.made: dict[int, MadeCall] = {}
         self.may_run_short = False
 
     async def run(self, story: Story, parent: str | None = None) -> None:
@@ -161,11 +172,23 @@
             await self.run_steps(story, parent)
         except GaveUp as error:
             self.tally.refused.append(f'{self.name}: {error}')
+            await self.leave()
             return
         self.tally.completed += 1
         if parent is None:
             self.tally.latency_ms.append(self.clock.now_ms() - begun_ms)
 
+    async def leave(self) -> None:
+        """End a program that can't go on, if it has begun."""
+        self.verify()
+        if not self.program:
+            return
+        with contextlib.suppress(GaveUp):
+            await self.insist(
+                lambda: self.door.end(self.program),
+                f'{self.name}/end',
+            )
+
     async def run_steps(self, story: Story, parent: str | None) -> None:
         """Begin, make all calls in turn, and end."""
         budget = CHILD_BUDGET if parent else None
@@ -180,6 +203,7 @@
             await self.make_call(step)
             if step.pause_ms:
                 await self.clock.sleep_ms(step.pause_ms)
+        self.verify()
         await self.insist(lambda: self.door.end(self.program), f'{self.name}/end')
 
     def begin_spec(
@@ -216,36 +240,44 @@
         )
         self.tally.calls += 1
         answer = await self.insist(lambda: self.door.call(spec), tag)
-        self.check(spec, step, answer, tag)
-        return answer
-
-    def check(
-        self,
-        spec: CallSpec,
-        step: Step,
-        answer: dict[str, Any],
-        tag: str,
-    ) -> None:
-        """Compare an answer with what was asked."""
-        output = Answer(answer['output'])
+        self.made[spec.sequence] = MadeCall(tag, spec, step, answer)
         if step.operation != 'chat':
-            if answer['output'].get('input') != spec.argument:
-                self.tally.mixed.append(tag)
             self.tally.answered[tag] = answer['output'].get('execution', 0)
             self.tally.last_word[tag] = str(Outcome.RAN)
-            self.history.extend(plain_entries(spec.operation, spec.argument, output))
+        return answer
+
+    def check(self, made: MadeCall) -> None:
+        """Compare an answer with what was asked, and add to the history."""
+        output = Answer(made.answer['output'])
+        if made.step.operation == 'chat':
+            self.check_chat(made)
+            self.history.extend(chat_entries(made.spec.argument, output))
             return
-        prompt = [*self.history, HistoryItem('user', spec.argument['message'])]
+        if made.answer['output'].get('input') != made.spec.argument:
+            self.tally.mixed.append(made.tag)
+        self.history.extend(
+            plain_entries(made.spec.operation, made.spec.argument, output),
+        )
+
+    def check_chat(self, made: MadeCall) -> None:
+        """Compare a model's answer with the history that it was given."""
+        prompt = [*self.history, HistoryItem('user', made.spec.argument['message'])]
         digest = prompt_digest(prompt)
-        tokens = min(step.tokens, answer.get('tokens', step.tokens))
-        if tokens < step.tokens and not self.may_run_short:
-            self.tally.mixed.append(f'{tag} cut short')
+        wished = made.step.tokens
+        tokens = min(wished, made.answer.get('tokens', wished))
+        if tokens < wished and not self.may_run_short:
+            self.tally.mixed.append(f'{made.tag} cut short')
         expected = ''.join(f'{digest}:{number} ' for number in range(tokens))
-        if answer['output']['text'] != expected:
-            self.tally.mixed.append(tag)
-        if answer.get('streamed', expected) != expected:
-            self.tally.mixed.append(f'{tag} streamed')
-        self.history.extend(chat_entries(spec.argument, output))
+        if made.answer['output']['text'] != expected:
+            self.tally.mixed.append(made.tag)
+        if made.answer.get('streamed', expected) != expected:
+            self.tally.mixed.append(f'{made.tag} streamed')
+
+    def verify(self) -> None:
+        """Check all answers in the order of the calls, however they came."""
+        for sequence in sorted(self.made):
+            self.check(self.made[sequence])
+        self.made.clear()
 
     async def insist(
         self,
--- a/standin/scenario/runner.py
+++ b/standin/scenario/runner.py
@@ -42,6 +42,7 @@
         self.labels: dict[str, ScriptedProgram] = {}
         self.background: list[asyncio.Future[Any]] = []
         self.marks: dict[str, int] = {}
+        self.stopped: dict[str, None] = {}
 
     async def run(self) -> None:
         """Run all steps, then bring everything to its end and judge it.
@@ -202,8 +203,10 @@
             raise AssertionError(f'{len(late)} did not end within {patience_ms} ms')
 
     async def do_kill(self, name: str) -> None:
-        """`kill WHO`."""
-        await self.world.kill(self.who(name))
+        """`kill WHO`; a dead process stays dead."""
+        process = self.who(name)
+        if not self.world.process(process).node.dead:
+            await self.world.kill(process)
 
     async def do_pause(self, name: str) -> None:
         """`pause WHO`."""
@@ -216,12 +219,17 @@
             self.world.resume(one)
 
     async def do_restart(self, name: str) -> None:
-        """`restart WHO`: start a killed process again."""
+        """`restart WHO`: start a process again, killing it if it runs."""
+        await self.do_kill(name)
+        self.stopped.pop(name, None)
         await self.world.restart(self.who(name))
 
     async def do_stop(self, name: str) -> None:
         """`stop WHO`: stop gracefully, in the background."""
         process = self.world.process(self.who(name))
+        if process.node.dead or name in self.stopped:
+            return
+        self.stopped[name] = None
         stopping = process.node.tasks.spawn(process[1].stop(), 'stop')
         self.background.append(stopping)
 
--- a/standin/scenario/script.py
+++ b/standin/scenario/script.py
@@ -66,6 +66,7 @@
 
         Calls whose outcome the caller was never told may be in it.
         """
+        self.verify()
         try:
             view = await self.insist(
                 lambda: self.door.view(self.program),
