Say 'unknown' where an earlier try of a repeatable call may have run

Also a sidecar replayed the failed result of a repeatable call for ever, and a kept answer replayed after a takeover left a half stream at the caller.

Change: the home remembers tries that may have run and doubts the first call after a takeover; failed repeatable calls may be handed over again; a kept model answer is streamed whole.

Settings are read and checked whole.

--- a/pollenwalk/commands/demo.py
+++ b/pollenwalk/commands/demo.py
@@ -33,7 +33,7 @@
         help='run two deployments on stand-ins and show what came of it',
         description=(
             'Runs stand-ins, two entries and a sidecar beside each upstream '
-            'on loopback, and the two deployments\' programs through them. '
+            "on loopback, and the two deployments' programs through them. "
             'Every figure is counted at the stand-ins and the callers.'
         ),
     )
--- a/pollenwalk/connection/grpc_network.py
+++ b/pollenwalk/connection/grpc_network.py
@@ -172,9 +172,9 @@
 
         server = grpc.aio.server(options=CHANNEL_OPTIONS)
         method = grpc.stream_stream_rpc_method_handler(exchange)
-        server.add_generic_rpc_handlers((
-            grpc.method_handlers_generic_handler(SERVICE, {METHOD: method}),
-        ))
+        server.add_generic_rpc_handlers(
+            (grpc.method_handlers_generic_handler(SERVICE, {METHOD: method}),)
+        )
         try:
             port = server.add_insecure_port(address)
         except RuntimeError as error:
--- a/pollenwalk/connection/http_api.py
+++ b/pollenwalk/connection/http_api.py
@@ -374,4 +374,3 @@
     yield first
     async for following in rest:
         yield following
-
--- a/pollenwalk/connection/service_http.py
+++ b/pollenwalk/connection/service_http.py
@@ -9,12 +9,14 @@
 
 from pollenwalk.errors import Outcome, Refusal, RefusalCode
 
-NOT_BEGUN = frozenset((
-    HTTPStatus.NOT_FOUND,
-    HTTPStatus.METHOD_NOT_ALLOWED,
-    HTTPStatus.TOO_MANY_REQUESTS,
-    HTTPStatus.SERVICE_UNAVAILABLE,
-))
+NOT_BEGUN = frozenset(
+    (
+        HTTPStatus.NOT_FOUND,
+        HTTPStatus.METHOD_NOT_ALLOWED,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
 RETRY_AFTER_MS = 500
 OUTPUT_DECODER = msgspec.json.Decoder(dict[str, Any])
 
--- a/pollenwalk/connection/store_http.py
+++ b/pollenwalk/connection/store_http.py
@@ -1,11 +1,11 @@
 """The platform's object API over HTTP.
 
-    GET    /objects/KEY            the body; its version in the ETag
-    PUT    /objects/KEY            with `If-Match: VERSION`, `If-None-Match: *`
-                                   or neither
-    DELETE /objects/KEY
-    GET    /list?prefix=P          {"revision", "objects": [...]}
-    GET    /watch?prefix=P&revision=R   the same, once something has changed
+GET    /objects/KEY            the body; its version in the ETag
+PUT    /objects/KEY            with `If-Match: VERSION`, `If-None-Match: *`
+                               or neither
+DELETE /objects/KEY
+GET    /list?prefix=P          {"revision", "objects": [...]}
+GET    /watch?prefix=P&revision=R   the same, once something has changed
 """
 
 import base64
--- a/pollenwalk/process/acceptance.py
+++ b/pollenwalk/process/acceptance.py
@@ -20,8 +20,8 @@
     dangling,
     spec_to_json,
 )
+from pollenwalk.version.fields import InvalidFile
 from pollenwalk.version.resources import (
-    InvalidResources,
     Kind,
     ResourceId,
     parse_section,
@@ -234,7 +234,7 @@
         section = f'{wish.kind} {wish.name}'
         problems, resource = parse_section(section, wish.keys, stored.key)
         if resource is None:
-            return None, InvalidResources(problems).message
+            return None, InvalidFile(problems).message
         missing = dangling(resource, self.config)
         if missing:
             return None, '; '.join(missing)
--- a/pollenwalk/process/fleet.py
+++ b/pollenwalk/process/fleet.py
@@ -90,7 +90,11 @@
 
     def takes_work(self, host: UpstreamHost, now_ms: float) -> bool:
         """Tell whether a host is heard, stays, and did not just refuse."""
-        if host.report.leaving or not host.report.slots or now_ms < host.refused_until_ms:
+        if (
+            host.report.leaving
+            or not host.report.slots
+            or now_ms < host.refused_until_ms
+        ):
             return False
         return now_ms - host.heard_ms <= SILENT_AFTER_MS
 
--- a/pollenwalk/process/home.py
+++ b/pollenwalk/process/home.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Iterable, Iterator
 from typing import Any
 
 from loguru import logger
@@ -59,11 +59,13 @@
 RECOVERY_MS = 30_000
 RETRY_AFTER_MS = 1000
 CONFIRM_WAIT_MS = 1000
-ABOUT_FORM = frozenset((
-    RefusalCode.MALFORMED,
-    RefusalCode.KEY_MISSING,
-    RefusalCode.KEY_REUSED,
-))
+ABOUT_FORM = frozenset(
+    (
+        RefusalCode.MALFORMED,
+        RefusalCode.KEY_MISSING,
+        RefusalCode.KEY_REUSED,
+    )
+)
 ID_BITS = 64
 PROGRAM_PREFIX = 'p'
 
@@ -306,29 +308,33 @@
             async for item in self.answer(request):
                 yield item
         except Refusal as refusal:
-            await self.vouch(refusal)
-            raise
+            if await self.vouches(refusal, request):
+                raise
+            raise doubted(refusal) from refusal
 
-    async def vouch(self, refusal: Refusal) -> None:
-        """Let a 'not run' pass only while this home is surely the owner.
+    async def vouches(self, refusal: Refusal, request: CallProgram) -> bool:
+        """Tell whether a refusal's 'not run' is surely true.
 
-        A successor may have run the very call that is refused here.
+        A successor may have run the very call that is refused here, or an
+        earlier try of a call that may be repeated may have run.
 
         Raises:
-            Refusal: the same as unknown, when ownership can't be proven.
             Fenced: this home has a successor; ask there.
         """
         if refusal.outcome != Outcome.NOT_RUN or refusal.code in ABOUT_FORM:
-            return
+            return True
+        live = self.live.get(request.program)
+        upstream = self.parts.config.upstream(request.upstream)
+        repeatable = upstream is not None and (
+            request.operation in upstream.idempotent
+        )
+        if repeatable and live is not None and live.may_have_run(request):
+            return False
         try:
             await self.parts.recorder.confirm(CONFIRM_WAIT_MS)
-        except TimeoutError as error:
-            raise Refusal(
-                refusal.code,
-                f'{refusal.message}; an earlier try may have run elsewhere',
-                Outcome.UNKNOWN,
-                refusal.retry_after_ms or RETRY_AFTER_MS,
-            ) from error
+        except TimeoutError:
+            return False
+        return True
 
     async def look_again(self) -> None:
         """See that a reader is not shown what a successor has changed.
@@ -348,6 +354,8 @@
         call = self.attach(live, request)
         if isinstance(call, FinishedCall):
             finished = call
+            for tokens in replayed_tokens(finished, request.offset):
+                yield tokens
         else:
             async for tokens in call.stream.follow(request.offset):
                 yield tokens
@@ -391,8 +399,7 @@
         if spec is None or upstream is None or request.upstream not in spec.upstreams:
             raise Refusal(
                 RefusalCode.UNKNOWN_UPSTREAM,
-                f'{live.program.declaration} declares no upstream '
-                f'{request.upstream!r}',
+                f'{live.program.declaration} declares no upstream {request.upstream!r}',
             )
         operations = [*upstream.idempotent, *upstream.non_idempotent]
         if request.operation not in operations:
@@ -412,7 +419,7 @@
                 RefusalCode.LOOP_LIMIT,
                 f'a run may make {spec.max_calls} calls',
             )
-        recent = list(live.program.finished.values())[-spec.loop_limit:]
+        recent = list(live.program.finished.values())[-spec.loop_limit :]
         repeats = [one for one in recent if one.digest == call.digest]
         if len(repeats) >= spec.loop_limit:
             raise Refusal(
@@ -571,6 +578,7 @@
         """Find out what became of the intents of adopted programs."""
         for program in programs:
             live = self.find(program.id)
+            live.doubtful = program.next_sequence
             for intent in list(program.intents.values()):
                 call = LiveCall(request_of(intent), self.parts.clock)
                 live.calls[intent.key] = call
@@ -682,6 +690,23 @@
     )
 
 
+def replayed_tokens(finished: FinishedCall, offset: int) -> Iterator[Tokens]:
+    """Give a kept model answer as tokens, for a stream from the beginning."""
+    text = finished.answer.output.get('text') if finished.answer else None
+    if isinstance(text, str) and text and not offset:
+        yield Tokens(0, [text])
+
+
+def doubted(refusal: Refusal) -> Refusal:
+    """Give a refusal again without the claim that the call did not run."""
+    return Refusal(
+        RefusalCode(refusal.code),
+        f'{refusal.message}; an earlier try may have run',
+        Outcome.UNKNOWN,
+        refusal.retry_after_ms,
+    )
+
+
 def check_same(digest: str, sequence: int, call: LiveCall) -> None:
     """Check that a repeated key comes with the same request.
 
--- a/pollenwalk/process/journal.py
+++ b/pollenwalk/process/journal.py
@@ -44,9 +44,7 @@
         self.number = number
         self.body = body
         self.opened_ms = opened_ms
-        self.durable: asyncio.Future[None] = (
-            asyncio.get_running_loop().create_future()
-        )
+        self.durable: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     def settle(self) -> None:
         """Mark the batch durable."""
--- a/pollenwalk/process/liveness.py
+++ b/pollenwalk/process/liveness.py
@@ -43,8 +43,7 @@
         return [
             record
             for record in self.directory.live()
-            if record.incarnation != own.incarnation
-            and self.is_silent(record, own)
+            if record.incarnation != own.incarnation and self.is_silent(record, own)
         ]
 
     def is_silent(self, record: EntryRecord, own: EntryRecord) -> bool:
--- a/pollenwalk/process/recorder.py
+++ b/pollenwalk/process/recorder.py
@@ -47,8 +47,8 @@
         self.clock = clock
         self.tasks = tasks
         self.settled: dict[str, list[str]] = {}
-        self.touched: Callable[[list[Record], int], None] = (
-            lambda records, segment: None
+        self.touched: Callable[[list[Record], int], None] = lambda records, segment: (
+            None
         )
 
     def record_later(self, live: LiveProgram, build: Build) -> asyncio.Task[None]:
--- /dev/null
+++ b/pollenwalk/process/settings.py
@@ -0,0 +1,206 @@
+"""Settings of the processes, read from INI and checked whole at the start."""
+
+import configparser
+from importlib import resources
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from pollenwalk.errors import UserError
+from pollenwalk.version.fields import (
+    ADDRESS,
+    ADDRESSES,
+    NAME,
+    TEXT,
+    URL,
+    URLS,
+    Field,
+    InvalidFile,
+    Problem,
+    field_errors,
+    missing_keys,
+    read_choice,
+    read_fields,
+    read_int,
+    read_number,
+)
+
+DEFAULTS = 'default.ini'
+REGIONS = 'regions'
+SCHEMAS: dict[str, dict[str, Field]] = {
+    'process': {
+        'log_level': read_choice('DEBUG', 'INFO', 'WARNING', 'ERROR'),
+        'trace_file': TEXT,
+        'trace_share': read_number(0, 1),
+    },
+    'store': {'url': URL},
+    'entry': {
+        'address': ADDRESS,
+        'http': ADDRESS,
+        'zone': NAME,
+        'witnesses': read_int(0, 8),
+        'journal_interval_ms': read_number(0, 60_000),
+        'placement': read_choice(
+            'expected-finish',
+            'round-robin',
+            'least-loaded',
+            'sticky',
+        ),
+    },
+    'sidecar': {
+        'id': NAME,
+        'upstream': NAME,
+        'address': ADDRESS,
+        'http': ADDRESS,
+        'zone': NAME,
+        'url': URL,
+        'kind': read_choice('model', 'plain'),
+        'entries': ADDRESSES,
+    },
+    'load': {
+        'entries': URLS,
+        'seed': read_int(0, 1_000_000_000),
+        'rate': read_number(0.001, 100_000),
+        'programs': read_int(1, 10_000_000),
+        'arrival': read_choice('poisson', 'steady', 'burst'),
+        'spares_share': read_number(0, 1),
+    },
+}
+ROLES: dict[str, tuple[str, ...]] = {
+    'entry': ('process', 'store', 'entry'),
+    'sidecar': ('process', 'sidecar'),
+    'load': ('process', 'load'),
+    'operator': ('process', 'store'),
+}
+
+
+class Settings(NamedTuple):
+    """All checked settings of one process.
+
+    Attributes:
+        sections: the values by section and key.
+        regions: the region of each zone.
+    """
+
+    sections: dict[str, dict[str, Any]]
+    regions: dict[str, str]
+
+    def of(self, section: str) -> dict[str, Any]:
+        """Give one section's values."""
+        return self.sections[section]
+
+
+def read_settings(path: Path, role: str) -> Settings:
+    """Read and check the settings of a role.
+
+    Args:
+        path: the settings file.
+        role: which process they are for; sections of other roles may stand
+            in the same file and are checked too, but not required.
+
+    Returns:
+        The settings, completed with the defaults.
+
+    Raises:
+        InvalidFile: with every error of the file.
+        UserError: the file can't be read.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise UserError(f'{path}: {error}') from error
+    return parse_settings(text, str(path), role)
+
+
+def parse_settings(text: str, source: str, role: str) -> Settings:
+    """Read and check a settings text."""
+    given = parse_ini(text, source)
+    defaults = parse_ini(default_text(), DEFAULTS)
+    problems = [
+        Problem(source, section, '', f'unknown section; allowed: {known_sections()}')
+        for section in given
+        if section not in SCHEMAS and section != REGIONS
+    ]
+    sections: dict[str, dict[str, Any]] = {}
+    for section in SCHEMAS:
+        keys = {**defaults.get(section, {}), **given.get(section, {})}
+        required = section in ROLES[role]
+        found, values = parse_section(section, keys, source, required=required)
+        problems.extend(found)
+        sections[section] = values
+    regions, found = parse_regions(given.get(REGIONS, {}), source)
+    problems.extend(found)
+    if not problems:
+        problems.extend(check_zone(sections, regions, source, role))
+    if problems:
+        raise InvalidFile(problems)
+    return Settings(sections, regions)
+
+
+def parse_ini(text: str, source: str) -> dict[str, dict[str, str]]:
+    """Read INI sections."""
+    parser = configparser.ConfigParser(interpolation=None, default_section='')
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        problem = Problem(source, '', '', str(error).replace('\n', ' '))
+        raise InvalidFile([problem]) from error
+    return {section: dict(parser[section]) for section in parser.sections()}
+
+
+def default_text() -> str:
+    """Give the commented default settings."""
+    package = resources.files('pollenwalk')
+    return package.joinpath(DEFAULTS).read_text(encoding='utf-8')
+
+
+def known_sections() -> str:
+    """List the sections."""
+    return ', '.join([*SCHEMAS, REGIONS])
+
+
+def parse_section(
+    section: str,
+    keys: dict[str, str],
+    source: str,
+    *,
+    required: bool,
+) -> tuple[list[Problem], dict[str, Any]]:
+    """Read one section, giving its errors and its values."""
+    schema = SCHEMAS[section]
+    values = dict(read_fields(schema, keys))
+    errors = list(field_errors(values))
+    if required:
+        errors.extend(missing_keys(schema, schema, keys))
+    problems = [Problem(source, section, key, text) for key, text in errors]
+    return problems, values
+
+
+def parse_regions(
+    keys: dict[str, str],
+    source: str,
+) -> tuple[dict[str, str], list[Problem]]:
+    """Read the map from zones to regions."""
+    problems = []
+    regions = {}
+    for zone, region in keys.items():
+        try:
+            regions[zone] = NAME.read(region)
+        except ValueError:
+            text = f'{region!r} is not {NAME.allowed}'
+            problems.append(Problem(source, REGIONS, zone, text))
+    return regions, problems
+
+
+def check_zone(
+    sections: dict[str, dict[str, Any]],
+    regions: dict[str, str],
+    source: str,
+    role: str,
+) -> list[Problem]:
+    """Check that an entry's zone has a region."""
+    zone = sections['entry'].get('zone')
+    if role != 'entry' or zone in regions:
+        return []
+    known = ', '.join(regions) or 'none'
+    text = f'{zone!r} has no region; zones in [{REGIONS}]: {known}'
+    return [Problem(source, 'entry', 'zone', text)]
--- a/pollenwalk/process/sidecar.py
+++ b/pollenwalk/process/sidecar.py
@@ -159,7 +159,7 @@
         self.sessions.check(hello.incarnation, hello.epoch)
         self.check_boot(message.boot, Outcome.NOT_RUN)
         call = self.calls.calls.get(message.call)
-        if call is None:
+        if call is None or (call.failed and message.idempotent):
             self.check_open()
             history = self.histories.join(message) if self.grants else []
             if history is None:
--- a/pollenwalk/process/sidecar_calls.py
+++ b/pollenwalk/process/sidecar_calls.py
@@ -23,11 +23,14 @@
         self.started = False
         self.ended_ms = 0.0
         self.alone_ms: float | None = None
-        self.result: asyncio.Future[Answer] = (
-            asyncio.get_running_loop().create_future()
-        )
+        self.result: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self.task: asyncio.Task[None] | None = None
 
+    @property
+    def failed(self) -> bool:
+        """Tell whether the call has ended without an answer."""
+        return self.result.done() and self.result.exception() is not None
+
     def finish(self, answer: Answer, now_ms: float) -> None:
         """Keep the answer."""
         self.ended_ms = now_ms
--- a/pollenwalk/process/takeover.py
+++ b/pollenwalk/process/takeover.py
@@ -106,9 +106,7 @@
                 logger.error('journal_tail_lost', dead=dead)
                 return Sealed(content, [], tail_lost=True)
             await self.clock.sleep_ms(WITNESS_PAUSE_MS)
-        records = [
-            record for batch in held.batches for record in decode_records(batch)
-        ]
+        records = [record for batch in held.batches for record in decode_records(batch)]
         return Sealed(content, records, tail_lost=False)
 
     async def seal_any(
--- a/pollenwalk/program/live.py
+++ b/pollenwalk/program/live.py
@@ -31,6 +31,8 @@
         self.cached: dict[str, int] = {}
         self.counted = 0
         self.tokens = 0
+        self.maybe_ran: dict[str, None] = {}
+        self.doubtful = 0
         self.ending = False
         self.used_ms = clock.now_ms()
         self.changed = asyncio.Event()
@@ -39,11 +41,19 @@
     def history_tokens(self) -> int:
         """Count the history's tokens, each entry once."""
         entries = self.program.history.entries
-        fresh = entries[self.counted:]
+        fresh = entries[self.counted :]
         self.tokens += sum(count_tokens(entry.content) for entry in fresh)
         self.counted = len(entries)
         return self.tokens
 
+    def may_have_run(self, request: CallProgram) -> bool:
+        """Tell whether an earlier try of a repeatable call may have run.
+
+        A dead home records no try of such a call, so the first call after a
+        takeover is in doubt.
+        """
+        return request.key in self.maybe_ran or request.sequence == self.doubtful
+
     def notify(self) -> None:
         """Wake the calls that wait for their turn."""
         self.changed.set()
@@ -69,8 +79,7 @@
     def waits(self, request: CallProgram) -> bool:
         """Tell whether another call already waits at this place."""
         return any(
-            call.request.sequence == request.sequence
-            for call in self.calls.values()
+            call.request.sequence == request.sequence for call in self.calls.values()
         )
 
     def gap(self, request: CallProgram) -> Refusal:
--- a/pollenwalk/program/records.py
+++ b/pollenwalk/program/records.py
@@ -181,6 +181,5 @@
         msgspec.DecodeError: the batch is damaged.
     """
     return [
-        BODY_DECODERS[raw.kind].decode(raw.body)
-        for raw in RAW_DECODER.decode(batch)
+        BODY_DECODERS[raw.kind].decode(raw.body) for raw in RAW_DECODER.decode(batch)
     ]
--- a/pollenwalk/request/call.py
+++ b/pollenwalk/request/call.py
@@ -15,11 +15,13 @@
 
 def request_digest(request: CallProgram) -> str:
     """Digest what a call asks for; its place in the order is not part."""
-    return digest_of([
-        request.upstream,
-        request.operation,
-        request.argument,
-    ])
+    return digest_of(
+        [
+            request.upstream,
+            request.operation,
+            request.argument,
+        ]
+    )
 
 
 def check_request(request: CallProgram) -> None:
--- a/pollenwalk/request/dispatch.py
+++ b/pollenwalk/request/dispatch.py
@@ -84,7 +84,9 @@
         self.clock = clock
         self.boot = boot
 
-    async def resolve(self, call: LiveCall, fence: str, until_ms: float) -> Answer | None:
+    async def resolve(
+        self, call: LiveCall, fence: str, until_ms: float
+    ) -> Answer | None:
         """Ask until the sidecar answers or the time is up.
 
         Args:
--- a/pollenwalk/request/execution.py
+++ b/pollenwalk/request/execution.py
@@ -127,6 +127,7 @@
             try:
                 answer = await self.hand_over(host, max_tokens)
             except ConnectionLost:
+                self.note_maybe_ran()
                 await self.lost(host)
                 await self.parts.recorder.record(
                     self.live,
@@ -148,9 +149,12 @@
             try:
                 answer = await self.hand_over(host, 0)
             except ConnectionLost:
+                self.note_maybe_ran()
                 await self.lost(host)
                 continue
             except Refusal as refusal:
+                if refusal.outcome != Outcome.NOT_RUN:
+                    self.note_maybe_ran()
                 if self.attempts_left() and repeatable(refusal):
                     await self.refused(host, refusal)
                     continue
@@ -202,6 +206,10 @@
             until_ms = self.call.deadline_ms + RESOLVE_GRACE_MS
             return await resolver.resolve(self.call, '', until_ms)
 
+    def note_maybe_ran(self) -> None:
+        """Note that a try of this call may have run."""
+        self.live.maybe_ran[self.request.key] = None
+
     def check_certain(self) -> None:
         """Refuse to run what may have run before records were lost."""
         if self.program.uncertain:
--- a/pollenwalk/version/config.py
+++ b/pollenwalk/version/config.py
@@ -78,9 +78,9 @@
 def spec_from(kind: Kind, fields: dict[str, Any]) -> Spec:
     """Rebuild a spec from JSON."""
     known = SPEC_TYPES[kind]._fields
-    return SPEC_TYPES[kind](**{
-        key: field for key, field in fields.items() if key in known
-    })
+    return SPEC_TYPES[kind](
+        **{key: field for key, field in fields.items() if key in known}
+    )
 
 
 def spec_to_json(spec: Spec) -> dict[str, Any]:
--- a/pollenwalk/version/resources.py
+++ b/pollenwalk/version/resources.py
@@ -6,12 +6,22 @@
 
 import configparser
 import enum
-from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
 
-from pollenwalk.errors import UserError
-
-MAX_NAME = 63
+from pollenwalk.version.fields import (
+    NAME,
+    NAMES,
+    Field,
+    InvalidFile,
+    Problem,
+    field_errors,
+    missing_keys,
+    read_choice,
+    read_fields,
+    read_int,
+    read_name,
+    read_number,
+)
 
 
 class Kind(enum.StrEnum):
@@ -92,13 +102,6 @@
 Spec = ProgramSpec | UpstreamSpec | BudgetSpec | PrioritySpec
 
 
-class Field(NamedTuple):
-    """How one key is read and what it may hold."""
-
-    read: Callable[[str], Any]
-    allowed: str
-
-
 class ResourceId(NamedTuple):
     """A resource's kind and name."""
 
@@ -113,80 +116,6 @@
     spec: Spec
 
 
-class Problem(NamedTuple):
-    """One error in a file."""
-
-    source: str
-    section: str
-    key: str
-    text: str
-
-    def line(self) -> str:
-        """Describe the error in one line."""
-        return f'{self.source}: [{self.section}] {self.key}: {self.text}'
-
-
-class InvalidResources(UserError):
-    """A file with one or more errors."""
-
-    code = 'invalid_resources'
-
-    def __init__(self, problems: list[Problem]) -> None:
-        """Keep all errors."""
-        super().__init__('\n'.join(problem.line() for problem in problems))
-        self.problems = problems
-
-
-def read_int(low: int, high: int) -> Field:
-    """Make a field that holds a whole number within bounds."""
-
-    def read(text: str) -> int:  # noqa: WPS430
-        number = int(text)
-        if not low <= number <= high:
-            raise ValueError(text)
-        return number
-
-    return Field(read, f'a whole number from {low} to {high}')
-
-
-def read_number(low: float, high: float) -> Field:
-    """Make a field that holds a number within bounds."""
-
-    def read(text: str) -> float:  # noqa: WPS430
-        number = float(text)
-        if not low <= number <= high:
-            raise ValueError(text)
-        return number
-
-    return Field(read, f'a number from {low} to {high}')
-
-
-def read_choice(*choices: str) -> Field:
-    """Make a field that holds one of a few words."""
-
-    def read(text: str) -> str:  # noqa: WPS430
-        if text not in choices:
-            raise ValueError(text)
-        return text
-
-    return Field(read, ' or '.join(choices))
-
-
-def read_name(text: str) -> str:
-    """Read a name of letters, digits, hyphens and underscores."""
-    plain = text.replace('-', '').replace('_', '')
-    if not plain.isalnum() or not plain.isascii() or len(text) > MAX_NAME:
-        raise ValueError(text)
-    return text
-
-
-def read_names(text: str) -> list[str]:
-    """Read a list of names, split at commas."""
-    return [read_name(part.strip()) for part in text.split(',') if part.strip()]
-
-
-NAME = Field(read_name, f'a name: letters, digits, - and _, at most {MAX_NAME}')
-NAMES = Field(read_names, 'names split by commas')
 DAY_MS = 86_400_000
 TOKENS = read_int(1, 1_000_000_000)
 DURATION = read_int(1, DAY_MS)
@@ -237,7 +166,7 @@
         The resources in the order of the file.
 
     Raises:
-        InvalidResources: with every error of the text.
+        InvalidFile: with every error of the text.
     """
     parser = configparser.ConfigParser(
         interpolation=None,
@@ -248,7 +177,7 @@
         parser.read_string(text, source)
     except configparser.Error as error:
         problem = Problem(source, '', '', str(error).replace('\n', ' '))
-        raise InvalidResources([problem]) from error
+        raise InvalidFile([problem]) from error
     problems: list[Problem] = []
     resources = []
     for section in parser.sections():
@@ -257,7 +186,7 @@
         if resource is not None:
             resources.append(resource)
     if problems:
-        raise InvalidResources(problems)
+        raise InvalidFile(problems)
     return resources
 
 
@@ -277,47 +206,14 @@
     except ValueError:
         return [Problem(source, section, '', f'needs {NAME.allowed}')], None
     kind = Kind(kind_name)
-    fields = dict(read_fields(kind, keys))
+    fields = dict(read_fields(SCHEMAS[kind], keys))
     problems = [
         Problem(source, section, key, text)
-        for key, text in [*field_errors(fields), *missing_keys(kind, keys)]
+        for key, text in [
+            *field_errors(fields),
+            *missing_keys(SCHEMAS[kind], REQUIRED.get(kind, ()), keys),
+        ]
     ]
     if problems:
         return problems, None
     return [], Resource(ResourceId(kind, name), SPEC_TYPES[kind](**fields))
-
-
-class FieldError(NamedTuple):
-    """Why a key can't be read."""
-
-    text: str
-
-
-def read_fields(kind: Kind, keys: dict[str, str]) -> Iterator[tuple[str, Any]]:
-    """Read each key, giving its value or its error."""
-    schema = SCHEMAS[kind]
-    for key, text in keys.items():
-        field = schema.get(key)
-        if field is None:
-            known = ', '.join(schema)
-            yield key, FieldError(f'unknown key; allowed: {known}')
-            continue
-        try:
-            yield key, field.read(text)
-        except ValueError:
-            yield key, FieldError(f'{text!r} is not {field.allowed}')
-
-
-def field_errors(fields: dict[str, Any]) -> Iterator[tuple[str, str]]:
-    """Give the keys that could not be read."""
-    for key, outcome in fields.items():
-        if isinstance(outcome, FieldError):
-            yield key, outcome.text
-
-
-def missing_keys(kind: Kind, keys: Iterable[str]) -> Iterator[tuple[str, str]]:
-    """Give the required keys that are not there."""
-    present = set(keys)
-    for key in REQUIRED.get(kind, ()):
-        if key not in present:
-            yield key, f'is required: {SCHEMAS[kind][key].allowed}'
--- a/standin/caller.py
+++ b/standin/caller.py
@@ -118,7 +118,6 @@
         self.budgets: dict[str, int] = {}
         self.late_tries = 0
 
-
     def take_word(self, tag: str, refusal: Refusal) -> None:
         """Note a refusal; a 'not run' must be true when it is told."""
         self.last_word[tag] = str(refusal.outcome)
--- a/standin/door.py
+++ b/standin/door.py
@@ -133,7 +133,7 @@
         elif line.startswith(EVENT_DATA):
             body = msgspec.json.decode(line.removeprefix(EVENT_DATA))
             if name == 'tokens':
-                texts[body['offset']:] = body['texts']
+                texts[body['offset'] :] = body['texts']
             elif name == 'answer':
                 return {**body, 'streamed': ''.join(texts)}
             else:
--- a/standin/engine.py
+++ b/standin/engine.py
@@ -331,19 +331,23 @@
     """Pack a stream as chat-completion chunks."""
     async for item in items:
         if isinstance(item, Tokens):
-            yield pack({
-                'offset': offset,
-                'choices': [{'delta': {'content': text}} for text in item.texts],
-            })
+            yield pack(
+                {
+                    'offset': offset,
+                    'choices': [{'delta': {'content': text}} for text in item.texts],
+                }
+            )
             continue
-        yield pack({
-            'choices': [],
-            'usage': {
-                'completion_tokens': item.tokens,
-                'prompt_tokens': item.prefilled,
-                'cached_tokens': 0,
-            },
-        })
+        yield pack(
+            {
+                'choices': [],
+                'usage': {
+                    'completion_tokens': item.tokens,
+                    'prompt_tokens': item.prefilled,
+                    'cached_tokens': 0,
+                },
+            }
+        )
         yield b'data: [DONE]\n\n'
 
 
--- a/standin/scenario/explorer.py
+++ b/standin/scenario/explorer.py
@@ -52,18 +52,22 @@
         strategies.tuples(strategies.just('restart'), anybody),
         strategies.tuples(strategies.just('stop'), entry),
         strategies.tuples(strategies.just('cut'), place, place),
-        strategies.tuples(strategies.just('cut'), place, place, strategies.just('oneway')),
-        strategies.sampled_from((
-            ('heal',),
-            ('resume', 'all'),
-            ('store', 'down'),
-            ('store', 'up'),
-            ('service', 'hang'),
-            ('service', 'free'),
-            ('engine', 'down'),
-            ('engine', 'up'),
-            ('run', '2'),
-        )),
+        strategies.tuples(
+            strategies.just('cut'), place, place, strategies.just('oneway')
+        ),
+        strategies.sampled_from(
+            (
+                ('heal',),
+                ('resume', 'all'),
+                ('store', 'down'),
+                ('store', 'up'),
+                ('service', 'hang'),
+                ('service', 'free'),
+                ('engine', 'down'),
+                ('engine', 'up'),
+                ('run', '2'),
+            )
+        ),
         strategies.tuples(
             strategies.just('store'),
             strategies.sampled_from(('lose', 'fail')),
--- a/standin/scenario/runner.py
+++ b/standin/scenario/runner.py
@@ -159,7 +159,9 @@
             self.programs[parent].program if parent else None,
         )
 
-    async def do_send(self, label: str, name: str, operation: str, *options: str) -> None:
+    async def do_send(
+        self, label: str, name: str, operation: str, *options: str
+    ) -> None:
         """`send LABEL PROGRAM OPERATION [TOKENS]`, without waiting."""
         tokens = int(options[0]) if options else DEFAULT_TOKENS
         upstream = ADVISORY if operation == 'chat' else ORDERS
@@ -167,7 +169,9 @@
         program.send(label, Step(upstream, operation, tokens, 0))
         self.labels[label] = program
 
-    async def do_call(self, label: str, name: str, operation: str, *options: str) -> None:
+    async def do_call(
+        self, label: str, name: str, operation: str, *options: str
+    ) -> None:
         """`call LABEL PROGRAM OPERATION [TOKENS]`, and wait for its end."""
         await self.do_send(label, name, operation, *options)
         await self.do_await(label)
--- a/standin/scenario/script.py
+++ b/standin/scenario/script.py
@@ -24,7 +24,9 @@
         self.tags: dict[str, str] = {}
         self.last_refusal: Refusal | None = None
 
-    async def begin(self, declaration: str, budget: int | None, parent: str | None) -> None:
+    async def begin(
+        self, declaration: str, budget: int | None, parent: str | None
+    ) -> None:
         """Begin the program."""
         self.tally.begun += 1
         await self.insist_begin(declaration, budget, parent)
--- a/standin/store.py
+++ b/standin/store.py
@@ -231,10 +231,12 @@
 
 def show(changes: Changes) -> Response:
     """Show a list of objects."""
-    return JSONResponse([
-        changes.revision,
+    return JSONResponse(
         [
-            [stored.key, base64.b64encode(stored.body).decode(), stored.version]
-            for stored in changes.objects
-        ],
-    ])
+            changes.revision,
+            [
+                [stored.key, base64.b64encode(stored.body).decode(), stored.version]
+                for stored in changes.objects
+            ],
+        ]
+    )
--- a/standin/virtual/edges.py
+++ b/standin/virtual/edges.py
@@ -21,7 +21,9 @@
 class NodeStore:
     """The store over a path that takes time and can be cut."""
 
-    def __init__(self, inner: MemoryStore, fabric: Fabric, node: Node, home: Node) -> None:
+    def __init__(
+        self, inner: MemoryStore, fabric: Fabric, node: Node, home: Node
+    ) -> None:
         """Reach `inner`, which stands at `home`, from `node`."""
         self.inner = inner
         self.fabric = fabric
--- a/standin/virtual/world.py
+++ b/standin/virtual/world.py
@@ -332,7 +332,7 @@
                 'streamed': streamed,
                 'tokens': item.tokens or len(texts),
             }
-        texts[item.offset:] = item.texts
+        texts[item.offset :] = item.texts
     raise ConnectionLost('the stream ended without an answer')
 
 
