Run the daemons as processes of their own, with commands for operators

Cause: only one process existed. Change: entry, sidecar, standin, load, check, apply, get, delete, watch, status, drain, scenario and explore; settings checked whole; a header limit; grpc keep-alives so that a silent peer is noticed.

--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,12 @@
 test: $(VENV)/.ready
 	$(RUN) -m test.run
 
+scenarios: $(VENV)/.ready
+	$(RUN) -m pollenwalk scenario test/scenarios/*.txt
+
+explore: $(VENV)/.ready
+	$(RUN) -m pollenwalk explore --seed 1 --runs 500
+
 lint: $(VENV)/.ready
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/ruff format --check .
--- a/pollenwalk/commands/main.py
+++ b/pollenwalk/commands/main.py
@@ -5,13 +5,14 @@
 from collections.abc import Sequence
 
 from pollenwalk import __version__
-from pollenwalk.commands import demo
+from pollenwalk.commands import daemons, demo, resources, standin, status, testing
 from pollenwalk.errors import PollenwalkError, UserError
 
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
+MODULES = (daemons, resources, status, demo, standin, testing)
 EPILOG = """\
 exit codes:
   0  done
@@ -34,7 +35,7 @@
         required=True,
         metavar='COMMAND',
     )
-    for module in (demo,):
+    for module in MODULES:
         module.add_parser(subparsers)
     return parser
 
--- /dev/null
+++ b/pollenwalk/commands/options.py
@@ -0,0 +1,57 @@
+"""Options that several subcommands share."""
+
+import argparse
+from pathlib import Path
+
+from pollenwalk.connection.store_http import HttpStore
+from pollenwalk.errors import UserError
+from pollenwalk.process.logs import set_up_logs
+from pollenwalk.process.settings import read_settings
+
+
+def add_config(parser: argparse.ArgumentParser) -> None:
+    """Add `--config`."""
+    parser.add_argument(
+        '--config',
+        type=Path,
+        required=True,
+        metavar='FILE',
+        help='settings file; see `pollenwalk settings` for all keys',
+    )
+
+
+def add_store(parser: argparse.ArgumentParser) -> None:
+    """Add the two ways to name the platform's object API."""
+    group = parser.add_mutually_exclusive_group(required=True)
+    group.add_argument(
+        '--store',
+        metavar='URL',
+        help="the platform's object API",
+    )
+    group.add_argument(
+        '--config',
+        type=Path,
+        metavar='FILE',
+        help='settings file whose [store] names it',
+    )
+
+
+def open_store(options: argparse.Namespace) -> HttpStore:
+    """Open the store that the options name."""
+    set_up_logs('ERROR')
+    if options.store:
+        return HttpStore(options.store.rstrip('/'))
+    settings = read_settings(options.config, 'operator')
+    return HttpStore(settings.of('store')['url'])
+
+
+def split_name(text: str) -> tuple[str, str]:
+    """Split `Kind/name`.
+
+    Raises:
+        UserError: it has another form.
+    """
+    kind, slash, name = text.partition('/')
+    if not slash or not name:
+        raise UserError(f'{text!r} is not Kind/name')
+    return kind, name
--- /dev/null
+++ b/pollenwalk/commands/resources.py
@@ -0,0 +1,234 @@
+"""`check`, `apply`, `get`, `watch`, `delete` and `settings`, for operators."""
+
+import argparse
+import asyncio
+import configparser
+import json
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from pollenwalk.commands.options import add_store, open_store, split_name
+from pollenwalk.errors import UserError
+from pollenwalk.process.clock import LoopClock
+from pollenwalk.process.operator import Operator, Shown
+from pollenwalk.process.settings import default_text, read_settings
+from pollenwalk.version.fields import InvalidFile
+from pollenwalk.version.resources import (
+    Kind,
+    Resource,
+    ResourceId,
+    parse_resources,
+)
+
+EXIT_REFUSED = 1
+
+
+class Declared(NamedTuple):
+    """A resource of a file, checked, with its keys as written."""
+
+    resource: Resource
+    keys: dict[str, str]
+
+
+def add_parser(subparsers: Any) -> None:
+    """Add all subcommands for resources and settings."""
+    check = subparsers.add_parser(
+        'check',
+        help='check resource files, or a settings file, and show every error',
+    )
+    check.add_argument('files', nargs='*', type=Path, metavar='FILE')
+    check.add_argument('--settings', type=Path, metavar='FILE')
+    check.add_argument(
+        '--role',
+        choices=('entry', 'sidecar', 'load', 'operator'),
+        default='entry',
+        help='whose settings they are (default entry)',
+    )
+    check.set_defaults(run=run_check)
+    apply = subparsers.add_parser(
+        'apply',
+        help='write resources and wait for the verdict on each',
+        description=(
+            'Writes each resource of the files by a conditional update and '
+            'waits until an entry has accepted it or refused it with a reason.'
+        ),
+    )
+    add_store(apply)
+    apply.add_argument('files', nargs='+', type=Path, metavar='FILE')
+    apply.add_argument(
+        '--version',
+        type=int,
+        help='refuse the update unless the one resource has this version',
+    )
+    apply.set_defaults(run=run_apply)
+    get = subparsers.add_parser('get', help='show resources and what is in force')
+    add_store(get)
+    get.add_argument('names', nargs='*', metavar='Kind/name')
+    get.set_defaults(run=run_get)
+    delete = subparsers.add_parser('delete', help='delete a resource')
+    add_store(delete)
+    delete.add_argument('name', metavar='Kind/name')
+    delete.set_defaults(run=run_delete)
+    watch = subparsers.add_parser('watch', help='show each verdict as it comes')
+    add_store(watch)
+    watch.set_defaults(run=run_watch)
+    settings = subparsers.add_parser('settings', help='print the default settings')
+    settings.set_defaults(run=run_settings)
+
+
+def read_files(paths: list[Path]) -> list[Declared]:
+    """Read resource files.
+
+    Raises:
+        InvalidFile: with every error of all files.
+        UserError: a file can't be read.
+    """
+    declared = []
+    problems = []
+    for path in paths:
+        try:
+            declared.extend(read_file(path))
+        except InvalidFile as error:
+            problems.extend(error.problems)
+    if problems:
+        raise InvalidFile(problems)
+    return declared
+
+
+def read_file(path: Path) -> Iterator[Declared]:
+    """Read one resource file."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise UserError(f'{path}: {error}') from error
+    parser = configparser.ConfigParser(
+        interpolation=None,
+        default_section='',
+        inline_comment_prefixes=('#', ';'),
+    )
+    resources = parse_resources(text, str(path))
+    parser.read_string(text)
+    for resource in resources:
+        section = f'{resource.id.kind} {resource.id.name}'
+        yield Declared(resource, dict(parser[section]))
+
+
+def run_check(options: argparse.Namespace) -> int:
+    """Check files without writing anything."""
+    if options.settings:
+        read_settings(options.settings, options.role)
+        sys.stdout.write(f'{options.settings}: settings are valid\n')
+    for declared in read_files(options.files):
+        resource_id = declared.resource.id
+        sys.stdout.write(f'{resource_id.kind}/{resource_id.name}: valid\n')
+    return 0
+
+
+def run_apply(options: argparse.Namespace) -> int:
+    """Write resources and show the verdicts."""
+    declared = read_files(options.files)
+    if options.version is not None and len(declared) != 1:
+        raise UserError('--version goes with exactly one resource')
+    return asyncio.run(apply_all(options, declared))
+
+
+async def apply_all(options: argparse.Namespace, declared: list[Declared]) -> int:
+    """Write all resources, programs last since they refer to upstreams."""
+    store = open_store(options)
+    operator = Operator(store, LoopClock())
+    refused = 0
+    try:
+        for one in sorted(
+            declared, key=lambda each: each.resource.id.kind == 'Program'
+        ):
+            refused += await apply_one(operator, one, options.version)
+    finally:
+        await store.close()
+    return EXIT_REFUSED if refused else 0
+
+
+async def apply_one(operator: Operator, one: Declared, version: int | None) -> int:
+    """Write one resource; tell whether it was not accepted."""
+    resource_id = one.resource.id
+    name = f'{resource_id.kind}/{resource_id.name}'
+    written = await operator.apply(resource_id, one.keys, version)
+    verdict = await operator.verdict(resource_id, written)
+    if verdict is None:
+        sys.stdout.write(f'{name}: written, no verdict yet\n')
+        return 1
+    if verdict.reason:
+        sys.stdout.write(f'{name}: refused: {verdict.reason}\n')
+        return 1
+    sys.stdout.write(f'{name}: accepted at version {verdict.version}\n')
+    return 0
+
+
+def run_get(options: argparse.Namespace) -> int:
+    """Show resources as JSON lines."""
+    return asyncio.run(get_all(options))
+
+
+async def get_all(options: argparse.Namespace) -> int:
+    """Show the named resources, or all."""
+    store = open_store(options)
+    try:
+        shown = await Operator(store, LoopClock()).show()
+    finally:
+        await store.close()
+    found = [one for one in shown if not options.names or one.name in options.names]
+    for one in found:
+        sys.stdout.write(f'{json.dumps(one._asdict())}\n')
+    missing = set(options.names) - {one.name for one in found}
+    for name in sorted(missing):
+        sys.stderr.write(f'pollenwalk: no resource {name}\n')
+    return EXIT_REFUSED if missing else 0
+
+
+def run_delete(options: argparse.Namespace) -> int:
+    """Delete a resource."""
+    kind, name = split_name(options.name)
+    if kind not in [one.value for one in Kind]:
+        raise UserError(f'{kind!r} is no kind; kinds: {", ".join(Kind)}')
+    return asyncio.run(delete(options, ResourceId(Kind(kind), name)))
+
+
+async def delete(options: argparse.Namespace, resource_id: ResourceId) -> int:
+    """Write the wish to delete and wait for its verdict."""
+    store = open_store(options)
+    operator = Operator(store, LoopClock())
+    try:
+        written = await operator.apply(resource_id, None)
+        verdict = await operator.verdict(resource_id, written)
+    finally:
+        await store.close()
+    state = 'deleted' if verdict else 'written, no verdict yet'
+    sys.stdout.write(f'{resource_id.kind}/{resource_id.name}: {state}\n')
+    return 0 if verdict else EXIT_REFUSED
+
+
+def run_watch(options: argparse.Namespace) -> int:
+    """Show verdicts as JSON lines until interrupted."""
+    asyncio.run(watch(options))
+    return 0
+
+
+async def watch(options: argparse.Namespace) -> None:
+    """Show each verdict."""
+    store = open_store(options)
+    try:
+        async for verdict in Operator(store, LoopClock()).watch():
+            sys.stdout.write(f'{json.dumps(verdict._asdict())}\n')
+            sys.stdout.flush()
+    finally:
+        await store.close()
+
+
+def run_settings(options: argparse.Namespace) -> int:
+    """Print the commented defaults."""
+    sys.stdout.write(default_text())
+    return 0
+
+
+__all__ = ('Shown', 'add_parser')
--- a/pollenwalk/connection/grpc_network.py
+++ b/pollenwalk/connection/grpc_network.py
@@ -20,12 +20,18 @@
 SERVICE = 'pollenwalk.Peer'
 METHOD = 'Exchange'
 MAX_FRAME_BYTES = 32 * 1024 * 1024
+KEEPALIVE_MS = 5000
 CHANNEL_OPTIONS = (
     ('grpc.max_send_message_length', MAX_FRAME_BYTES),
     ('grpc.max_receive_message_length', MAX_FRAME_BYTES),
     ('grpc.so_reuseport', 0),
     ('grpc.enable_http_proxy', 0),
     ('grpc.use_local_subchannel_pool', 1),
+    ('grpc.keepalive_time_ms', KEEPALIVE_MS),
+    ('grpc.keepalive_timeout_ms', KEEPALIVE_MS),
+    ('grpc.keepalive_permit_without_calls', 1),
+    ('grpc.http2.max_pings_without_data', 0),
+    ('grpc.http2.min_recv_ping_interval_without_data_ms', KEEPALIVE_MS // 2),
 )
 STOP_GRACE_S = 0.2
 
--- a/pollenwalk/connection/http_api.py
+++ b/pollenwalk/connection/http_api.py
@@ -7,9 +7,11 @@
 import msgspec
 from loguru import logger
 from starlette.applications import Starlette
+from starlette.middleware import Middleware
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
+from starlette.types import ASGIApp, Receive, Scope, Send
 
 from pollenwalk.connection.wire import (
     Answer,
@@ -33,6 +35,7 @@
 from pollenwalk.version.resources import ProgramSpec
 
 MAX_BODY_BYTES = 1_000_000
+MAX_HEADER_BYTES = 16_384
 DEFAULT_DEADLINE_MS = 120_000
 MAX_DEADLINE_MS = 3_600_000
 KEY_HEADER = 'idempotency-key'
@@ -176,6 +179,26 @@
     return b'event: %b\ndata: %b\n\n' % (name.encode(), msgspec.json.encode(body))
 
 
+class HeaderLimit:
+    """Refuses requests with too many bytes of headers."""
+
+    def __init__(self, app: ASGIApp) -> None:
+        """Guard `app`."""
+        self.app = app
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Pass a request on unless its headers are too large."""
+        size = sum(len(name) + len(text) for name, text in scope.get('headers', ()))
+        if size <= MAX_HEADER_BYTES:
+            await self.app(scope, receive, send)
+            return
+        refusal = Refusal(
+            RefusalCode.TOO_LARGE,
+            f'the headers are larger than {MAX_HEADER_BYTES} bytes',
+        )
+        await refusal_response(refusal)(scope, receive, send)
+
+
 class CallersApi:
     """The HTTP routes of one entry."""
 
@@ -188,6 +211,7 @@
         """Build the application."""
         program = '/v1/programs/{program}'
         return Starlette(
+            middleware=[Middleware(HeaderLimit)],
             routes=[
                 Route('/v1/programs', self.begin, methods=['POST']),
                 Route(f'{program}/calls', self.call, methods=['POST']),
--- /dev/null
+++ b/pollenwalk/connection/sidecar_api.py
@@ -0,0 +1,58 @@
+"""Health and metrics of a sidecar over HTTP; requests come by grpc alone."""
+
+from http import HTTPStatus
+
+from aioprometheus import Gauge, Registry, render
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from pollenwalk.process.sidecar import Sidecar
+
+
+class SidecarApi:
+    """The HTTP routes of one sidecar."""
+
+    def __init__(self, sidecar: Sidecar) -> None:
+        """Serve `sidecar`."""
+        self.sidecar = sidecar
+        self.registry = Registry()
+        self.running = self.gauge('running_calls', 'Calls at the upstream.')
+        self.waiting = self.gauge('waiting_calls', 'Calls in the queue.')
+        self.kept = self.gauge('kept_calls', 'Calls whose result is kept.')
+        self.leases = self.gauge('memory_leases', 'Leases on engine memory.')
+
+    def gauge(self, name: str, text: str) -> Gauge:
+        """Register a gauge."""
+        return Gauge(f'pollenwalk_sidecar_{name}', text, registry=self.registry)
+
+    def app(self) -> Starlette:
+        """Build the application."""
+        return Starlette(
+            routes=[
+                Route('/healthz', self.healthz),
+                Route('/readyz', self.readyz),
+                Route('/metrics', self.metrics),
+            ],
+        )
+
+    async def healthz(self, request: Request) -> Response:
+        """Tell that the process answers."""
+        return JSONResponse({'status': 'ok'})
+
+    async def readyz(self, request: Request) -> Response:
+        """Tell whether calls can be taken."""
+        ready = self.sidecar.spec is not None and not self.sidecar.leaving
+        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return JSONResponse({'ready': ready}, status_code=status)
+
+    async def metrics(self, request: Request) -> Response:
+        """Show the metrics in the Prometheus text format."""
+        grants = self.sidecar.grants
+        self.running.set({}, self.sidecar.admission.running)
+        self.waiting.set({}, len(self.sidecar.admission.waiting))
+        self.kept.set({}, len(self.sidecar.calls.calls))
+        self.leases.set({}, len(grants.until_ms) if grants else 0)
+        body, headers = render(self.registry, ['text/plain'])
+        return Response(body, media_type=headers['Content-Type'])
--- a/pollenwalk/connection/wire.py
+++ b/pollenwalk/connection/wire.py
@@ -129,6 +129,10 @@
     programs: list[str]
 
 
+class Drain(NamedTuple):
+    """An operator lets a sidecar take no new calls."""
+
+
 class Done(NamedTuple):
     """Nothing to report."""
 
@@ -284,6 +288,7 @@
     Settle,
     Renew,
     Release,
+    Drain,
     Done,
     BeginProgram,
     CallProgram,
--- a/pollenwalk/policy/placement.py
+++ b/pollenwalk/policy/placement.py
@@ -1,7 +1,7 @@
 """Which upstream host a call goes to."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 ZONE_PATH_MS = 1.0
@@ -145,3 +145,22 @@
         if not holding:
             return self.fallback.choose(choices, need)
         return max(holding, key=lambda host: need.held[host.sidecar])
+
+
+def make_placement(name: str, dice: random.Random) -> Placement:
+    """Make the policy of a name.
+
+    Args:
+        name: as in the settings.
+        dice: the process's source of randomness.
+
+    Raises:
+        KeyError: there is no such policy.
+    """
+    makers: dict[str, Callable[[], Placement]] = {
+        'expected-finish': ExpectedFinish,
+        'round-robin': RoundRobin,
+        'least-loaded': lambda: LeastLoaded(dice),
+        'sticky': lambda: Sticky(dice),
+    }
+    return makers[name]()
--- a/pollenwalk/process/entry.py
+++ b/pollenwalk/process/entry.py
@@ -17,7 +17,6 @@
     encode_datagram,
 )
 from pollenwalk.errors import (
-    ConnectionLost,
     Fenced,
     PollenwalkError,
     Refusal,
--- a/pollenwalk/process/home.py
+++ b/pollenwalk/process/home.py
@@ -325,9 +325,7 @@
             return True
         live = self.live.get(request.program)
         upstream = self.parts.config.upstream(request.upstream)
-        repeatable = upstream is not None and (
-            request.operation in upstream.idempotent
-        )
+        repeatable = upstream is not None and (request.operation in upstream.idempotent)
         if repeatable and live is not None and live.may_have_run(request):
             return False
         try:
--- a/pollenwalk/process/sidecar.py
+++ b/pollenwalk/process/sidecar.py
@@ -14,6 +14,7 @@
     Answer,
     Dispatch,
     Done,
+    Drain,
     Entries,
     Follow,
     Hello,
@@ -278,18 +279,16 @@
             call.message.max_tokens,
             call.message.priority,
         )
-        source: Callable[[], AsyncIterator[Any]] = lambda: self.upstream.chat(request)
+        source = self.upstream.chat(request)
         for _ in range(RESUME_ATTEMPTS):
             try:
-                answer = await self.pump(source(), call)
-                return whole_answer(call, answer)
+                answer = await self.pump(source, call)
             except ConnectionLost as error:
                 logger.info('engine_stream_cut', reason=error.message)
+            else:
+                return whole_answer(call, answer)
             await self.clock.sleep_ms(RESUME_PAUSE_MS)
-            source = lambda: self.upstream.resume(
-                request.call,
-                len(call.stream.texts),
-            )
+            source = self.upstream.resume(request.call, len(call.stream.texts))
         raise Refusal(
             RefusalCode.UPSTREAM_FAILED,
             'the engine does not answer',
@@ -355,6 +354,12 @@
                 await self.grants.release(program)
         yield Done()
 
+    async def drain(self, hello: Hello, message: Drain) -> AsyncIterator[Any]:
+        """Take no new calls from now on."""
+        self.leaving = True
+        self.send_report()
+        yield Done()
+
     async def cancel_program(self, program: str) -> None:
         """Stop the calls of a program that may be stopped."""
         for call in list(self.calls.calls.values()):
@@ -453,6 +458,7 @@
     Settle: Sidecar.settle,
     Renew: Sidecar.renew,
     Release: Sidecar.release,
+    Drain: Sidecar.drain,
 }
 
 
--- /dev/null
+++ b/standin/serve.py
@@ -0,0 +1,39 @@
+"""Stand-ins as processes of their own."""
+
+import asyncio
+import signal
+
+from starlette.applications import Starlette
+
+from pollenwalk.connection.grpc_network import split_address
+from pollenwalk.connection.http_server import HttpServer
+from pollenwalk.process.clock import LoopClock
+from standin.engine import EngineApi, EngineShape, ModelEngine
+from standin.ledger import Ledger
+from standin.service import PlainService, ServiceApi, ServiceShape
+from standin.store import MemoryStore, StoreApi
+
+
+def make_app(kind: str, name: str) -> Starlette:
+    """Make the application of a stand-in."""
+    clock = LoopClock()
+    if kind == 'store':
+        return StoreApi(MemoryStore(clock)).app()
+    if kind == 'engine':
+        engine = ModelEngine(EngineShape(), clock, Ledger())
+        engine.start()
+        return EngineApi(engine).app()
+    return ServiceApi(PlainService(ServiceShape(name), clock, Ledger())).app()
+
+
+async def serve_standin(kind: str, address: str, name: str) -> None:
+    """Serve one stand-in until SIGTERM or SIGINT."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for one in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(one, stopped.set)
+    host, port = split_address(address)
+    server = HttpServer(make_app(kind, name), host, port)
+    await server.start()
+    await stopped.wait()
+    await server.stop()
--- a/standin/system.py
+++ b/standin/system.py
@@ -1,5 +1,6 @@
 """A whole system on loopback: stand-ins outside, the real daemons inside."""
 
+import asyncio
 import random
 from typing import NamedTuple
 
@@ -245,12 +246,9 @@
         for entry, server in zip(self.entries, self.entry_servers, strict=True):
             await entry.stop()
             await server.stop()
-        for sidecar in self.sidecars:
-            await sidecar.stop()
+        await asyncio.gather(*(sidecar.stop() for sidecar in self.sidecars))
         self.store.close()
-        for client in (*self.clients, *self.stores):
-            await client.close()
-        for engine in self.engines:
-            await engine.close()
-        for server in self.servers:
-            await server.stop()
+        clients = (*self.clients, *self.stores)
+        await asyncio.gather(*(client.close() for client in clients))
+        await asyncio.gather(*(engine.close() for engine in self.engines))
+        await asyncio.gather(*(server.stop() for server in self.servers))
