--- a/pollenwalk/commands/main.py
+++ b/pollenwalk/commands/main.py
@@ -5,14 +5,14 @@
 from collections.abc import Sequence
 
 from pollenwalk import __version__
-from pollenwalk.commands import daemons, demo, resources, standin, status, testing
+from pollenwalk.commands import daemons, demo, experiment, resources, standin, status, testing
 from pollenwalk.errors import PollenwalkError, UserError
 
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
-MODULES = (daemons, resources, status, demo, standin, testing)
+MODULES = (daemons, resources, status, demo, standin, testing, experiment)
 EPILOG = """\
 exit codes:
   0  done
--- a/pollenwalk/commands/standin.py
+++ b/pollenwalk/commands/standin.py
@@ -31,6 +31,12 @@
         default='service',
         help='of a service; shown in its answers',
     )
+    standin.add_argument(
+        '--step-ms',
+        type=float,
+        default=10.0,
+        help='time of one step of an engine (default 10)',
+    )
     standin.set_defaults(run=run_standin)
     load: argparse.ArgumentParser = subparsers.add_parser(
         'load',
@@ -48,10 +54,11 @@
 def run_standin(options: argparse.Namespace) -> int:
     """Run a stand-in."""
     # The stand-ins are no part of an installation, only of the source tree.
-    from standin.serve import serve_standin  # noqa: PLC0415, WPS433
+    from standin.serve import make_app, serve_standin  # noqa: PLC0415, WPS433
 
     set_up_logs('ERROR')
-    asyncio.run(serve_standin(options.kind, options.address, options.name))
+    app = make_app(options.kind, options.name, options.step_ms)
+    asyncio.run(serve_standin(app, options.address))
     return 0
 
 
--- a/pollenwalk/connection/peer.py
+++ b/pollenwalk/connection/peer.py
@@ -53,10 +53,10 @@
         self.urgent = asyncio.Event()
 
     def put(self, frame: Frame) -> None:
-        """Queue a frame; everything but tokens goes out at once."""
+        """Queue a frame; all but tokens, and a first token, go out at once."""
         self.queue.append(frame)
         self.waiting.set()
-        if frame.kind != Tokens.__name__:
+        if not isinstance(frame.body, Tokens) or not frame.body.offset:
             self.urgent.set()
 
     async def run(self) -> None:
--- a/pollenwalk/process/daemon.py
+++ b/pollenwalk/process/daemon.py
@@ -117,6 +117,7 @@
             own['address'],
             own['zone'],
             own['entries'],
+            own['coalesce_ms'],
         ),
         GrpcNetwork(),
         LoopClock(),
--- a/pollenwalk/process/settings.py
+++ b/pollenwalk/process/settings.py
@@ -55,6 +55,7 @@
         'url': URL,
         'kind': read_choice('model', 'plain'),
         'entries': ADDRESSES,
+        'coalesce_ms': read_number(0, 40),
     },
     'load': {
         'entries': URLS,
--- a/pollenwalk/process/sidecar.py
+++ b/pollenwalk/process/sidecar.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from pollenwalk.connection.channel import Listener, Network
-from pollenwalk.connection.peer import PeerServer
+from pollenwalk.connection.peer import COALESCE_MS, PeerServer
 from pollenwalk.connection.upstream import ChatRequest, Engine, Service
 from pollenwalk.connection.wire import (
     Answer,
@@ -68,6 +68,7 @@
         address: `ip:port` for entries, TCP and UDP.
         zone: its availability zone.
         entries: `ip:port` of entries to report to at first.
+        coalesce_ms: how long tokens may wait for company.
     """
 
     sidecar: str
@@ -75,6 +76,7 @@
     address: str
     zone: str
     entries: list[str]
+    coalesce_ms: float = COALESCE_MS
 
 
 class Sidecar:
@@ -102,7 +104,12 @@
         self.histories = SidecarHistories()
         self.admission = Admission(clock)
         self.grants = Grants(upstream, clock) if is_engine(upstream) else None
-        self.server = PeerServer(clock, self.handle, self.boot)
+        self.server = PeerServer(
+            clock,
+            self.handle,
+            self.boot,
+            settings.coalesce_ms,
+        )
         self.spec: UpstreamSpec | None = None
         self.spec_version = 0
         self.entries = list(settings.entries)
--- a/standin/engine.py
+++ b/standin/engine.py
@@ -190,6 +190,8 @@
                 Outcome.UNKNOWN,
             )
         self.taken += 1
+        if not self.tasks.tasks:
+            self.start()
         generation = Generation(request)
         self.generations[request.call] = generation
         self.ledger.saw(tag_of(request))
--- /dev/null
+++ b/standin/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that compare within one run, since machines are noisy."""
--- a/test/processes.py
+++ b/standin/processes.py
@@ -27,6 +27,9 @@
         self.store = ''
         self.peers: list[str] = []
         self.urls: list[str] = []
+        self.standins: dict[str, str] = {}
+        self.coalesce_ms = 4.0
+        self.engine_step_ms = 10.0
 
     def start(self, name: str, *words: str) -> None:
         """Start one `pollenwalk` process."""
@@ -74,7 +77,12 @@
     def start_standin(self, name: str, kind: str) -> str:
         """Start a stand-in and give its URL."""
         address = f'{LOOPBACK}:{free_port()}'
-        self.start(name, 'standin', kind, '--address', address, '--name', name)
+        self.start(
+            name,
+            *('standin', kind, '--address', address, '--name', name),
+            *('--step-ms', str(self.engine_step_ms)),
+        )
+        self.standins[name] = f'http://{address}'
         wait_answer(f'http://{address}/')
         return f'http://{address}'
 
@@ -96,7 +104,8 @@
             f'{name}.ini',
             f'[sidecar]\nid = {name}\nupstream = {upstream}\nkind = {kind}\n'
             f'address = {LOOPBACK}:{free_port()}\nhttp = {LOOPBACK}:{free_port()}\n'
-            f'zone = rimouski\nurl = {url}\nentries = {", ".join(self.peers)}\n',
+            f'zone = rimouski\nurl = {url}\nentries = {", ".join(self.peers)}\n'
+            f'coalesce_ms = {self.coalesce_ms}\n',
         )
         self.start(name, 'sidecar', '--config', config)
 
--- a/standin/serve.py
+++ b/standin/serve.py
@@ -14,26 +14,25 @@
 from standin.store import MemoryStore, StoreApi
 
 
-def make_app(kind: str, name: str) -> Starlette:
+def make_app(kind: str, name: str, step_ms: float) -> Starlette:
     """Make the application of a stand-in."""
     clock = LoopClock()
     if kind == 'store':
         return StoreApi(MemoryStore(clock)).app()
     if kind == 'engine':
-        engine = ModelEngine(EngineShape(), clock, Ledger())
-        engine.start()
-        return EngineApi(engine).app()
+        shape = EngineShape(step_ms=step_ms)
+        return EngineApi(ModelEngine(shape, clock, Ledger())).app()
     return ServiceApi(PlainService(ServiceShape(name), clock, Ledger())).app()
 
 
-async def serve_standin(kind: str, address: str, name: str) -> None:
+async def serve_standin(app: Starlette, address: str) -> None:
     """Serve one stand-in until SIGTERM or SIGINT."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for one in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(one, stopped.set)
     host, port = split_address(address)
-    server = HttpServer(make_app(kind, name), host, port)
+    server = HttpServer(app, host, port)
     await server.start()
     await stopped.wait()
     await server.stop()
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -9,7 +9,7 @@
 from standin.caller import SPARES, TEA_CHEST, Caller, Tally
 from standin.door import HttpDoor
 from standin.ledger import Ledger
-from test.processes import Processes
+from standin.processes import Processes
 
 ZONES = ('rimouski', 'saguenay', 'envigado')
 PROGRAMS = 6
