Break each mechanism on purpose and name the scenario that notices

Cause: nothing showed that the scenarios can fail.

Found and mended on the way: an entry that had been frozen took its healthy neighbours for dead (it now gives them time after a pause of its own, and probes twice); a view from a home behind a cut could be out of date (views now say whether they are confirmed); a final refusal of a call that may have run left its place in the order open.

--- a/pollenwalk/commands/main.py
+++ b/pollenwalk/commands/main.py
@@ -5,7 +5,15 @@
 from collections.abc import Sequence
 
 from pollenwalk import __version__
-from pollenwalk.commands import daemons, demo, experiment, resources, standin, status, testing
+from pollenwalk.commands import (
+    daemons,
+    demo,
+    experiment,
+    resources,
+    standin,
+    status,
+    testing,
+)
 from pollenwalk.errors import PollenwalkError, UserError
 
 EXIT_OK = 0
--- a/pollenwalk/process/entry.py
+++ b/pollenwalk/process/entry.py
@@ -59,6 +59,8 @@
 HANDOVER_PATIENCE_MS = 10_000
 DRAIN_CHECK_MS = 20
 DRAIN_PATIENCE_MS = 120_000
+PROBES = 2
+PROBE_MS = 1000
 JUDGE = 'judge'
 
 
@@ -249,6 +251,7 @@
     async def watch_entries(self) -> None:
         """Send heartbeats and take over the dead, as long as we live."""
         while True:
+            self.liveness.notice_own_pause()
             if self.ready:
                 self.liveness.beat(self.own)
                 self.choose_witnesses()
@@ -301,12 +304,23 @@
         """Tell whether this very incarnation still answers."""
         if record.address == self.settings.address:
             return False
+        for _ in range(PROBES):
+            boot = await self.probe(record.address)
+            if boot:
+                return boot == record.incarnation
+        return False
+
+    async def probe(self, address: str) -> str:
+        """Ask who is at an address; empty when nobody answers in time.
+
+        The first try may only find out that an old connection has ended.
+        """
+        peer = self.peers.at(address)
         try:
-            connection = await self.peers.at(record.address).connected()
-            await connection.ask(Beat(self.incarnation, 0))
+            await peer.ask(Beat(self.incarnation, 0), PROBE_MS)
+            return (await peer.connected()).boot
         except PollenwalkError:
-            return False
-        return connection.boot == record.incarnation
+            return ''
 
     async def take_over(self, dead: str) -> bool:
         """Take a dead entry over; a silent store puts it off."""
--- a/pollenwalk/process/home.py
+++ b/pollenwalk/process/home.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 from collections.abc import AsyncIterator, Iterable, Iterator
 from typing import Any
 
@@ -47,7 +46,7 @@
 )
 from pollenwalk.request.call import LiveCall, check_request
 from pollenwalk.request.dispatch import Resolver
-from pollenwalk.request.execution import Execution, Parts
+from pollenwalk.request.execution import Execution, Parts, doubted
 from pollenwalk.version.resources import ProgramSpec
 
 BEGIN_WAIT_MS = 2000
@@ -328,22 +327,19 @@
         repeatable = upstream is not None and (request.operation in upstream.idempotent)
         if repeatable and live is not None and live.may_have_run(request):
             return False
-        try:
-            await self.parts.recorder.confirm(CONFIRM_WAIT_MS)
-        except TimeoutError:
-            return False
-        return True
-
-    async def look_again(self) -> None:
-        """See that a reader is not shown what a successor has changed.
+        return await self.confirmed()
 
-        Without the store and the witnesses the last known state is shown.
+    async def confirmed(self) -> bool:
+        """Tell whether this home surely still owns its programs.
 
         Raises:
             Fenced: this home has a successor; ask there.
         """
-        with contextlib.suppress(TimeoutError):
+        try:
             await self.parts.recorder.confirm(CONFIRM_WAIT_MS)
+        except TimeoutError:
+            return False
+        return True
 
     async def answer(self, request: CallProgram) -> AsyncIterator[Tokens | Answer]:
         """Find or start a call and follow it to its end."""
@@ -695,16 +691,6 @@
         yield Tokens(0, [text])
 
 
-def doubted(refusal: Refusal) -> Refusal:
-    """Give a refusal again without the claim that the call did not run."""
-    return Refusal(
-        RefusalCode(refusal.code),
-        f'{refusal.message}; an earlier try may have run',
-        Outcome.UNKNOWN,
-        refusal.retry_after_ms,
-    )
-
-
 def check_same(digest: str, sequence: int, call: LiveCall) -> None:
     """Check that a repeated key comes with the same request.
 
--- a/pollenwalk/process/liveness.py
+++ b/pollenwalk/process/liveness.py
@@ -13,6 +13,7 @@
 LAPSE_MS = 3000
 RANK_DELAY_MS = 1500
 FAR_LAPSE_MS = 60_000
+OWN_PAUSE_MS = 1500
 OBSERVERS = 3
 
 
@@ -25,12 +26,20 @@
         self.network = network
         self.clock = clock
         self.number = 0
+        self.awake_ms = 0.0
         self.heard_ms: dict[str, float] = {}
 
     def heard(self, incarnation: str) -> None:
         """Note a sign of life."""
         self.heard_ms[incarnation] = self.clock.now_ms()
 
+    def notice_own_pause(self) -> None:
+        """After a pause of our own, give everybody time to be heard again."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self.awake_ms > OWN_PAUSE_MS:
+            self.heard_ms.clear()
+        self.awake_ms = now_ms
+
     def beat(self, own: EntryRecord) -> None:
         """Send a heartbeat to the entries that watch over this one."""
         self.number += 1
--- a/pollenwalk/program/live.py
+++ b/pollenwalk/program/live.py
@@ -10,6 +10,7 @@
 from pollenwalk.request.call import LiveCall
 
 GAP_WAIT_MS = 5000
+GAP_RETRY_MS = 1000
 MAX_AHEAD = 64
 
 
@@ -90,6 +91,7 @@
             f'the next call is number {self.program.next_sequence}, '
             f'not {request.sequence}',
             Outcome.UNKNOWN if lost else Outcome.NOT_RUN,
+            GAP_RETRY_MS,
         )
 
     async def take_turn(self, call: LiveCall) -> None:
--- a/pollenwalk/program/view.py
+++ b/pollenwalk/program/view.py
@@ -7,9 +7,19 @@
 from pollenwalk.program.program import FinishedCall, Program
 
 
-def view_program(program: Program) -> dict[str, Any]:
-    """Show a program's state, budget, calls and history."""
+def view_program(program: Program, *, confirmed: bool = True) -> dict[str, Any]:
+    """Show a program's state, budget, calls and history.
+
+    Args:
+        program: the program.
+        confirmed: whether the home has just proven that it has no successor;
+            otherwise there may be later changes.
+
+    Returns:
+        The JSON object.
+    """
     return {
+        'confirmed': confirmed,
         'id': program.id,
         'program': program.declaration,
         'parent': program.parent or None,
--- a/pollenwalk/request/execution.py
+++ b/pollenwalk/request/execution.py
@@ -97,11 +97,22 @@
         """
         if not self.parts.recorder.journal.fresh:
             await self.confirm()
+        if self.request.operation not in self.spec.idempotent:
+            return await self.run_once()
+        try:
+            return await self.run_repeatable()
+        except Refusal as refusal:
+            final = refusal.retry_after_ms is None
+            if final and self.live.may_have_run(self.request):
+                # An earlier try may have run, so the call takes its place.
+                return await self.finish(None, doubted(refusal), None)
+            raise
+
+    async def run_repeatable(self) -> FinishedCall:
+        """Run a call that may be repeated."""
         if self.spec.kind == 'model':
             return await self.run_model()
-        if self.request.operation in self.spec.idempotent:
-            return await self.run_plain()
-        return await self.run_once()
+        return await self.run_plain()
 
     async def confirm(self) -> None:
         """See that no successor runs this program by now.
@@ -421,7 +432,7 @@
         self,
         answer: Answer | None,
         refusal: Refusal | None,
-        host: HostView,
+        host: HostView | None,
     ) -> FinishedCall:
         """Record the final answer and keep it."""
         model = self.spec.kind == 'model'
@@ -441,10 +452,11 @@
             entries,
             spent,
             self.next_reserve(model),
-            host.address if model else '',
+            host.address if model and host else '',
         )
         await self.parts.recorder.record(self.live, lambda: [record])
-        self.parts.recorder.settle(host.address, self.call.id)
+        if host is not None:
+            self.parts.recorder.settle(host.address, self.call.id)
         if model and answer:
             self.note_held(host)
         return self.program.finished[self.request.key]
@@ -470,6 +482,16 @@
         self.live.cached[host.sidecar] = self.live.history_tokens
 
 
+def doubted(refusal: Refusal) -> Refusal:
+    """Give a refusal again without the claim that the call did not run."""
+    return Refusal(
+        RefusalCode(refusal.code),
+        f'{refusal.message}; an earlier try may have run',
+        Outcome.UNKNOWN,
+        refusal.retry_after_ms,
+    )
+
+
 def repeatable(refusal: Refusal) -> bool:
     """Tell whether an idempotent call is worth another attempt."""
     return refusal.code not in {RefusalCode.MALFORMED, RefusalCode.DEADLINE}
--- a/pollenwalk/request/routing.py
+++ b/pollenwalk/request/routing.py
@@ -274,10 +274,10 @@
         if isinstance(message, EndProgram):
             return View(view_program(await self.home.end(message.program)))
         live = self.home.find(message.program)
-        await self.home.look_again()
+        confirmed = await self.home.confirmed()
         if isinstance(message, ViewCall):
             return View(view_call(live, message.key))
-        return View(view_program(live.program))
+        return View(view_program(live.program, confirmed=confirmed))
 
     async def view(self, message: ViewProgram | ViewCall | EndProgram) -> View:
         """Read or end a program at its home."""
--- a/standin/caller.py
+++ b/standin/caller.py
@@ -160,6 +160,7 @@
         self.program = ''
         self.sequence = 0
         self.history: list[HistoryItem] = []
+        self.specs: dict[str, CallSpec] = {}
         self.made: dict[int, MadeCall] = {}
         self.may_run_short = False
 
@@ -238,13 +239,24 @@
             argument,
         )
         self.tally.calls += 1
-        answer = await self.insist(lambda: self.door.call(spec), tag)
+        self.specs[tag] = spec
+        answer = await self.in_place(spec, tag)
         self.made[spec.sequence] = MadeCall(tag, spec, step, answer)
         if step.operation != 'chat':
             self.tally.answered[tag] = answer['output'].get('execution', 0)
             self.tally.last_word[tag] = str(Outcome.RAN)
         return answer
 
+    async def in_place(self, spec: CallSpec, tag: str) -> dict[str, Any]:
+        """Make a call; one that did not run leaves its place to the next."""
+        try:
+            return await self.insist(lambda: self.door.call(spec), tag)
+        except GaveUp:
+            not_run = self.tally.last_word.get(tag) == Outcome.NOT_RUN
+            if not_run and self.sequence == spec.sequence:
+                self.sequence -= 1
+            raise
+
     def check(self, made: MadeCall) -> None:
         """Compare an answer with what was asked, and add to the history."""
         output = Answer(made.answer['output'])
--- a/standin/experiments/measure.py
+++ b/standin/experiments/measure.py
@@ -54,9 +54,7 @@
     # The fields behind the name begin with the third.
     ticks = int(fields[USER_FIELD - 2]) + int(fields[SYSTEM_FIELD - 2])
     status = Path(f'/proc/{pid}/status').read_text(encoding='ascii')
-    resident = next(
-        line for line in status.splitlines() if line.startswith('VmRSS:')
-    )
+    resident = next(line for line in status.splitlines() if line.startswith('VmRSS:'))
     return Reading(
         ticks / TICKS_PER_S,
         int(resident.split()[1]) * KIB,
--- a/standin/experiments/overhead.py
+++ b/standin/experiments/overhead.py
@@ -122,8 +122,12 @@
                 ),
             )
     direct, through = direct[WARM_UP:], through[WARM_UP:]
-    added = [there.total - here.total for here, there in zip(direct, through, strict=True)]
-    first = [there.first - here.first for here, there in zip(direct, through, strict=True)]
+    added = [
+        there.total - here.total for here, there in zip(direct, through, strict=True)
+    ]
+    first = [
+        there.first - here.first for here, there in zip(direct, through, strict=True)
+    ]
     return {
         'direct_median_ms': statistics.median(one.total for one in direct),
         'through_median_ms': statistics.median(one.total for one in through),
@@ -161,15 +165,17 @@
         connector=aiohttp.TCPConnector(limit=0),
     ) as session:
         programs = [await rig.begin(session) for _ in range(STREAMS)]
-        await asyncio.gather(*(
-            timed(
-                session,
-                f'{rig.url}/v1/programs/{program}/calls',
-                rig.chat(1, STREAM_TOKENS),
-                {'Idempotency-Key': 'k', 'Accept': 'text/event-stream'},
+        await asyncio.gather(
+            *(
+                timed(
+                    session,
+                    f'{rig.url}/v1/programs/{program}/calls',
+                    rig.chat(1, STREAM_TOKENS),
+                    {'Idempotency-Key': 'k', 'Accept': 'text/event-stream'},
+                )
+                for program in programs
             )
-            for program in programs
-        ))
+        )
     return STREAMS * STREAM_TOKENS
 
 
@@ -225,7 +231,8 @@
         'with_coalescing': coalesced,
         'ratios': {
             'token_cost_with_to_without': (
-                coalesced['tokens']['entry_us_each'] / without['tokens']['entry_us_each']
+                coalesced['tokens']['entry_us_each']
+                / without['tokens']['entry_us_each']
             ),
         },
         'goals': {
--- a/standin/scenario/runner.py
+++ b/standin/scenario/runner.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from pollenwalk.errors import Refusal
+from pollenwalk.errors import ConnectionLost, Refusal
 from pollenwalk.process.operator import Operator
 from pollenwalk.version.resources import Kind, ResourceId
 from standin.caller import SPARES, Caller, GaveUp, Step, Tally
@@ -263,6 +263,31 @@
         pair = (self.who(source), self.who(target))
         self.world.fabric.slow_ms[pair] = float(extra_ms)
 
+    async def do_balance(self, where: str, *others: str) -> None:
+        """`balance away|cut|all|ENTRY …`: let callers reach some entries alone."""
+        cut = [
+            name
+            for name, process in self.world.entries.items()
+            if self.world.fabric.is_cut(process.node, self.world.store_node)
+        ]
+        away = [name for name in self.world.entries if name not in cut]
+        choices = {'cut': cut, 'away': away, 'all': list(self.world.entries)}
+        self.door.reachable = choices.get(where, [where, *others])
+
+    async def do_again(self, label: str, where: str) -> None:
+        """`again LABEL WHERE`: one more try of an ended call there."""
+        await self.do_balance(where)
+        program = self.labels[label]
+        tag = program.tags[label]
+        spec = program.specs[tag]
+        try:
+            await self.door.call(spec)
+        except Refusal as refusal:
+            self.tally.take_word(tag, refusal)
+            self.tally.last_word[tag] = 'repeated'
+        except ConnectionLost:
+            return
+
     async def do_heal(self) -> None:
         """`heal`: restore all paths."""
         self.world.fabric.heal()
--- a/standin/scenario/script.py
+++ b/standin/scenario/script.py
@@ -6,6 +6,8 @@
 from pollenwalk.errors import ConnectionLost, Refusal
 from standin.caller import Caller, GaveUp, Step
 
+VIEW_PAUSE_MS = 200
+
 
 class Ending(NamedTuple):
     """How a scripted call ended: an answer or a refusal."""
@@ -63,6 +65,17 @@
         self.last_refusal = refusal
         await super().take_refusal(refusal, tag)
 
+    async def confirmed_view(self) -> dict[str, Any]:
+        """Read the program until its home has confirmed what it shows."""
+        while True:
+            view = await self.insist(
+                lambda: self.door.view(self.program),
+                f'{self.name}/view',
+            )
+            if view['confirmed']:
+                return view
+            await self.clock.sleep_ms(VIEW_PAUSE_MS)
+
     async def compare_history(self) -> None:
         """Compare the history that pollenwalk keeps with the caller's.
 
@@ -70,10 +83,7 @@
         """
         self.verify()
         try:
-            view = await self.insist(
-                lambda: self.door.view(self.program),
-                f'{self.name}/view',
-            )
+            view = await self.confirmed_view()
         except (GaveUp, ConnectionLost):
             return
         kept = [(one['role'], one['content']) for one in view['history']]
--- a/standin/virtual/world.py
+++ b/standin/virtual/world.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 from pollenwalk.connection.wire import (
@@ -36,6 +36,9 @@
 READY_PATIENCE_MS = 30_000
 
 
+Work = Callable[[], Awaitable[Any]]
+
+
 class Shape(NamedTuple):
     """What a world is made of.
 
@@ -249,20 +252,21 @@
         """Pick among the entries that the balancer believes alive."""
         self.world = world
         self.dice = dice
-        self.fixed: str | None = None
+        self.reachable: list[str] | None = None
 
     def pick(self) -> EntryProcess:
         """Pick an entry; the balancer knows the dead, not the frozen."""
         alive = [
             process
-            for process in self.world.entries.values()
+            for name, process in self.world.entries.items()
             if not process.node.dead and not process.entry.stopping
+            if self.reachable is None or name in self.reachable
         ]
         if not alive:
             raise ConnectionLost('no entry is alive')
         return self.dice.choice(alive)
 
-    async def through(self, process: EntryProcess, work: Awaitable[Any]) -> Any:
+    async def through(self, process: EntryProcess, work: Work) -> Any:
         """Run a request inside an entry, cut short when that is killed.
 
         Raises:
@@ -281,11 +285,11 @@
             raise ConnectionLost('no answer')
         return running.result()
 
-    async def gated(self, process: EntryProcess, work: Awaitable[Any]) -> Any:
+    async def gated(self, process: EntryProcess, work: Work) -> Any:
         """Let nothing in or out while the entry is frozen."""
         await process.node.passed()
         try:
-            return await work
+            return await work()
         finally:
             await process.node.passed()
 
@@ -300,25 +304,41 @@
             None,
             spec.parent,
         )
-        view = await self.through(process, process.entry.routing.begin(message))
+        view = await self.through(
+            process,
+            lambda: process.entry.routing.begin(message),
+        )
         return view.body
 
     async def call(self, spec: CallSpec) -> dict[str, Any]:
         """Make a call."""
         process = self.pick()
-        return await self.through(process, collect(process.entry, CallProgram(*spec)))
+        return await self.through(
+            process,
+            lambda: collect(process.entry, CallProgram(*spec)),
+        )
 
     async def view(self, program: str) -> dict[str, Any]:
         """Read a program."""
         process = self.pick()
-        message = ViewProgram(program)
-        return (await self.through(process, process.entry.routing.view(message))).body
+        return await self.read(process, ViewProgram(program))
 
     async def end(self, program: str) -> dict[str, Any]:
         """End a program."""
         process = self.pick()
-        message = EndProgram(program)
-        return (await self.through(process, process.entry.routing.view(message))).body
+        return await self.read(process, EndProgram(program))
+
+    async def read(
+        self,
+        process: EntryProcess,
+        message: ViewProgram | EndProgram,
+    ) -> dict[str, Any]:
+        """Read or end a program through an entry."""
+        view = await self.through(
+            process,
+            lambda: process.entry.routing.view(message),
+        )
+        return view.body
 
 
 async def collect(entry: Entry, request: CallProgram) -> dict[str, Any]:
--- a/test/connection/test_http_api.py
+++ b/test/connection/test_http_api.py
@@ -53,14 +53,24 @@
     Bad('undeclared upstream', {**CALL, 'upstream': 'ledger'}, 404, 'unknown_upstream'),
     Bad('unknown operation', {**CALL, 'operation': 'x'}, 404, 'unknown_operation'),
     Bad('no message', {**CALL, 'input': {}}, 400, 'malformed'),
-    Bad('bad max_tokens', {**CALL, 'input': {'message': 'a', 'max_tokens': 0}}, 400, 'malformed'),
+    Bad(
+        'bad max_tokens',
+        {**CALL, 'input': {'message': 'a', 'max_tokens': 0}},
+        400,
+        'malformed',
+    ),
     Bad('bad deadline', {**CALL, 'deadline_ms': 0}, 400, 'malformed'),
     Bad('too large', b'x' * 1_000_001, 413, 'too_large'),
 )
 BAD_BEGINS = (
     Bad('malformed JSON', b'{', 400, 'malformed'),
     Bad('unknown program', {'program': 'nope'}, 404, 'unknown_declaration'),
-    Bad('unknown parent', {'program': 'spares-dispatch', 'parent': 'p-1'}, 404, 'unknown_program'),
+    Bad(
+        'unknown parent',
+        {'program': 'spares-dispatch', 'parent': 'p-1'},
+        404,
+        'unknown_program',
+    ),
     Bad('bad budget', {'program': 'spares-dispatch', 'budget': 0}, 400, 'malformed'),
     Bad('unknown field', {'program': 'spares-dispatch', 'x': 1}, 400, 'malformed'),
 )
@@ -225,7 +235,9 @@
         first = await client.ask('POST', path, CALL, KEYED)
         self.assertEqual((200, 200), (first[0], (await waiting)[0]))
         status, view = await client.ask('GET', f'/v1/programs/{program}', entry=1)
-        self.assertEqual(['user', 'assistant'] * 2, [one['role'] for one in view['history']])
+        self.assertEqual(
+            ['user', 'assistant'] * 2, [one['role'] for one in view['history']]
+        )
         self.assertEqual(500, view['budget']['spent'] + view['budget']['left'])
         status, view = await client.ask('DELETE', f'/v1/programs/{program}', entry=1)
         self.assertEqual((200, 'ended'), (status, view['state']))
@@ -265,7 +277,9 @@
     @served
     async def test_long_headers_are_refused(self, client: Client) -> None:
         url = f'{client.system.urls[0]}/healthz'
-        async with client.session.get(url, headers={'X-Long': 'x' * 70_000}) as response:
+        async with client.session.get(
+            url, headers={'X-Long': 'x' * 70_000}
+        ) as response:
             self.assertGreaterEqual(response.status, 400)
         status, answer = await client.ask('GET', '/healthz')
         self.assertEqual((200, 'ok'), (status, answer['status']))
--- /dev/null
+++ b/test/test_broken.py
@@ -0,0 +1,175 @@
+"""Each mechanism is broken on purpose, and a named scenario must notice.
+
+Without this nobody knows whether the scenarios can fail at all.
+"""
+
+import contextlib
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+from unittest import mock
+
+import testtools
+
+from pollenwalk.process.grants import Grants
+from pollenwalk.process.home import Home
+from pollenwalk.process.sidecar_calls import Sessions
+from pollenwalk.process.takeover import Sealed, Takeover
+from pollenwalk.program.budget import Budget
+from pollenwalk.program.live import LiveProgram
+from pollenwalk.program.records import Intended
+from pollenwalk.request.dispatch import Resolver
+from pollenwalk.request.execution import Execution
+from standin.scenario.language import read_scenario
+from standin.scenario.runner import ScenarioFailed, run_scenario
+
+FOLDER = Path(__file__).resolve().parent / 'scenarios'
+
+
+class Break(NamedTuple):
+    """One broken mechanism and the scenario that catches it."""
+
+    name: str
+    target: Any
+    attribute: str
+    replacement: Callable[..., Any]
+    scenario: str
+
+
+async def intend_later(self: Execution, host: Any, connection: Any) -> None:
+    """Hand over before the intent is durable."""
+    intent = Intended(
+        self.program.id,
+        self.request.key,
+        self.request.sequence,
+        self.call.digest,
+        self.request.upstream,
+        self.request.operation,
+        self.request.argument,
+        host.address,
+        connection.boot,
+        self.parts.incarnation,
+    )
+    self.parts.recorder.record_later(self.live, lambda: [intent])
+
+
+async def own_without_seal(self: Takeover, dead: str) -> str:
+    """Trust the lapsed lease and seal nothing."""
+    return self.successor
+
+
+async def read_without_witness(self: Takeover, dead: str) -> Sealed:
+    """Read the store alone."""
+    sealed = await whole_read(self, dead)
+    return Sealed(sealed.content, [], tail_lost=False)
+
+
+whole_read = Takeover.read_sealed
+
+
+async def always_vouch(self: Home, refusal: Any, request: Any) -> bool:
+    """Let every 'not run' pass."""
+    return True
+
+
+async def dispatch_unresolved(
+    self: Resolver, call: Any, fence: str, until_ms: float
+) -> None:
+    """Take silence for a proof that the call did not run."""
+
+
+async def watch_nothing(self: Grants) -> None:
+    """Never compare with the engine's own list."""
+
+
+async def take_any_turn(self: LiveProgram, call: Any) -> None:
+    """Run a call without waiting for those before it."""
+
+
+BREAKS = (
+    Break(
+        'dispatch before the intent is durable',
+        Execution,
+        'intend',
+        intend_later,
+        'home_dies_before_intent_is_durable',
+    ),
+    Break(
+        'no fence against late dispatches',
+        Sessions,
+        'check',
+        lambda self, incarnation, epoch: None,
+        'late_dispatch_of_paused_home',
+    ),
+    Break(
+        'takeover by lease alone',
+        Takeover,
+        'owner',
+        own_without_seal,
+        'paused_home_wakes_and_commits',
+    ),
+    Break(
+        'takeover without a witness',
+        Takeover,
+        'read_sealed',
+        read_without_witness,
+        'store_down_home_dies',
+    ),
+    Break(
+        "'not run' without proof",
+        Home,
+        'vouches',
+        always_vouch,
+        'sealed_home_is_asked_again',
+    ),
+    Break(
+        'silence taken for not run',
+        Resolver,
+        'resolve',
+        dispatch_unresolved,
+        'sidecar_dies_in_order',
+    ),
+    Break(
+        'lost attempts cost nothing',
+        Budget,
+        'forfeit',
+        lambda self: self._replace(reserved=0),
+        'budget_home_and_runner_die',
+    ),
+    Break(
+        'engine memory is never compared',
+        Grants,
+        'watch',
+        watch_nothing,
+        'sidecar_dies_in_chat',
+    ),
+    Break(
+        'calls do not wait for their turn',
+        LiveProgram,
+        'take_turn',
+        take_any_turn,
+        'calls_sent_at_once',
+    ),
+)
+
+
+class BrokenTest(testtools.TestCase):
+    """The checks can fail."""
+
+    def test_each_break_is_caught(self) -> None:
+        for broken in BREAKS:
+            self.assertTrue(is_caught(broken), broken.name)
+
+    def test_the_same_scenarios_hold_unbroken(self) -> None:
+        for broken in BREAKS:
+            run_scenario(read_scenario(FOLDER / f'{broken.scenario}.txt'))
+
+
+def is_caught(broken: Break) -> bool:
+    """Tell whether the scenario fails under the break."""
+    scenario = read_scenario(FOLDER / f'{broken.scenario}.txt')
+    patched = mock.patch.object(broken.target, broken.attribute, broken.replacement)
+    with patched, contextlib.suppress(ScenarioFailed):
+        run_scenario(scenario)
+        return False
+    return True
