--- a/pollenwalk/process/adoption.py
+++ b/pollenwalk/process/adoption.py
@@ -10,7 +10,7 @@
     record_key,
 )
 from pollenwalk.process.home import Home
-from pollenwalk.process.segments import segment_key
+from pollenwalk.process.segments import JournalContent, segment_key
 from pollenwalk.process.store import Backoff, ObjectStore
 from pollenwalk.process.takeover import (
     Takeover,
@@ -52,15 +52,23 @@
         """
         if dead not in self.adopted:
             owner = await self.takeover.owner(dead)
-            if owner != self.takeover.successor and not self.inherited(owner):
+            if owner != self.takeover.successor:
                 return False
-            await self.adopt(dead)
+            await self.adopt_and_name(dead)
         await self.name_successor(dead)
         return True
 
-    def inherited(self, owner: str) -> bool:
-        """Tell whether the owner of a seal has itself been adopted here."""
-        return owner in self.adopted
+    async def adopt_and_name(self, dead: str) -> None:
+        """Adopt; until the successor is named no segment may be deleted.
+
+        Other entries look into our journal to see whether we have adopted.
+        """
+        self.home.adopting += 1
+        try:
+            await self.adopt(dead)
+            await self.name_successor(dead)
+        finally:
+            self.home.adopting -= 1
 
     async def adopt(self, dead: str) -> None:
         """Copy all programs, then make the copy count."""
@@ -75,12 +83,12 @@
         for identity, program_id in book.claims.items():
             self.home.book.claims.setdefault(identity, program_id)
         self.home.recover(book.programs.values())
-        inherited = adopted_incarnations(sealed.content)
+        inherited = adopted_incarnations(sealed)
         self.adopted.update(dict.fromkeys([dead, *sorted(inherited)]))
         logger.info('entry_adopted', dead=dead, programs=len(book.programs))
         for incarnation in sorted(inherited):
             await self.name_successor(incarnation)
-        await self.delete_segments(dead, sorted(sealed.content.segments))
+        await self.delete_segments(dead, sealed.content)
 
     async def adopt_claims(self, book: ProgramBook) -> None:
         """Copy the keys that the dead home had settled."""
@@ -115,9 +123,11 @@
         self.directory.take(stored._replace(body=body, version=version))
         return True
 
-    async def delete_segments(self, dead: str, numbers: list[int]) -> None:
-        """Delete a dead journal but for its seal, which fences for ever."""
-        for number in numbers[:-1]:
+    async def delete_segments(self, dead: str, content: JournalContent) -> None:
+        """Delete a dead journal but for its seals, which fence for ever."""
+        for number, segment in sorted(content.segments.items()):
+            if segment.sealed_by:
+                return
             try:
                 await self.store.delete(segment_key(dead, number))
             except StoreUnavailable:
--- a/pollenwalk/process/compaction.py
+++ b/pollenwalk/process/compaction.py
@@ -55,6 +55,8 @@
 
     async def compact(self) -> None:
         """Write the oldest programs again, then delete what nobody needs."""
+        if self.home.adopting:
+            return
         self.forget_dropped()
         if self.journal.next_segment - self.floor > MAX_SEGMENTS:
             await self.rewrite_claims()
--- a/pollenwalk/process/directory.py
+++ b/pollenwalk/process/directory.py
@@ -53,6 +53,11 @@
     return msgspec.json.encode(record)
 
 
+def decode_record(body: bytes) -> EntryRecord:
+    """Unpack a record."""
+    return DECODER.decode(body)
+
+
 def rendezvous(key: str, names: Iterable[str]) -> list[str]:
     """Rank names for a key so that few ranks change with the names.
 
@@ -105,7 +110,7 @@
             return
         self.versions[incarnation] = stored.version
         if stored.body:
-            self.records[incarnation] = DECODER.decode(stored.body)
+            self.records[incarnation] = decode_record(stored.body)
         else:
             self.records.pop(incarnation, None)
 
--- a/pollenwalk/process/entry.py
+++ b/pollenwalk/process/entry.py
@@ -38,7 +38,7 @@
 from pollenwalk.process.fleet import Fleet, Location
 from pollenwalk.process.home import Home
 from pollenwalk.process.journal import Journal
-from pollenwalk.process.liveness import BEAT_MS, Liveness
+from pollenwalk.process.liveness import BEAT_MS, OBSERVERS, Liveness
 from pollenwalk.process.peers import Peers
 from pollenwalk.process.recorder import Recorder
 from pollenwalk.process.segments import WitnessRef
@@ -230,6 +230,7 @@
     def fenced(self) -> None:
         """Go on as a new incarnation: a successor has our programs."""
         self.ready = False
+        self.home.abandon()
         if not self.stopping:
             self.tasks.spawn(self.reincarnate(), 'reincarnate')
 
@@ -378,11 +379,12 @@
             return
         until_ms = self.clock.now_ms() + HANDOVER_PATIENCE_MS
         while self.clock.now_ms() < until_ms:
-            others = self.directory.observers(self.incarnation, 1)
+            others = self.directory.observers(self.incarnation, OBSERVERS)
             if not others:
                 break
-            if await self.service.ask_handover(others[0]):
-                return
+            for other in others:
+                if await self.service.ask_handover(other):
+                    return
             await self.clock.sleep_ms(BEAT_MS)
         self.home.stopping = True
 
--- a/pollenwalk/process/home.py
+++ b/pollenwalk/process/home.py
@@ -100,6 +100,7 @@
         self.claimed_ms: dict[tuple[str, str], float] = {}
         self.ended_ms: dict[str, float] = {}
         self.stopping = False
+        self.adopting = 0
 
     def start(self) -> None:
         """Start the background work."""
@@ -131,7 +132,7 @@
                 retry_after_ms=RETRY_AFTER_MS,
             )
         if self.parts.recorder.journal.fenced:
-            raise Fenced('sealed by a successor')
+            raise sealed()
         if self.parts.recorder.journal.stalled:
             raise store_unavailable()
 
@@ -281,7 +282,7 @@
         identity = (request.caller, request.key or program_id)
         while program_id not in self.book.programs:
             if journal.fenced:
-                raise Fenced('sealed by a successor')
+                raise sealed()
             if self.parts.clock.now_ms() > until_ms:
                 raise store_unavailable()
             if identity not in self.beginning:
@@ -430,12 +431,20 @@
             call.refuse(error)
         finally:
             if not call.done.done():
-                call.refuse(cancelled(call))
+                call.refuse(cancelled(call) if live.ending else sealed())
             live.calls.pop(call.request.key, None)
             live.tasks.pop(call.request.key, None)
             live.used_ms = self.parts.clock.now_ms()
             live.notify()
 
+    def abandon(self) -> None:
+        """Let all calls go on at the successor: nothing counts here now."""
+        for live in self.live.values():
+            for call in list(live.calls.values()):
+                call.refuse(sealed())
+            for task in list(live.tasks.values()):
+                task.cancel()
+
     async def end(self, program_id: str) -> Program:
         """End a program: cancel what may be cancelled, free its memory.
 
@@ -691,6 +700,11 @@
         yield Tokens(0, [text])
 
 
+def sealed() -> Fenced:
+    """Send a caller's request on to the successor."""
+    return Fenced('this home has a successor')
+
+
 def check_same(digest: str, sequence: int, call: LiveCall) -> None:
     """Check that a repeated key comes with the same request.
 
--- a/pollenwalk/process/takeover.py
+++ b/pollenwalk/process/takeover.py
@@ -12,6 +12,7 @@
 
 from pollenwalk.connection.wire import WitnessBatches, WitnessSeal
 from pollenwalk.process.clock import Clock
+from pollenwalk.process.directory import decode_record, record_key
 from pollenwalk.process.segments import (
     JournalContent,
     Segment,
@@ -75,21 +76,49 @@
         """
         while True:
             content = await read_journal(self.store, dead)
-            if content.sealed_by:
+            if content.sealed_by and not await self.is_orphan(dead, content.sealed_by):
                 return content.sealed_by
-            seal = Segment(
-                make_nonce(self.dice),
-                content.last_batch + 1,
-                [],
-                content.witnesses,
-                self.successor,
-            )
-            key = segment_key(dead, content.last_number + 1)
-            body = encode_segment(seal)
-            if await create_once(self.store, self.clock, key, body):
-                logger.info('journal_sealed', dead=dead, by=self.successor)
+            if await self.seal(dead, content):
                 return self.successor
 
+    async def seal(self, dead: str, content: JournalContent) -> bool:
+        """Seal a journal, or seal it once more after a successor that died.
+
+        Returns:
+            Whether the seal is ours.
+        """
+        seal = Segment(
+            make_nonce(self.dice),
+            content.last_batch + 1,
+            [],
+            content.witnesses,
+            self.successor,
+        )
+        key = segment_key(dead, content.last_number + 1)
+        body = encode_segment(seal)
+        ours = await create_once(self.store, self.clock, key, body)
+        if ours:
+            logger.info('journal_sealed', dead=dead, by=self.successor)
+        return ours
+
+    async def is_orphan(self, dead: str, owner: str) -> bool:
+        """Tell whether the owner of a seal can never adopt any more.
+
+        That is so once its own journal is sealed without the adoption in it.
+        The adoption may only be missing there after the dead entry's record
+        has named its successor, so the record is read last.
+        """
+        if owner == self.successor:
+            return False
+        content = await read_journal(self.store, owner)
+        if not content.sealed_by:
+            return False
+        sealed = await self.read_sealed(owner)
+        if dead in adopted_incarnations(sealed):
+            return False
+        stored = await self.store.get(record_key(dead))
+        return stored is None or not decode_record(stored.body).successor
+
     async def read_sealed(self, dead: str) -> Sealed:
         """Read a sealed journal and what its witnesses hold beyond it."""
         content = await read_journal(self.store, dead)
@@ -153,10 +182,10 @@
     program.uncertain = program.uncertain or tail_lost
 
 
-def adopted_incarnations(content: JournalContent) -> set[str]:
+def adopted_incarnations(sealed: Sealed) -> set[str]:
     """Give the incarnations whose programs a journal has adopted."""
     return {
         record.incarnation
-        for record in content.records()
+        for record in [*sealed.content.records(), *sealed.tail]
         if isinstance(record, Adopted)
     }
--- a/standin/scenario/explorer.py
+++ b/standin/scenario/explorer.py
@@ -120,6 +120,7 @@
         max_examples=runs,
         database=None,
         deadline=None,
+        report_multiple_bugs=False,
         suppress_health_check=list(hypothesis.HealthCheck),
         phases=(hypothesis.Phase.generate, hypothesis.Phase.shrink),
     )
--- a/standin/scenario/runner.py
+++ b/standin/scenario/runner.py
@@ -53,7 +53,7 @@
         await self.world.start()
         for line in self.scenario.lines:
             await self.step(line)
-        await self.settle()
+        await self.step(Line(0, ['settle']))
         found = breaches(self.world, self.tally)
         if found:
             raise ScenarioFailed(f'{self.scenario.name}: {"; ".join(found)}')
@@ -70,8 +70,11 @@
                 f'{self.scenario.name}:{line.number}: {line.text}: {error!r}',
             ) from error
 
-    async def settle(self) -> None:
-        """End all faults and programs, and wait for the last releases."""
+    async def do_settle(self) -> None:
+        """`settle`: end all faults and programs, and wait for releases.
+
+        Every scenario ends with it.
+        """
         await self.do_heal()
         await self.do_store('up')
         for service in self.world.services.values():
