--- a/pollenwalk/request/execution.py
+++ b/pollenwalk/request/execution.py
@@ -176,7 +176,8 @@
 
     async def run_once(self) -> FinishedCall:
         """Run a non-idempotent call at most once."""
-        self.check_certain()
+        if self.program.uncertain:
+            return await self.finish(None, uncertain(), None)
         while True:
             host = await self.pick()
             try:
@@ -221,15 +222,6 @@
         """Note that a try of this call may have run."""
         self.live.maybe_ran[self.request.key] = None
 
-    def check_certain(self) -> None:
-        """Refuse to run what may have run before records were lost."""
-        if self.program.uncertain:
-            raise Refusal(
-                RefusalCode.OUTCOME_UNKNOWN,
-                'the last records of this program were lost',
-                Outcome.UNKNOWN,
-            )
-
     async def reserve(self) -> int:
         """Make sure that the budget covers the call.
 
@@ -482,6 +474,15 @@
         self.live.cached[host.sidecar] = self.live.history_tokens
 
 
+def uncertain() -> Refusal:
+    """Refuse what may have run before a program's last records were lost."""
+    return Refusal(
+        RefusalCode.OUTCOME_UNKNOWN,
+        'the last records of this program were lost',
+        Outcome.UNKNOWN,
+    )
+
+
 def doubted(refusal: Refusal) -> Refusal:
     """Give a refusal again without the claim that the call did not run."""
     return Refusal(
