--- a/pollenwalk/process/entry.py
+++ b/pollenwalk/process/entry.py
@@ -57,6 +57,7 @@
 ID_BITS = 48
 FORGET_SILENT_MS = 60_000
 HANDOVER_PATIENCE_MS = 10_000
+HANDOVER_GRACE_MS = 150
 DRAIN_CHECK_MS = 20
 DRAIN_PATIENCE_MS = 120_000
 PROBES = 2
@@ -377,6 +378,10 @@
         """Let another entry take over now, running calls included."""
         if not self.ready or self.journal.fenced:
             return
+        if self.directory.observers(self.incarnation, 1):
+            # What is under way shall arrive before the successor begins.
+            self.journal.closing = True
+            await self.clock.sleep_ms(HANDOVER_GRACE_MS)
         until_ms = self.clock.now_ms() + HANDOVER_PATIENCE_MS
         while self.clock.now_ms() < until_ms:
             others = self.directory.observers(self.incarnation, OBSERVERS)
@@ -386,6 +391,7 @@
                 if await self.service.ask_handover(other):
                     return
             await self.clock.sleep_ms(BEAT_MS)
+        self.journal.closing = False
         self.home.stopping = True
 
     async def close(self) -> None:
--- a/pollenwalk/process/home.py
+++ b/pollenwalk/process/home.py
@@ -204,10 +204,11 @@
             )
         return program
 
-    def new_id(self) -> str:
-        """Make a program id that carries its home."""
+    def new_id(self, incarnation: str = '') -> str:
+        """Make a program id that carries its home, this one unless named."""
         number = self.parts.dice.getrandbits(ID_BITS)
-        return f'{PROGRAM_PREFIX}-{self.parts.incarnation}-{number:016x}'
+        home = incarnation or self.parts.incarnation
+        return f'{PROGRAM_PREFIX}-{home}-{number:016x}'
 
     def begin_new(
         self,
--- a/pollenwalk/process/journal.py
+++ b/pollenwalk/process/journal.py
@@ -85,6 +85,7 @@
         self.work = asyncio.Event()
         self.witnessing = asyncio.Event()
         self.fenced = False
+        self.closing = False
         self.confirmed_ms = float('-inf')
         self.wanted: list[WitnessRef] = []
         self.effective: list[WitnessRef] = []
--- a/pollenwalk/request/execution.py
+++ b/pollenwalk/request/execution.py
@@ -14,6 +14,7 @@
 from pollenwalk.connection.wire import Answer, Dispatch, HistoryItem
 from pollenwalk.errors import (
     ConnectionLost,
+    Fenced,
     Outcome,
     Refusal,
     RefusalBody,
@@ -257,6 +258,8 @@
             self.call.left_ms(),
         )
         while True:
+            if self.parts.recorder.journal.closing:
+                raise Fenced('this home is about to be handed over')
             if self.parts.clock.now_ms() >= until_ms:
                 raise Refusal(
                     RefusalCode.NO_UPSTREAM,
--- a/pollenwalk/request/routing.py
+++ b/pollenwalk/request/routing.py
@@ -5,6 +5,7 @@
 "not run" of its own accord.
 """
 
+from collections import Counter
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -109,7 +110,7 @@
 
     async def begin_by_key(self, request: BeginProgram) -> View:
         """Begin here, or give what the same key began anywhere before."""
-        proposed = self.home.new_id()
+        proposed = self.home.new_id(self.best_home(request))
         if not request.key:
             return await self.at_home(proposed, request._replace(program=proposed))
         program_id = await self.claim(request, proposed)
@@ -118,6 +119,27 @@
             request._replace(program=program_id),
         )
 
+    def best_home(self, request: BeginProgram) -> str:
+        """Choose a home in the region of most of the program's upstreams.
+
+        A commit and a dispatch are short ways there, while the link between
+        regions is slow, narrow and paid by volume.
+        """
+        spec = self.home.parts.config.program(request.declaration)
+        fleet = self.home.parts.fleet
+        regions = Counter(
+            host.region
+            for upstream in (spec.upstreams if spec else ())
+            for host in fleet.views(upstream)
+        )
+        own = self.location.region
+        if not regions or regions[own] == max(regions.values()):
+            return self.incarnation
+        region = max(sorted(regions), key=regions.__getitem__)
+        names = [record.incarnation for record in self.directory.live(region)]
+        ranked = rendezvous(request.key or self.home.new_id(), names)
+        return ranked[0] if ranked else self.incarnation
+
     async def claim(self, request: BeginProgram, proposed: str) -> str:
         """Settle a key with its registrar, across the registrar's death."""
         until_ms = self.clock.now_ms() + HOME_WAIT_MS
--- a/standin/store.py
+++ b/standin/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import bisect
 from typing import Any, NamedTuple
 
 from starlette.applications import Starlette
@@ -37,6 +38,25 @@
     slow_ms: float = 0
 
 
+class FolderLog:
+    """The changes in one folder, for its watches."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.entries: list[tuple[int, str]] = []
+        self.changed = asyncio.Event()
+
+    def after(self, revision: int) -> list[tuple[int, str]]:
+        """Give the changes after a revision."""
+        first = bisect.bisect_right(self.entries, revision, key=lambda one: one[0])
+        return self.entries[first:]
+
+    def wake(self) -> None:
+        """Wake the watches."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
 class MemoryStore:
     """Objects in memory, with versions, conditional writes and watches."""
 
@@ -44,9 +64,8 @@
         """Start empty and healthy."""
         self.clock = clock
         self.objects: dict[str, StoredObject] = {}
-        self.deleted: dict[str, int] = {}
+        self.logs: dict[str, FolderLog] = {}
         self.revision = 0
-        self.changed = asyncio.Event()
         self.faults = Faults()
         self.closing = False
         self.reads = 0
@@ -76,8 +95,7 @@
             raise StoreConflict(f'{key} is at version {present_version}')
         self.revision += 1
         self.objects[key] = StoredObject(key, body, self.revision)
-        self.deleted.pop(key, None)
-        self.wake()
+        self.note(key)
         self.lose_answer()
         return self.revision
 
@@ -86,8 +104,7 @@
         await self.before_write()
         if self.objects.pop(key, None) is not None:
             self.revision += 1
-            self.deleted[key] = self.revision
-            self.wake()
+            self.note(key)
         self.lose_answer()
 
     async def before_write(self) -> None:
@@ -124,41 +141,45 @@
             left_ms = until_ms - self.clock.now_ms()
             if left_ms <= 0 or self.closing:
                 break
-            await self.wait_change(left_ms)
+            await self.wait_change(prefix, left_ms)
         await self.before()
         return Changes(self.revision, self.since(prefix, revision))
 
-    async def wait_change(self, left_ms: float) -> None:
-        """Wait for any change."""
+    async def wait_change(self, prefix: str, left_ms: float) -> None:
+        """Wait for any change in a folder."""
         try:
             async with self.clock.timeout_ms(left_ms):
-                await self.changed.wait()
+                await self.log_of(prefix).changed.wait()
         except TimeoutError:
             return
 
     def since(self, prefix: str, revision: int) -> list[StoredObject]:
         """Give what has changed below a prefix after a revision."""
-        written = [
-            stored
-            for key, stored in sorted(self.objects.items())
-            if key.startswith(prefix) and stored.version > revision
-        ]
-        gone = [
-            StoredObject(key, b'', version)
-            for key, version in sorted(self.deleted.items())
-            if key.startswith(prefix) and version > revision
+        changed = {
+            key: version
+            for version, key in self.log_of(prefix).after(revision)
+            if key.startswith(prefix)
+        }
+        return [
+            self.objects.get(key, StoredObject(key, b'', version))
+            for key, version in changed.items()
         ]
-        return [*written, *gone]
+
+    def note(self, key: str) -> None:
+        """Log a change for the watches."""
+        log = self.log_of(key)
+        log.entries.append((self.revision, key))
+        log.wake()
+
+    def log_of(self, key: str) -> FolderLog:
+        """Give the log of the folder that a key or a prefix is in."""
+        return self.logs.setdefault(key.partition('/')[0], FolderLog())
 
     def close(self) -> None:
         """Let the watches return, so that a server can stop."""
         self.closing = True
-        self.wake()
-
-    def wake(self) -> None:
-        """Wake the watches."""
-        self.changed.set()
-        self.changed = asyncio.Event()
+        for log in self.logs.values():
+            log.wake()
 
 
 class StoreApi:
--- a/standin/virtual/edges.py
+++ b/standin/virtual/edges.py
@@ -6,7 +6,7 @@
 
 from pollenwalk.connection.upstream import ChatRequest
 from pollenwalk.connection.wire import Answer, Tokens
-from pollenwalk.errors import StoreUnavailable
+from pollenwalk.errors import PollenwalkError, StoreUnavailable
 from pollenwalk.process.clock import MS_PER_SECOND
 from pollenwalk.process.store import Changes, StoredObject
 from standin.engine import ModelEngine
@@ -50,11 +50,17 @@
         await self.travel(self.node, self.home, size)
         try:
             answer = await asyncio.shield(self.fabric.tasks.spawn(work(), 'store'))
-        finally:
-            await self.travel(self.home, self.node, 0)
-            await self.node.passed()
+        except PollenwalkError:
+            await self.travel_back()
+            raise
+        await self.travel_back()
         return answer
 
+    async def travel_back(self) -> None:
+        """Take the time of an answer."""
+        await self.travel(self.home, self.node, 0)
+        await self.node.passed()
+
     async def get(self, key: str) -> StoredObject | None:
         """Read one object."""
         self.reads += 1
@@ -103,9 +109,12 @@
             'service',
         )
         try:
-            return await asyncio.shield(running)
-        finally:
+            output = await asyncio.shield(running)
+        except PollenwalkError:
             await self.node.passed()
+            raise
+        await self.node.passed()
+        return output
 
 
 class NodeEngine:
