--- a/pollenwalk/process/daemon.py
+++ b/pollenwalk/process/daemon.py
@@ -87,6 +87,7 @@
             settings.regions,
             own['witnesses'],
             own['journal_interval_ms'],
+            own['store_writes_per_second'],
         ),
         GrpcNetwork(),
         store,
--- a/pollenwalk/process/entry.py
+++ b/pollenwalk/process/entry.py
@@ -39,6 +39,7 @@
 from pollenwalk.process.home import Home
 from pollenwalk.process.journal import Journal
 from pollenwalk.process.liveness import BEAT_MS, OBSERVERS, Liveness
+from pollenwalk.process.pacing import Pace
 from pollenwalk.process.peers import Peers
 from pollenwalk.process.recorder import Recorder
 from pollenwalk.process.segments import WitnessRef
@@ -75,6 +76,7 @@
         witnesses: how many other entries hold its batches; fewer than that
             many other entries alive means none.
         journal_interval_ms: shortest time between two segments.
+        store_writes_per_second: of all entries together.
     """
 
     address: str
@@ -82,6 +84,7 @@
     regions: dict[str, str]
     witnesses: int = 2
     journal_interval_ms: float = 2.0
+    store_writes_per_second: float = 200.0
 
 
 class Entry:
@@ -151,6 +154,11 @@
             self.dice,
         )
         self.journal.interval_ms = self.settings.journal_interval_ms
+        self.journal.pace = Pace(
+            self.clock,
+            self.settings.store_writes_per_second,
+            lambda: len(self.directory.live()),
+        )
         self.journal.peers = self.peers.at
         self.journal.on_fenced = self.fenced
         book = ProgramBook()
--- a/pollenwalk/process/journal.py
+++ b/pollenwalk/process/journal.py
@@ -14,6 +14,7 @@
 from pollenwalk.connection.wire import WitnessAppend
 from pollenwalk.errors import Fenced, StoreUnavailable
 from pollenwalk.process.clock import Clock
+from pollenwalk.process.pacing import Pace
 from pollenwalk.process.segments import (
     Segment,
     WitnessRef,
@@ -76,6 +77,7 @@
         self.tasks = tasks
         self.incarnation = incarnation
         self.interval_ms = 0.0
+        self.pace: Pace | None = None
         self.next_segment = 1
         self.next_batch = 1
         self.base = 0
@@ -162,6 +164,8 @@
             await self.work.wait()
             self.work.clear()
             while not self.fenced and self.has_work():
+                if self.pace is not None:
+                    await self.pace.turn()
                 await self.write_segment(list(self.fitting()))
                 await self.clock.sleep_ms(self.interval_ms)
 
@@ -189,18 +193,33 @@
         )
         key = segment_key(self.incarnation, self.next_segment)
         body = encode_segment(segment)
+        if await self.create(key, body):
+            self.stored(batches)
+        else:
+            self.fence()
+
+    async def create(self, key: str, body: bytes) -> bool:
+        """Create a segment; tell whether it is ours."""
         backoff = Backoff(self.clock)
         while True:
+            begun_ms = self.clock.now_ms()
             try:
                 ours = await create_or_compare(self.store, key, body)
             except StoreUnavailable:
+                self.note_pace(None)
                 await backoff.pause()
                 continue
-            break
-        if ours:
-            self.stored(batches)
+            self.note_pace(self.clock.now_ms() - begun_ms)
+            return ours
+
+    def note_pace(self, took_ms: float | None) -> None:
+        """Let the pace follow the store."""
+        if self.pace is None:
+            return
+        if took_ms is None:
+            self.pace.refused()
         else:
-            self.fence()
+            self.pace.answered(took_ms)
 
     def stored(self, batches: list[Batch]) -> None:
         """Note a written segment."""
--- a/pollenwalk/process/settings.py
+++ b/pollenwalk/process/settings.py
@@ -39,6 +39,7 @@
         'zone': NAME,
         'witnesses': read_int(0, 8),
         'journal_interval_ms': read_number(0, 60_000),
+        'store_writes_per_second': read_number(1, 100_000),
         'placement': read_choice(
             'expected-finish',
             'round-robin',
