Know load by answers, count prefill for what it costs others

Change: own calls are counted exactly, an answer tells what its host still has, and prefill counts ten times.

Also: reports go to a few entries, at an interval that grows with the hosts an entry hears; declarations are pushed to hosts at once; a judged wish is not looked at again.

--- a/pollenwalk/connection/wire.py
+++ b/pollenwalk/connection/wire.py
@@ -75,12 +75,15 @@
 class Answer(NamedTuple):
     """The whole answer of an upstream.
 
-    `prefilled` counts prompt tokens that the engine had to compute.
+    `prefilled` counts prompt tokens that the engine had to compute, and
+    `ahead` the calls that the sidecar still has, so that load is known sooner
+    than by reports.
     """
 
     output: dict[str, Any]
     tokens: int = 0
     prefilled: int = 0
+    ahead: int = 0
 
 
 class NeedHistory(NamedTuple):
@@ -246,10 +249,9 @@
     running: int
     queued: int
     slots: int
-    work_ms: float
     leaving: bool
-    cached: list[str]
-    versions: int
+    version: int
+    digest: str
 
 
 class Beat(NamedTuple):
@@ -260,9 +262,14 @@
 
 
 class Entries(NamedTuple):
-    """The entries that a sidecar should report to."""
+    """The entries that a sidecar should report to, and how often.
+
+    `digest` comes back in the reports; nothing is sent while it is the same.
+    """
 
     addresses: list[str]
+    interval_ms: int
+    digest: str
 
 
 class UpstreamConfig(NamedTuple):
--- a/pollenwalk/policy/placement.py
+++ b/pollenwalk/policy/placement.py
@@ -6,6 +6,7 @@
 
 ZONE_PATH_MS = 1.0
 REGION_PATH_MS = 60.0
+PREFILL_WEIGHT = 10.0
 
 
 class HostView(NamedTuple):
@@ -17,10 +18,8 @@
         zone: its availability zone.
         region: its region.
         slots: calls it runs at a time.
-        running: calls running at its last report.
-        queued: calls waiting at its last report.
-        work_ms: its own estimate of the work before a new call.
-        sent: calls this entry has sent it since the report.
+        reported: calls it had at its last report.
+        ahead: calls it is believed to have now.
     """
 
     sidecar: str
@@ -28,10 +27,8 @@
     zone: str
     region: str
     slots: int
-    running: int
-    queued: int
-    work_ms: float
-    sent: int
+    reported: int
+    ahead: int
 
 
 class Need(NamedTuple):
@@ -79,7 +76,15 @@
 
 
 class ExpectedFinish:
-    """Pick the host that is expected to finish the call first."""
+    """Pick the host that is expected to finish the call first.
+
+    Prefill counts more than its own time, since what one program computes
+    again all others wait for.
+    """
+
+    def __init__(self, prefill_weight: float = PREFILL_WEIGHT) -> None:
+        """Count prefill so many times."""
+        self.prefill_weight = prefill_weight
 
     def choose(self, hosts: Sequence[HostView], need: Need) -> HostView | None:
         """Compare the expected finish at every usable host."""
@@ -93,10 +98,9 @@
         """Estimate wait, prefill and path; decoding is the same everywhere."""
         cached = need.held.get(host.sidecar, 0)
         prefill = max(need.prompt_tokens - cached, 0) * need.prefill_ms
-        ahead = host.running + host.queued + host.sent
-        excess = max(ahead + 1 - host.slots, 0)
+        excess = max(host.ahead + 1 - host.slots, 0)
         wait = excess * need.answer_ms / max(host.slots, 1)
-        return path_ms(host, need) + max(host.work_ms, wait) + prefill
+        return path_ms(host, need) + wait + prefill * self.prefill_weight
 
 
 class RoundRobin:
@@ -126,7 +130,7 @@
         """Compare the reports as they are."""
         return min(
             usable(hosts, need),
-            key=lambda host: (host.running + host.queued, self.dice.random()),
+            key=lambda host: (host.reported, self.dice.random()),
             default=None,
         )
 
--- a/pollenwalk/process/acceptance.py
+++ b/pollenwalk/process/acceptance.py
@@ -61,6 +61,18 @@
     reason: str
 
 
+class Judged(NamedTuple):
+    """What is remembered of a verdict.
+
+    Attributes:
+        version: of the verdict's object.
+        observed: version of the wish it was about.
+    """
+
+    version: int
+    observed: int
+
+
 WISH_DECODER = msgspec.json.Decoder(Wish)
 VERDICT_DECODER = msgspec.json.Decoder(Verdict)
 
@@ -88,8 +100,9 @@
         self.store = store
         self.clock = clock
         self.config = config
-        self.verdicts: dict[str, StoredObject] = {}
-        self.wishes: dict[str, StoredObject] = {}
+        self.verdicts: dict[str, Judged] = {}
+        self.wishes: dict[str, int] = {}
+        self.pending: dict[str, StoredObject] = {}
         self.synced = False
 
     async def follow_verdicts(self) -> None:
@@ -118,7 +131,10 @@
         if not stored.body or (known and known.version >= stored.version):
             return
         verdict = VERDICT_DECODER.decode(stored.body)
-        self.verdicts[stored.key] = stored
+        self.verdicts[stored.key] = Judged(stored.version, verdict.observed)
+        wish = self.pending.get(stored.key.replace(VERDICTS, WISHES, 1))
+        if wish is not None and self.observed(wish):
+            self.pending.pop(wish.key)
         if verdict.version:
             self.config.accept(
                 Accepted(
@@ -155,29 +171,31 @@
         else:
             changes = await self.store.scan(WISHES)
         for stored in changes.objects:
-            known = self.wishes.get(stored.key)
-            if known is None or known.version < stored.version:
-                self.wishes[stored.key] = stored
+            self.take_wish(stored)
         return max(revision, changes.revision)
 
+    def take_wish(self, stored: StoredObject) -> None:
+        """Note a wish; only its version is kept once it has been judged."""
+        if self.wishes.get(stored.key, 0) >= stored.version:
+            return
+        self.wishes[stored.key] = stored.version
+        if not self.observed(stored):
+            self.pending[stored.key] = stored
+
     async def judge_all(self) -> None:
         """Judge what no verdict has looked at; upstreams go first."""
         order = sorted(
-            self.wishes.values(),
+            self.pending.values(),
             key=lambda stored: (Kind.PROGRAM in stored.key, stored.key),
         )
         for stored in order:
-            if not self.observed(stored):
-                await self.judge(stored)
+            await self.judge(stored)
 
     def observed(self, stored: StoredObject) -> bool:
         """Tell whether a verdict has looked at this wish."""
         key = stored.key.replace(WISHES, VERDICTS, 1)
-        verdict = self.verdicts.get(key)
-        if verdict is None:
-            return False
-        decoded = VERDICT_DECODER.decode(verdict.body)
-        return decoded.observed >= stored.version
+        judged = self.verdicts.get(key)
+        return judged is not None and judged.observed >= stored.version
 
     async def judge(self, stored: StoredObject) -> None:
         """Check one wish and write the verdict."""
--- a/pollenwalk/process/directory.py
+++ b/pollenwalk/process/directory.py
@@ -81,6 +81,7 @@
         self.clock = clock
         self.records: dict[str, EntryRecord] = {}
         self.versions: dict[str, int] = {}
+        self.changes = 0
 
     async def follow(self) -> None:
         """Keep the view current for as long as the process lives."""
@@ -109,6 +110,7 @@
         if self.versions.get(incarnation, 0) >= stored.version:
             return
         self.versions[incarnation] = stored.version
+        self.changes += 1
         if stored.body:
             self.records[incarnation] = decode_record(stored.body)
         else:
--- a/pollenwalk/process/entry.py
+++ b/pollenwalk/process/entry.py
@@ -10,7 +10,6 @@
 from pollenwalk.connection.peer import PeerServer
 from pollenwalk.connection.wire import (
     Beat,
-    Entries,
     Report,
     UpstreamConfig,
     decode_datagram,
@@ -44,6 +43,7 @@
 from pollenwalk.process.recorder import Recorder
 from pollenwalk.process.segments import WitnessRef
 from pollenwalk.process.store import ObjectStore, create_once
+from pollenwalk.process.subsets import Subsets
 from pollenwalk.process.takeover import Takeover
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.process.traces import Tracer
@@ -52,7 +52,7 @@
 from pollenwalk.request.execution import Parts
 from pollenwalk.request.retry import RetryBudgets
 from pollenwalk.request.routing import Routing
-from pollenwalk.version.config import Configuration
+from pollenwalk.version.config import Accepted, Configuration
 from pollenwalk.version.resources import Kind, ResourceId
 
 ID_BITS = 48
@@ -112,8 +112,10 @@
         self.config = Configuration()
         self.acceptance = Acceptance(store, clock, self.config)
         self.fleet = Fleet(clock, settings.regions)
+        self.config.on_accept = self.accepted
         self.peers = Peers(network, clock, self.tasks)
         self.directory = Directory(store, clock)
+        self.subsets = Subsets(self.directory, settings.regions)
         self.liveness = Liveness(self.directory, network, clock)
         self.witness_log = WitnessLog()
         self.retries = RetryBudgets()
@@ -355,19 +357,33 @@
 
     def reply(self, report: Report) -> None:
         """Tell a sidecar which entries there are and what is in force."""
-        addresses = [record.address for record in self.directory.live()]
-        self.send(report.address, Entries(addresses))
+        entries = self.subsets.entries(report, len(self.fleet.hosts))
+        self.fleet.interval_ms = entries.interval_ms
+        if entries.digest != report.digest and entries.addresses:
+            self.send(report.address, entries)
         accepted = self.config.accepted.get(
             ResourceId(Kind.UPSTREAM, report.upstream),
         )
         if accepted is None or accepted.spec is None:
             return
-        if accepted.version > report.versions:
+        if accepted.version > report.version:
             self.send(
                 report.address,
                 UpstreamConfig(accepted.name, accepted.version, accepted.spec),
             )
 
+    def accepted(self, accepted: Accepted) -> None:
+        """Send a newer declaration to its upstream's hosts at once.
+
+        A lost datagram is made up for by the next report.
+        """
+        if accepted.kind != Kind.UPSTREAM or accepted.spec is None:
+            return
+        message = UpstreamConfig(accepted.name, accepted.version, accepted.spec)
+        for host in self.fleet.hosts.values():
+            if host.report.upstream == accepted.name:
+                self.send(host.report.address, message)
+
     def send(self, address: str, message: Any) -> None:
         """Send a datagram."""
         payload = encode_datagram(message)
--- a/pollenwalk/process/fleet.py
+++ b/pollenwalk/process/fleet.py
@@ -10,7 +10,8 @@
 from pollenwalk.policy.placement import HostView
 from pollenwalk.process.clock import Clock
 
-SILENT_AFTER_MS = 3500
+SILENT_AFTER_REPORTS = 3.5
+FIRST_INTERVAL_MS = 1000
 
 
 class Location(NamedTuple):
@@ -21,13 +22,18 @@
 
 
 class UpstreamHost:
-    """One upstream host and what was sent to it."""
+    """One upstream host: its last report and this entry's own calls there.
+
+    Own calls are known exactly. Those of other entries are what the host had
+    at its last word beyond our own at that moment.
+    """
 
     def __init__(self, report: Report, heard_ms: float) -> None:
         """Start from the first report."""
         self.report = report
         self.heard_ms = heard_ms
-        self.sent: dict[str, float] = {}
+        self.own: dict[str, None] = {}
+        self.others = report.running + report.queued
         self.refused_until_ms = 0.0
 
     def take(self, report: Report, heard_ms: float) -> None:
@@ -39,11 +45,11 @@
         self.report = report._replace(leaving=report.leaving or left)
         self.heard_ms = heard_ms
         self.refused_until_ms = 0.0
-        self.sent = {
-            call: sent_ms
-            for call, sent_ms in self.sent.items()
-            if sent_ms > heard_ms - 1
-        }
+        self.count(report.running + report.queued)
+
+    def count(self, ahead: int) -> None:
+        """Note how many calls the host has in all."""
+        self.others = max(ahead - len(self.own), 0)
 
     def view(self, region: str) -> HostView:
         """Give what placement needs."""
@@ -54,10 +60,8 @@
             report.zone,
             region,
             report.slots,
-            report.running,
-            report.queued,
-            report.work_ms,
-            len(self.sent),
+            report.running + report.queued,
+            self.others + len(self.own),
         )
 
 
@@ -69,6 +73,7 @@
         self.clock = clock
         self.regions = regions
         self.hosts: dict[str, UpstreamHost] = {}
+        self.interval_ms = FIRST_INTERVAL_MS
 
     def take(self, report: Report) -> None:
         """Note a report."""
@@ -96,17 +101,23 @@
             or now_ms < host.refused_until_ms
         ):
             return False
-        return now_ms - host.heard_ms <= SILENT_AFTER_MS
+        return now_ms - host.heard_ms <= self.interval_ms * SILENT_AFTER_REPORTS
 
     def sent(self, sidecar: str, call: str) -> None:
         """Note a call on its way to a host."""
-        self.hosts[sidecar].sent[call] = self.clock.now_ms()
+        self.hosts[sidecar].own[call] = None
 
     def returned(self, sidecar: str, call: str) -> None:
         """Note that a call is back."""
         host = self.hosts.get(sidecar)
         if host is not None:
-            host.sent.pop(call, None)
+            host.own.pop(call, None)
+
+    def answered(self, sidecar: str, ahead: int) -> None:
+        """Note the load that came with an answer."""
+        host = self.hosts.get(sidecar)
+        if host is not None:
+            host.count(ahead)
 
     def leaves(self, sidecar: str) -> None:
         """Note a host's own word that it leaves."""
--- a/pollenwalk/process/sidecar.py
+++ b/pollenwalk/process/sidecar.py
@@ -49,6 +49,7 @@
 from pollenwalk.version.resources import Kind, UpstreamSpec
 
 REPORT_MS = 1000
+SEED_EVERY = 10
 SWEEP_MS = 1000
 ORPHAN_MS = 10_000
 STOP_PATIENCE_MS = 60_000
@@ -113,6 +114,8 @@
         self.spec: UpstreamSpec | None = None
         self.spec_version = 0
         self.entries = list(settings.entries)
+        self.interval_ms = float(REPORT_MS)
+        self.digest = ''
         self.reports = 0
         self.leaving = False
         self.listeners: list[Listener] = []
@@ -175,7 +178,14 @@
                 return
             call = self.begin(message, history)
         async for item in call.follow(0):
-            yield item
+            yield self.with_load(item)
+
+    def with_load(self, item: Tokens | Answer) -> Tokens | Answer:
+        """Let an answer tell how many calls are still here."""
+        if isinstance(item, Tokens):
+            return item
+        ahead = self.admission.running + len(self.admission.waiting)
+        return item._replace(ahead=ahead)
 
     def check_boot(self, boot: str, outcome: Outcome) -> None:
         """Refuse what was meant for an earlier start of this sidecar."""
@@ -406,7 +416,7 @@
         """Report the load for as long as the process lives."""
         while True:
             self.send_report()
-            await self.clock.sleep_ms(REPORT_MS)
+            await self.clock.sleep_ms(self.interval_ms)
 
     def send_report(self) -> None:
         """Send one report to each entry."""
@@ -422,15 +432,23 @@
             self.admission.running,
             len(self.admission.waiting),
             self.admission.slots,
-            0.0,
             self.leaving,
-            [],
             self.spec_version,
+            self.digest,
         )
         payload = encode_datagram(report)
-        for address in self.entries:
+        for address in self.targets():
             self.network.send_datagram(settings.address, address, payload)
 
+    def targets(self) -> list[str]:
+        """Give whom to report to; now and then also the first entries.
+
+        All that were named since may have been replaced meanwhile.
+        """
+        if self.reports % SEED_EVERY:
+            return self.entries
+        return list(dict.fromkeys([*self.entries, *self.settings.entries]))
+
     def datagram(self, payload: bytes, sender: str) -> None:
         """Take an entry's reply to a report; noise is dropped."""
         try:
@@ -439,9 +457,9 @@
             logger.debug('datagram_dropped', sender=sender, reason=refusal.message)
             return
         if isinstance(message, Entries) and message.addresses:
-            self.entries = list(
-                dict.fromkeys([*message.addresses, *self.settings.entries]),
-            )
+            self.entries = message.addresses
+            self.interval_ms = float(message.interval_ms)
+            self.digest = message.digest
         if isinstance(message, UpstreamConfig):
             self.configure(message)
 
--- a/pollenwalk/process/traces.py
+++ b/pollenwalk/process/traces.py
@@ -1,51 +1,36 @@
-"""Spans for each hop, carried between processes as W3C trace context."""
+"""Spans for each hop, carried between processes as W3C trace context.
+
+The tracing library is imported only where traces are kept: it would take a
+tenth of the memory that a process may have.
+"""
 
 import contextlib
-import json
-import re
-from collections.abc import Iterator, Sequence
-from pathlib import Path
-
-from opentelemetry import trace
-from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
-from opentelemetry.sdk.trace.export import (
-    BatchSpanProcessor,
-    SpanExporter,
-    SpanExportResult,
-)
-from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
-from opentelemetry.trace.propagation.tracecontext import (
-    TraceContextTextMapPropagator,
-)
+from collections.abc import Iterator
+from typing import Protocol
 
 HEADER = 'traceparent'
-HEADER_FORM = re.compile('00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}')
 
 
-class FileExporter(SpanExporter):
-    """Writes finished spans to a file, one JSON object a line."""
+class SpanSource(Protocol):
+    """Starts spans."""
 
-    def __init__(self, path: Path) -> None:
-        """Append to `path`."""
-        self.path = path
+    def span(
+        self,
+        name: str,
+        parent: str,
+    ) -> contextlib.AbstractContextManager[str]:
+        """Run a block in a span; gives the header for the next hop."""
 
-    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
-        """Write a batch of spans."""
-        with self.path.open('a', encoding='utf-8') as target:
-            for span in spans:
-                compact = json.dumps(json.loads(span.to_json()))
-                target.write(f'{compact}\n')
-        return SpanExportResult.SUCCESS
+    def close(self) -> None:
+        """Write what is left."""
 
 
 class Tracer:
-    """Starts spans and turns them into headers."""
+    """Starts spans at a source, or passes the header on."""
 
-    def __init__(self, provider: TracerProvider | None = None) -> None:
-        """Use a provider; None traces nothing."""
-        self.provider = provider
-        self.propagator = TraceContextTextMapPropagator()
-        self.tracer = provider.get_tracer('pollenwalk') if provider else None
+    def __init__(self, source: SpanSource | None = None) -> None:
+        """Use a source; None traces nothing."""
+        self.source = source
 
     @contextlib.contextmanager
     def span(self, name: str, parent: str) -> Iterator[str]:
@@ -58,30 +43,22 @@
         Yields:
             The traceparent header for the next hop.
         """
-        if self.tracer is None:
+        if self.source is None:
             yield parent
             return
-        context = None
-        if HEADER_FORM.fullmatch(parent):
-            context = self.propagator.extract({HEADER: parent})
-        with self.tracer.start_as_current_span(name, context):
-            carrier: dict[str, str] = {}
-            self.propagator.inject(carrier)
-            yield carrier.get(HEADER, '')
+        with self.source.span(name, parent) as header:
+            yield header
 
     def close(self) -> None:
         """Write what is left."""
-        if self.provider is not None:
-            self.provider.shutdown()
+        if self.source is not None:
+            self.source.close()
 
 
 def make_tracer(path: str, share: float) -> Tracer:
     """Make a tracer that writes a share of all traces to a file."""
     if not path:
         return Tracer()
-    provider = TracerProvider(sampler=ParentBased(TraceIdRatioBased(share)))
-    provider.add_span_processor(BatchSpanProcessor(FileExporter(Path(path))))
-    return Tracer(provider)
-
+    from pollenwalk.process.spans import FileSpans  # noqa: PLC0415, WPS433
 
-__all__ = ('FileExporter', 'Tracer', 'make_tracer', 'trace')
+    return Tracer(FileSpans(path, share))
--- a/pollenwalk/request/execution.py
+++ b/pollenwalk/request/execution.py
@@ -305,8 +305,9 @@
                 answer = await dispatch(connection, self.live, self.call, message)
             finally:
                 self.parts.fleet.returned(host.sidecar, self.call.id)
+        self.parts.fleet.answered(host.sidecar, answer.ahead)
         self.parts.retries.of(self.program.caller, self.request.upstream).earn()
-        return answer
+        return answer._replace(ahead=0)
 
     def build(
         self,
--- a/pollenwalk/version/config.py
+++ b/pollenwalk/version/config.py
@@ -1,5 +1,6 @@
 """The configuration in force: accepted resources, each at a version that only grows."""
 
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import msgspec
@@ -35,6 +36,7 @@
         """Start empty."""
         self.accepted: dict[ResourceId, Accepted] = {}
         self.specs: dict[ResourceId, Spec] = {}
+        self.on_accept: Callable[[Accepted], None] = lambda accepted: None
 
     def accept(self, accepted: Accepted) -> bool:
         """Put a resource in force unless a later version is.
@@ -51,6 +53,7 @@
             self.specs.pop(resource_id, None)
         else:
             self.specs[resource_id] = spec_from(resource_id.kind, accepted.spec)
+        self.on_accept(accepted)
         return True
 
     def program(self, name: str) -> ProgramSpec | None:
--- a/standin/virtual/world.py
+++ b/standin/virtual/world.py
@@ -90,11 +90,16 @@
         self.engines: dict[str, ModelEngine] = {}
         self.services: dict[str, PlainService] = {}
         self.zones: dict[str, str] = {}
+        self.engine_shape = EngineShape()
+        self.slots = 0
 
     async def start(self) -> None:
         """Start everything and wait until calls can be taken."""
         for resource in parse_resources(DECLARATIONS, 'declarations'):
-            body = encode_wish(resource.id, section_keys(resource.id))
+            keys = section_keys(resource.id)
+            if self.slots and keys.get('kind') == 'model':
+                keys['slots'] = str(self.slots)
+            body = encode_wish(resource.id, keys)
             await self.store.put(wish_key(resource.id), body, None)
         for number, zone in enumerate(self.shape.entries, start=1):
             self.zones[f'entry{number}'] = zone
@@ -138,7 +143,7 @@
     async def start_model(self, name: str, zone: str) -> None:
         """Start a model engine and its sidecar."""
         self.zones[name] = zone
-        engine = ModelEngine(EngineShape(), self.clock, self.ledger)
+        engine = ModelEngine(self.engine_shape, self.clock, self.ledger)
         engine.start()
         self.engines[name] = engine
         await self.start_sidecar(name)
