--- a/pollenwalk/errors.py
+++ b/pollenwalk/errors.py
@@ -136,3 +136,8 @@
     """This incarnation has been sealed by a successor."""
 
     code = 'fenced'
+
+
+def sealed() -> Fenced:
+    """Send a caller's request on to the successor."""
+    return Fenced('this home has a successor')
--- a/pollenwalk/process/adoption.py
+++ b/pollenwalk/process/adoption.py
@@ -82,7 +82,7 @@
             self.home.book.add(program)
         for identity, program_id in book.claims.items():
             self.home.book.claims.setdefault(identity, program_id)
-        self.home.recover(book.programs.values())
+        self.home.recovery.recover(book.programs.values())
         inherited = adopted_incarnations(sealed)
         self.adopted.update(dict.fromkeys([dead, *sorted(inherited)]))
         logger.info('entry_adopted', dead=dead, programs=len(book.programs))
--- /dev/null
+++ b/pollenwalk/process/beginnings.py
@@ -0,0 +1,201 @@
+"""Beginning programs: keys, ids, and the limits of callers and parents."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from pollenwalk.connection.wire import BeginProgram
+from pollenwalk.errors import Refusal, RefusalCode, sealed
+from pollenwalk.process.ids import new_program_id
+from pollenwalk.process.recorder import store_unavailable
+from pollenwalk.program.budget import Budget
+from pollenwalk.program.live import LiveProgram
+from pollenwalk.program.program import Program
+from pollenwalk.program.records import Begun, Claimed, Record
+from pollenwalk.version.resources import ProgramSpec
+
+if TYPE_CHECKING:
+    from pollenwalk.process.home import Home
+
+BEGIN_WAIT_MS = 2000
+RETRY_AFTER_MS = 1000
+KEY_RETAIN_MS = 600_000
+
+
+class Beginnings:
+    """Programs that begin at one home, and keys that it settles."""
+
+    def __init__(self, home: 'Home') -> None:
+        """Begin programs at `home`."""
+        self.home = home
+        self.parts = home.parts
+        self.beginning: dict[tuple[str, str], str] = {}
+        self.claiming: dict[tuple[str, str], asyncio.Task[None]] = {}
+        self.claimed_ms: dict[tuple[str, str], float] = {}
+
+    async def begin(self, request: BeginProgram) -> Program:
+        """Begin a program; a repeat with the same key gives the same one.
+
+        Raises:
+            Refusal: it is not declared, or a limit or budget forbids it.
+        """
+        identity = (request.caller, request.key)
+        known = self.home.book.by_key.get(identity) if request.key else None
+        known = known or request.program
+        if known in self.home.book.programs:
+            return self.repeated(self.home.book.programs[known], request)
+        self.home.check_open()
+        spec = self.parts.config.program(request.declaration)
+        if spec is None:
+            raise Refusal(
+                RefusalCode.UNKNOWN_DECLARATION,
+                f'no program is declared as {request.declaration!r}',
+            )
+        program_id = self.beginning.get(identity) if request.key else None
+        if program_id is None:
+            program_id = request.program or self.new_id()
+            self.begin_new(program_id, request, spec)
+        await self.wait_begun(program_id, request)
+        return self.home.book.programs[program_id]
+
+    async def claim(self, caller: str, key: str, program: str) -> str:
+        """Settle which program a key has begun; the first claim wins.
+
+        Args:
+            caller: whose key it is.
+            key: the caller's key.
+            program: the claimed program; empty only asks.
+
+        Returns:
+            The program of the key; empty when it has none.
+
+        Raises:
+            Refusal: the claim can't be made durable now.
+            Fenced: this home has a successor; ask there.
+        """
+        identity = (caller, key)
+        known = self.home.book.claims.get(identity)
+        if known or not program:
+            return known or ''
+        self.home.check_open()
+        task = self.claiming.get(identity)
+        if task is None:
+            record = Claimed(caller, key, program)
+            task = self.home.tasks.spawn(self.parts.recorder.commit([record]), 'claim')
+            self.claiming[identity] = task
+            task.add_done_callback(lambda _: self.claiming.pop(identity, None))
+        try:
+            async with self.parts.clock.timeout_ms(BEGIN_WAIT_MS):
+                await asyncio.shield(task)
+        except TimeoutError as error:
+            raise store_unavailable() from error
+        self.claimed_ms[identity] = self.parts.clock.now_ms()
+        return self.home.book.claims[identity]
+
+    def repeated(self, program: Program, request: BeginProgram) -> Program:
+        """Check that a repeat asks for the same program."""
+        if program.declaration != request.declaration:
+            raise Refusal(
+                RefusalCode.KEY_REUSED,
+                'the key has begun another program',
+            )
+        return program
+
+    def new_id(self, incarnation: str = '') -> str:
+        """Make a program id that carries its home, this one unless named."""
+        return new_program_id(
+            incarnation or self.parts.incarnation,
+            self.parts.dice,
+        )
+
+    def begin_new(
+        self,
+        program_id: str,
+        request: BeginProgram,
+        spec: ProgramSpec,
+    ) -> None:
+        """Check the limits and start recording a new program."""
+        limit = min(request.budget or spec.budget_tokens, spec.budget_tokens)
+        self.check_limits(request, limit)
+        record = Begun(
+            program_id,
+            request.declaration,
+            request.caller,
+            request.key,
+            request.parent or '',
+            limit,
+            Budget(limit).ahead(spec.reserve_tokens),
+            min(request.deadline_ms or spec.deadline_ms, spec.deadline_ms),
+        )
+        self.beginning[request.caller, request.key or program_id] = program_id
+        if request.parent:
+            parent = self.home.find(request.parent)
+            self.parts.recorder.record_later(
+                parent,
+                lambda: self.carved(parent, record),
+            )
+        else:
+            self.home.tasks.spawn(self.parts.recorder.commit([record]), 'begin')
+
+    def carved(self, parent: LiveProgram, record: Begun) -> list[Record]:
+        """Check the parent's budget again under its lock."""
+        if record.limit > parent.program.budget.free:
+            return []
+        return [record]
+
+    def check_limits(self, request: BeginProgram, limit: int) -> None:
+        """Check the parent's budget or the caller's.
+
+        Raises:
+            Refusal: the new program would go beyond it.
+        """
+        if request.parent:
+            parent = self.home.find(request.parent)
+            if parent.program.ended or parent.ending:
+                raise Refusal(RefusalCode.PROGRAM_ENDED, 'the parent has ended')
+            if limit > parent.program.budget.free:
+                raise Refusal(
+                    RefusalCode.BUDGET_EXHAUSTED,
+                    f'the parent has {parent.program.budget.free} tokens to give',
+                )
+            return
+        budget = self.parts.config.budget(request.caller)
+        running = [
+            program
+            for program in self.home.book.programs.values()
+            if program.caller == request.caller and not program.ended
+        ]
+        promised = sum(program.budget.limit for program in running)
+        over = len(running) >= budget.concurrent_programs
+        if over or promised + limit > budget.tokens:
+            raise Refusal(
+                RefusalCode.BUDGET_EXHAUSTED,
+                f'the limits of {request.caller} are reached',
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+
+    async def wait_begun(self, program_id: str, request: BeginProgram) -> None:
+        """Wait until a program's beginning is durable."""
+        journal = self.parts.recorder.journal
+        until_ms = self.parts.clock.now_ms() + BEGIN_WAIT_MS
+        identity = (request.caller, request.key or program_id)
+        while program_id not in self.home.book.programs:
+            if journal.fenced:
+                raise sealed()
+            if self.parts.clock.now_ms() > until_ms:
+                raise store_unavailable()
+            if identity not in self.beginning:
+                raise Refusal(
+                    RefusalCode.BUDGET_EXHAUSTED,
+                    'the parent has too few tokens to give',
+                )
+            await self.parts.clock.sleep_ms(1)
+        self.beginning.pop(identity, None)
+
+    def drop_claims(self) -> None:
+        """Forget keys whose retention has passed."""
+        now_ms = self.parts.clock.now_ms()
+        for identity in list(self.home.book.claims):
+            claimed_ms = self.claimed_ms.setdefault(identity, now_ms)
+            if now_ms - claimed_ms > KEY_RETAIN_MS:
+                self.home.book.claims.pop(identity)
+                self.claimed_ms.pop(identity)
--- a/pollenwalk/process/entry_service.py
+++ b/pollenwalk/process/entry_service.py
@@ -27,7 +27,7 @@
     RefusalCode,
 )
 from pollenwalk.process.directory import EntryRecord
-from pollenwalk.process.home import home_of
+from pollenwalk.process.ids import home_of
 from pollenwalk.request.routing import home_unreachable
 
 if TYPE_CHECKING:
@@ -101,7 +101,7 @@
         try:
             if message.program:
                 return Claim(await self.entry.routing.claim_here(message))
-            return Claim(await self.home.claim(*message))
+            return Claim(await self.home.beginnings.claim(*message))
         except Fenced as error:
             raise home_unreachable() from error
 
--- /dev/null
+++ b/pollenwalk/process/recovery.py
@@ -0,0 +1,152 @@
+"""Finding out what became of a dead home's non-idempotent calls."""
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from pollenwalk.connection.wire import Answer, CallProgram
+from pollenwalk.errors import (
+    Outcome,
+    PollenwalkError,
+    Refusal,
+    RefusalBody,
+    RefusalCode,
+)
+from pollenwalk.program.history import plain_entries
+from pollenwalk.program.live import LiveProgram
+from pollenwalk.program.program import Program
+from pollenwalk.program.records import Finished, Intended, Withdrawn
+from pollenwalk.request.call import LiveCall
+from pollenwalk.request.dispatch import Resolver
+from pollenwalk.request.execution import Execution
+
+if TYPE_CHECKING:
+    from pollenwalk.process.home import Home
+
+RECOVERY_MS = 30_000
+
+
+class Recovery:
+    """Settles the intents of programs that a home has adopted."""
+
+    def __init__(self, home: 'Home') -> None:
+        """Recover the programs of `home`."""
+        self.home = home
+        self.parts = home.parts
+
+    def recover(self, programs: Iterable[Program]) -> None:
+        """Find out what became of the intents of adopted programs."""
+        for program in programs:
+            live = self.home.find(program.id)
+            live.doubtful = program.next_sequence
+            for intent in list(program.intents.values()):
+                call = LiveCall(request_of(intent), self.parts.clock)
+                live.calls[intent.key] = call
+                live.tasks[intent.key] = self.home.tasks.spawn(
+                    self.recover_call(live, call, intent),
+                    'recover',
+                )
+            if program.ended:
+                self.home.tasks.spawn(
+                    self.home.upkeep.release(program),
+                    'release',
+                )
+
+    async def recover_call(
+        self,
+        live: LiveProgram,
+        call: LiveCall,
+        intent: Intended,
+    ) -> None:
+        """Ask the sidecar that an intent names, and never dispatch again."""
+        resolver = Resolver(
+            self.parts.peers(intent.address),
+            self.parts.clock,
+            intent.boot,
+        )
+        until_ms = self.parts.clock.now_ms() + RECOVERY_MS
+        try:
+            answer = await resolver.resolve(call, intent.incarnation, until_ms)
+            if answer is None:
+                await self.withdraw(live, call, intent)
+            else:
+                await self.recovered(live, call, intent, answer)
+        except Refusal as refusal:
+            await self.recovered(live, call, intent, refusal)
+        except PollenwalkError as error:
+            call.refuse(error)
+        finally:
+            live.calls.pop(intent.key, None)
+            live.tasks.pop(intent.key, None)
+            live.notify()
+
+    async def withdraw(
+        self,
+        live: LiveProgram,
+        call: LiveCall,
+        intent: Intended,
+    ) -> None:
+        """Record that an intent was proven not to have run.
+
+        Where a caller waits for it, the call is then run for the first time.
+        """
+        await self.parts.recorder.record(
+            live,
+            lambda: [Withdrawn(intent.program, intent.key)],
+        )
+        if call.stream.followers:
+            call.finish(await Execution(self.parts, live, call).run())
+            return
+        call.refuse(
+            Refusal(
+                RefusalCode.CANCELLED,
+                'its entry died before the call was handed over',
+                retry_after_ms=0,
+            ),
+        )
+
+    async def recovered(
+        self,
+        live: LiveProgram,
+        call: LiveCall,
+        intent: Intended,
+        ending: Answer | Refusal,
+    ) -> None:
+        """Record how a call of a dead home ended."""
+        answer = ending if isinstance(ending, Answer) else None
+        refusal = ending if isinstance(ending, Refusal) else None
+        if refusal is not None and refusal.outcome == Outcome.NOT_RUN:
+            await self.withdraw(live, call, intent)
+            return
+        entries = []
+        if answer is not None:
+            entries = plain_entries(intent.operation, intent.argument, answer)
+        record = Finished(
+            intent.program,
+            intent.key,
+            intent.sequence,
+            intent.digest,
+            intent.upstream,
+            intent.operation,
+            answer,
+            RefusalBody.of(refusal) if refusal else None,
+            entries,
+            0,
+            live.program.budget.reserved,
+            '',
+        )
+        await self.parts.recorder.record(live, lambda: [record])
+        self.parts.recorder.settle(intent.address, call.id)
+        call.finish(live.program.finished[intent.key])
+
+
+def request_of(intent: Intended) -> CallProgram:
+    """Rebuild the request that an intent stands for."""
+    return CallProgram(
+        intent.program,
+        intent.key,
+        intent.sequence,
+        intent.upstream,
+        intent.operation,
+        intent.argument,
+        deadline_in_ms=RECOVERY_MS,
+    )
--- a/pollenwalk/request/routing.py
+++ b/pollenwalk/request/routing.py
@@ -30,7 +30,8 @@
 )
 from pollenwalk.process.directory import Directory, EntryRecord, rendezvous
 from pollenwalk.process.fleet import Location
-from pollenwalk.process.home import Home, home_of, unknown_program
+from pollenwalk.process.home import Home
+from pollenwalk.process.ids import home_of, unknown_program
 from pollenwalk.process.witness import PeerSource
 from pollenwalk.program.view import view_call, view_program
 
@@ -110,7 +111,7 @@
 
     async def begin_by_key(self, request: BeginProgram) -> View:
         """Begin here, or give what the same key began anywhere before."""
-        proposed = self.home.new_id(self.best_home(request))
+        proposed = self.home.beginnings.new_id(self.best_home(request))
         if not request.key:
             return await self.at_home(proposed, request._replace(program=proposed))
         program_id = await self.claim(request, proposed)
@@ -137,7 +138,7 @@
             return self.incarnation
         region = max(sorted(regions), key=regions.__getitem__)
         names = [record.incarnation for record in self.directory.live(region)]
-        ranked = rendezvous(request.key or self.home.new_id(), names)
+        ranked = rendezvous(request.key or self.home.beginnings.new_id(), names)
         return ranked[0] if ranked else self.incarnation
 
     async def claim(self, request: BeginProgram, proposed: str) -> str:
@@ -186,7 +187,7 @@
         if identity not in self.home.book.claims:
             earlier = await self.claimed_before(message)
             message = message._replace(program=earlier or message.program)
-        return await self.home.claim(*message)
+        return await self.home.beginnings.claim(*message)
 
     async def claimed_before(self, message: ClaimKey) -> str:
         """Ask the entries that owned the key before this one joined."""
@@ -292,7 +293,7 @@
     async def answer(self, message: Any) -> View:
         """Answer a question about a program of this home."""
         if isinstance(message, BeginProgram):
-            return View(view_program(await self.home.begin(message)))
+            return View(view_program(await self.home.beginnings.begin(message)))
         if isinstance(message, EndProgram):
             return View(view_program(await self.home.end(message.program)))
         live = self.home.find(message.program)
