--- a/pollenwalk/process/entry.py
+++ b/pollenwalk/process/entry.py
@@ -49,7 +49,7 @@
 from pollenwalk.process.traces import Tracer
 from pollenwalk.process.witness import WitnessLog
 from pollenwalk.program.program import ProgramBook
-from pollenwalk.request.execution import Parts
+from pollenwalk.request.parts import Parts
 from pollenwalk.request.retry import RetryBudgets
 from pollenwalk.request.routing import Routing
 from pollenwalk.version.config import Accepted, Configuration
--- a/pollenwalk/process/home.py
+++ b/pollenwalk/process/home.py
@@ -33,7 +33,8 @@
     Record,
 )
 from pollenwalk.request.call import LiveCall, check_request
-from pollenwalk.request.execution import Execution, Parts, doubted
+from pollenwalk.request.execution import Execution, doubted
+from pollenwalk.request.parts import Parts
 
 END_WAIT_MS = 2000
 RENEW_MS = 5000
--- /dev/null
+++ b/pollenwalk/request/parts.py
@@ -0,0 +1,29 @@
+"""What a home needs to run calls."""
+
+import random
+from typing import NamedTuple
+
+from pollenwalk.policy.placement import Placement
+from pollenwalk.process.clock import Clock
+from pollenwalk.process.fleet import Fleet, Location
+from pollenwalk.process.recorder import Recorder
+from pollenwalk.process.traces import Tracer
+from pollenwalk.process.witness import PeerSource
+from pollenwalk.request.retry import RetryBudgets
+from pollenwalk.version.config import Configuration
+
+
+class Parts(NamedTuple):
+    """What a home needs to run calls."""
+
+    incarnation: str
+    clock: Clock
+    dice: random.Random
+    location: Location
+    config: Configuration
+    fleet: Fleet
+    peers: PeerSource
+    placement: Placement
+    retries: RetryBudgets
+    recorder: Recorder
+    tracer: Tracer
--- a/standin/scenario/runner.py
+++ b/standin/scenario/runner.py
@@ -137,7 +137,7 @@
     def sidecar_with(self, program_id: str) -> str:
         """Give the sidecar that runs a call of a program."""
         for name, process in self.world.sidecars.items():
-            for call in process.sidecar.calls.calls.values():
+            for call in process.sidecar.work.calls.calls.values():
                 if call.message.program == program_id and not call.ended_ms:
                     return name
         raise LookupError(f'no sidecar runs a call of {program_id}')
