Tell one call's run in one line of steps; forfeit before pausing

Cause: the two loops stood twice, and a lost model attempt whose retries were used up was not counted against the budget.

--- a/pollenwalk/errors.py
+++ b/pollenwalk/errors.py
@@ -7,6 +7,8 @@
 import enum
 from typing import NamedTuple
 
+HOME_RETRY_MS = 1000
+
 
 class Outcome(enum.StrEnum):
     """What a caller may conclude about the effect of its call."""
@@ -86,6 +88,26 @@
         self.retry_after_ms = retry_after_ms
 
 
+class HomeUnreachable(Refusal):
+    """The asked entry is not, or no longer, the program's home.
+
+    The call may have run there, so the outcome is unknown.
+    """
+
+    def __init__(
+        self,
+        message: str = "the program's home does not answer and has no successor yet",
+        retry_after_ms: int | None = HOME_RETRY_MS,
+    ) -> None:
+        """Invite the caller to come back."""
+        super().__init__(
+            RefusalCode.HOME_UNREACHABLE,
+            message,
+            Outcome.UNKNOWN,
+            retry_after_ms,
+        )
+
+
 class RefusalBody(NamedTuple):
     """A refusal as it travels between processes and into the journal."""
 
@@ -106,6 +128,8 @@
 
     def to_refusal(self) -> Refusal:
         """Rebuild the error on the receiving side."""
+        if self.code == RefusalCode.HOME_UNREACHABLE:
+            return HomeUnreachable(self.message, self.retry_after_ms)
         return Refusal(
             RefusalCode(self.code),
             self.message,
--- a/pollenwalk/process/entry_service.py
+++ b/pollenwalk/process/entry_service.py
@@ -22,13 +22,13 @@
 from pollenwalk.errors import (
     ConnectionLost,
     Fenced,
+    HomeUnreachable,
     Outcome,
     Refusal,
     RefusalCode,
 )
 from pollenwalk.process.directory import EntryRecord
 from pollenwalk.process.ids import home_of
-from pollenwalk.request.routing import home_unreachable
 
 if TYPE_CHECKING:
     from pollenwalk.process.entry import Entry
@@ -59,7 +59,7 @@
             async for item in self.home.call(message):
                 yield item
         except Fenced as error:
-            raise home_unreachable() from error
+            raise HomeUnreachable() from error
 
     async def answer(self, message: Any) -> Any:
         """Answer a question that has one answer."""
@@ -86,7 +86,7 @@
         try:
             return await self.entry.routing.answer(message)
         except Fenced as error:
-            raise home_unreachable() from error
+            raise HomeUnreachable() from error
 
     def check_here(self, program_id: str) -> None:
         """Refuse what is not ours without a word on whether it ran."""
@@ -94,7 +94,7 @@
             return
         owner = self.entry.directory.owner(home_of(program_id))
         if owner is None or owner.incarnation != self.entry.incarnation:
-            raise home_unreachable()
+            raise HomeUnreachable()
 
     async def claim(self, message: ClaimKey) -> Claim:
         """Settle a key, or tell which program it has."""
@@ -103,7 +103,7 @@
                 return Claim(await self.entry.routing.claim_here(message))
             return Claim(await self.home.beginnings.claim(*message))
         except Fenced as error:
-            raise home_unreachable() from error
+            raise HomeUnreachable() from error
 
     async def hand_over(self, message: HandOver) -> Done:
         """Take over the programs of an entry that stops.
--- a/pollenwalk/process/fleet.py
+++ b/pollenwalk/process/fleet.py
@@ -4,6 +4,7 @@
 that falls silent is left out, and a leaving one at its first word.
 """
 
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from pollenwalk.connection.wire import Report
@@ -93,6 +94,11 @@
             if host.report.upstream == upstream and self.takes_work(host, now_ms)
         ]
 
+    def views_of(self, upstreams: list[str]) -> Iterator[HostView]:
+        """Give the hosts of several upstreams that may take new work."""
+        for upstream in upstreams:
+            yield from self.views(upstream)
+
     def takes_work(self, host: UpstreamHost, now_ms: float) -> bool:
         """Tell whether a host is heard, stays, and did not just refuse."""
         if (
--- a/pollenwalk/request/execution.py
+++ b/pollenwalk/request/execution.py
@@ -29,7 +29,7 @@
     Reserved,
     Withdrawn,
 )
-from pollenwalk.request.attempts import DEFAULT_MAX_TOKENS, Attempts
+from pollenwalk.request.attempts import DEFAULT_MAX_TOKENS, RETRY_AFTER_MS, Attempts
 from pollenwalk.request.call import LiveCall
 from pollenwalk.request.dispatch import Resolver
 from pollenwalk.request.parts import Parts
@@ -39,6 +39,9 @@
 RESOLVE_GRACE_MS = 5000
 
 
+Ending = Answer | Refusal
+
+
 class Execution:
     """One call's run."""
 
@@ -71,14 +74,68 @@
             final = refusal.retry_after_ms is None
             if final and self.live.may_have_run(self.request):
                 # An earlier try may have run, so the call takes its place.
-                return await self.finish(None, doubted(refusal), None)
+                return await self.finish(doubted(refusal), None)
             raise
 
     async def run_repeatable(self) -> FinishedCall:
-        """Run a call that may be repeated."""
-        if self.spec.kind == 'model':
-            return await self.run_model()
-        return await self.run_plain()
+        """Run a call that may be repeated, a model's within its budget."""
+        while True:
+            max_tokens = await self.reserve() if self.is_model else 0
+            host = await self.attempts.pick()
+            ending = await self.tried(host, max_tokens)
+            if ending is not None:
+                return await self.finish(ending, host)
+
+    @property
+    def is_model(self) -> bool:
+        """Tell a model call from one of a plain service."""
+        return self.spec.kind == 'model'
+
+    async def tried(self, host: HostView, max_tokens: int) -> Ending | None:
+        """Hand over once.
+
+        Returns:
+            How the call ended; None when another attempt is due.
+        """
+        try:
+            return await self.attempts.hand_over(host, max_tokens)
+        except ConnectionLost:
+            self.note_maybe_ran()
+            await self.forfeit()
+            await self.attempts.lost(host)
+        except Refusal as refusal:
+            return await self.judged(refusal, host)
+        return None
+
+    async def judged(self, refusal: Refusal, host: HostView) -> Refusal | None:
+        """Decide whether a refusal is final.
+
+        Returns:
+            The refusal, or None when another attempt is due.
+
+        Raises:
+            Refusal: the call did not run and no attempt is left.
+        """
+        not_run = refusal.outcome == Outcome.NOT_RUN
+        if not not_run:
+            self.note_maybe_ran()
+        again = not_run or (not self.is_model and repeatable(refusal))
+        if again and self.attempts.attempts_left():
+            await self.attempts.refused(host, refusal)
+            return None
+        if not_run:
+            raise refusal
+        return refusal
+
+    async def forfeit(self) -> None:
+        """Count a lost attempt's reservation as spent."""
+        if not self.is_model:
+            return
+        await self.parts.recorder.record(
+            self.live,
+            lambda: [Forfeited(self.program.id)],
+        )
+        self.call.stream.restart()
 
     async def confirm(self) -> None:
         """See that no successor runs this program by now.
@@ -91,93 +148,50 @@
         except TimeoutError as error:
             raise store_unavailable() from error
 
-    async def run_model(self) -> FinishedCall:
-        """Run a model call within the program's budget."""
-        while True:
-            max_tokens = await self.reserve()
-            host = await self.attempts.pick()
-            try:
-                answer = await self.attempts.hand_over(host, max_tokens)
-            except ConnectionLost:
-                self.note_maybe_ran()
-                await self.attempts.lost(host)
-                await self.parts.recorder.record(
-                    self.live,
-                    lambda: [Forfeited(self.program.id)],
-                )
-                self.call.stream.restart()
-                continue
-            except Refusal as refusal:
-                if refusal.outcome == Outcome.NOT_RUN:
-                    await self.attempts.refused(host, refusal)
-                    continue
-                return await self.finish(None, refusal, host)
-            return await self.finish(answer, None, host)
-
-    async def run_plain(self) -> FinishedCall:
-        """Run an idempotent call of a plain service."""
-        while True:
-            host = await self.attempts.pick()
-            try:
-                answer = await self.attempts.hand_over(host, 0)
-            except ConnectionLost:
-                self.note_maybe_ran()
-                await self.attempts.lost(host)
-                continue
-            except Refusal as refusal:
-                if refusal.outcome != Outcome.NOT_RUN:
-                    self.note_maybe_ran()
-                if self.attempts.attempts_left() and repeatable(refusal):
-                    await self.attempts.refused(host, refusal)
-                    continue
-                if refusal.outcome == Outcome.NOT_RUN:
-                    raise
-                return await self.finish(None, refusal, host)
-            return await self.finish(answer, None, host)
-
     async def run_once(self) -> FinishedCall:
         """Run a non-idempotent call at most once."""
         if self.program.uncertain:
-            return await self.finish(None, uncertain(), None)
+            return await self.finish(uncertain(), None)
+        while True:
+            host, connection = await self.reach()
+            await self.intend(host, connection)
+            ending = await self.attempt_once(host, connection)
+            if not is_not_run(ending):
+                return await self.finish(ending, host)
+            await self.withdraw()
+            await self.attempts.refused(host, ending)
+
+    async def reach(self) -> tuple[HostView, Connection]:
+        """Connect to a host; nothing has been handed over if that fails."""
         while True:
             host = await self.attempts.pick()
             try:
-                connection = await self.parts.peers(host.address).connected()
+                return host, await self.parts.peers(host.address).connected()
             except ConnectionLost:
-                # Nothing was handed over yet, so another host may be tried.
-                await self.attempts.lost(host)
-                continue
-            await self.intend(host, connection)
-            try:
-                answer = await self.attempt_once(host, connection)
-            except Refusal as refusal:
-                if refusal.outcome == Outcome.NOT_RUN:
-                    await self.withdraw()
-                    await self.attempts.refused(host, refusal)
-                    continue
-                return await self.finish(None, refusal, host)
-            if answer is None:
-                await self.withdraw()
                 await self.attempts.lost(host)
-                continue
-            return await self.finish(answer, None, host)
-
-    async def attempt_once(
-        self,
-        host: HostView,
-        connection: Connection,
-    ) -> Answer | None:
+
+    async def attempt_once(self, host: HostView, connection: Connection) -> Ending:
         """Hand over once; after a lost connection find out what happened."""
         try:
             return await self.attempts.hand_over(host, 0, connection)
         except ConnectionLost:
-            resolver = Resolver(
-                self.parts.peers(host.address),
-                self.parts.clock,
-                connection.boot,
-            )
-            until_ms = self.call.deadline_ms + RESOLVE_GRACE_MS
-            return await resolver.resolve(self.call, '', until_ms)
+            return await self.resolve(host, connection)
+        except Refusal as refusal:
+            return refusal
+
+    async def resolve(self, host: HostView, connection: Connection) -> Ending:
+        """Ask the sidecar what became of a call that was handed to it."""
+        resolver = Resolver(
+            self.parts.peers(host.address),
+            self.parts.clock,
+            connection.boot,
+        )
+        until_ms = self.call.deadline_ms + RESOLVE_GRACE_MS
+        try:
+            answer = await resolver.resolve(self.call, '', until_ms)
+        except Refusal as refusal:
+            return refusal
+        return answer or never_arrived()
 
     def note_maybe_ran(self) -> None:
         """Note that a try of this call may have run."""
@@ -246,18 +260,10 @@
             lambda: [Withdrawn(self.program.id, self.request.key)],
         )
 
-    async def finish(
-        self,
-        answer: Answer | None,
-        refusal: Refusal | None,
-        host: HostView | None,
-    ) -> FinishedCall:
-        """Record the final answer and keep it."""
-        model = self.spec.kind == 'model'
-        entries = self.entries(answer)
-        spent = self.attempts.message_tokens + answer.tokens if model and answer else 0
-        if model and answer is None:
-            spent = self.program.budget.reserved
+    async def finish(self, ending: Ending, host: HostView | None) -> FinishedCall:
+        """Record the final answer or refusal and keep it."""
+        answer = ending if isinstance(ending, Answer) else None
+        refusal = ending if isinstance(ending, Refusal) else None
         record = Finished(
             self.program.id,
             self.request.key,
@@ -267,22 +273,30 @@
             self.request.operation,
             answer,
             RefusalBody.of(refusal) if refusal else None,
-            entries,
-            spent,
-            self.next_reserve(model),
-            host.address if model and host else '',
+            self.entries(answer),
+            self.spent(answer),
+            self.next_reserve(),
+            host.address if self.is_model and host else '',
         )
         await self.parts.recorder.record(self.live, lambda: [record])
         if host is not None:
             self.parts.recorder.settle(host.address, self.call.id)
-        if model and answer:
-            self.attempts.note_held(host)
+            if self.is_model and answer:
+                self.attempts.note_held(host)
         return self.program.finished[self.request.key]
 
-    def next_reserve(self, model: bool) -> int:
+    def spent(self, answer: Answer | None) -> int:
+        """Count what the call has cost; without an answer, all it might."""
+        if not self.is_model:
+            return 0
+        if answer is None:
+            return self.program.budget.reserved
+        return self.attempts.message_tokens + answer.tokens
+
+    def next_reserve(self) -> int:
         """Give what to set aside for the program's next call."""
         budget = self.program.budget
-        if model:
+        if self.is_model:
             return budget.ahead(self.declaration.reserve_tokens)
         return budget.reserved
 
@@ -290,11 +304,25 @@
         """Give what the call adds to the history."""
         if answer is None:
             return []
-        if self.spec.kind == 'model':
+        if self.is_model:
             return chat_entries(self.request.argument, answer)
         return plain_entries(self.request.operation, self.request.argument, answer)
 
 
+def is_not_run(ending: Ending) -> bool:
+    """Tell whether a call is proven not to have run."""
+    return isinstance(ending, Refusal) and ending.outcome == Outcome.NOT_RUN
+
+
+def never_arrived() -> Refusal:
+    """Refuse a call that its sidecar has never seen and never will."""
+    return Refusal(
+        RefusalCode.NO_UPSTREAM,
+        'the call never reached the upstream host',
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
 def uncertain() -> Refusal:
     """Refuse what may have run before a program's last records were lost."""
     return Refusal(
--- a/pollenwalk/request/routing.py
+++ b/pollenwalk/request/routing.py
@@ -23,9 +23,8 @@
 from pollenwalk.errors import (
     ConnectionLost,
     Fenced,
-    Outcome,
+    HomeUnreachable,
     Refusal,
-    RefusalCode,
     StoreUnavailable,
 )
 from pollenwalk.process.directory import Directory, EntryRecord, rendezvous
@@ -40,7 +39,7 @@
 FORWARD_TIMEOUT_MS = 10_000
 CLAIM_TIMEOUT_MS = 1000
 OLDER_REGISTRARS = 2
-RETRY_AFTER_MS = 1000
+MOVED = (ConnectionLost, Fenced, HomeUnreachable)
 
 
 class Routing:
@@ -97,7 +96,7 @@
         try:
             await self.directory.refresh()
         except StoreUnavailable as error:
-            raise home_unreachable() from error
+            raise HomeUnreachable() from error
 
     async def begin(self, request: BeginProgram) -> View:
         """Begin a program, or give the one begun with the same key."""
@@ -129,9 +128,7 @@
         spec = self.home.parts.config.program(request.declaration)
         fleet = self.home.parts.fleet
         regions = Counter(
-            host.region
-            for upstream in (spec.upstreams if spec else ())
-            for host in fleet.views(upstream)
+            host.region for host in fleet.views_of(spec.upstreams if spec else [])
         )
         own = self.location.region
         if not regions or regions[own] == max(regions.values()):
@@ -148,12 +145,8 @@
         while True:
             try:
                 return await self.claim_once(message)
-            except (ConnectionLost, Fenced) as error:
+            except MOVED as error:
                 await self.wait_or_give_up(until_ms, error)
-            except Refusal as refusal:
-                if refusal.code != RefusalCode.HOME_UNREACHABLE:
-                    raise
-                await self.wait_or_give_up(until_ms, refusal)
 
     async def claim_once(self, message: ClaimKey) -> str:
         """Settle a key with its present registrar."""
@@ -178,7 +171,7 @@
         owners = [self.directory.owner(incarnation) for incarnation in ranked]
         known = {owner.incarnation: owner for owner in owners if owner is not None}
         if not known:
-            raise home_unreachable()
+            raise HomeUnreachable()
         return list(known.values())
 
     async def claim_here(self, message: ClaimKey) -> str:
@@ -217,28 +210,35 @@
 
         After a move the tokens begin again at offset 0.
         """
-        until_ms = self.clock.now_ms() + min(request.deadline_in_ms, HOME_WAIT_MS)
         deadline_ms = self.clock.now_ms() + request.deadline_in_ms
+        until_ms = min(deadline_ms, self.clock.now_ms() + HOME_WAIT_MS)
         self.open_requests += 1
         try:
-            while True:
-                left_ms = deadline_ms - self.clock.now_ms()
-                request = request._replace(deadline_in_ms=left_ms)
-                try:
-                    async for item in self.call_once(request):
-                        yield item
-                    return
-                except (ConnectionLost, Fenced) as error:
-                    until_ms = max(until_ms, self.clock.now_ms() + HOME_PAUSE_MS)
-                    await self.wait_or_give_up(until_ms, error)
-                except Refusal as refusal:
-                    if refusal.code != RefusalCode.HOME_UNREACHABLE:
-                        raise
-                    await self.wait_or_give_up(until_ms, refusal)
-                request = request._replace(offset=0)
+            async for item in self.call_until_done(request, deadline_ms, until_ms):
+                yield item
         finally:
             self.open_requests -= 1
 
+    async def call_until_done(
+        self,
+        request: CallProgram,
+        deadline_ms: float,
+        until_ms: float,
+    ) -> AsyncIterator[Tokens | Answer]:
+        """Run a call at one home after the other until one answers."""
+        while True:
+            left_ms = deadline_ms - self.clock.now_ms()
+            request = request._replace(deadline_in_ms=left_ms)
+            try:
+                async for item in self.call_once(request):
+                    yield item
+            except MOVED as error:
+                grace_ms = self.clock.now_ms() + HOME_PAUSE_MS
+                await self.wait_or_give_up(max(until_ms, grace_ms), error)
+                request = request._replace(offset=0)
+            else:
+                return
+
     async def call_once(self, request: CallProgram) -> AsyncIterator[Tokens | Answer]:
         """Run a call at the present home."""
         if self.is_here(request.program):
@@ -262,7 +262,7 @@
             Refusal: none came in time; whether the call ran is unknown.
         """
         if self.clock.now_ms() >= until_ms:
-            raise home_unreachable() from error
+            raise HomeUnreachable() from error
         await self.clock.sleep_ms(HOME_PAUSE_MS)
 
     async def at_home(self, program_id: str, message: Any) -> View:
@@ -271,12 +271,8 @@
         while True:
             try:
                 return await self.ask_home(program_id, message)
-            except (ConnectionLost, Fenced) as error:
+            except MOVED as error:
                 await self.wait_or_give_up(until_ms, error)
-            except Refusal as refusal:
-                if refusal.code != RefusalCode.HOME_UNREACHABLE:
-                    raise
-                await self.wait_or_give_up(until_ms, refusal)
 
     async def ask_home(self, program_id: str, message: Any) -> View:
         """Ask the present home once."""
@@ -309,13 +305,3 @@
             return await self.at_home(message.program, message)
         finally:
             self.open_requests -= 1
-
-
-def home_unreachable() -> Refusal:
-    """Refuse for want of a home; the call may have run there."""
-    return Refusal(
-        RefusalCode.HOME_UNREACHABLE,
-        "the program's home does not answer and has no successor yet",
-        Outcome.UNKNOWN,
-        RETRY_AFTER_MS,
-    )
