Heed the platform's list of hosts; contracts for each interface

Cause: interfaces had no contract tests, and the list of live and leaving hosts was not used.

Found: an engine that sends an endless line ended a call by an unexpected error (now a lost stream); libraries' logs were no JSON lines. A scenario about leaving hosts could not fail, as no work came after its mark (now it does).

--- a/pollenwalk/connection/engine_http.py
+++ b/pollenwalk/connection/engine_http.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 import msgspec
+from aiohttp.http_exceptions import HttpProcessingError
 
 from pollenwalk.connection.upstream import ChatRequest
 from pollenwalk.connection.wire import Answer, Tokens
@@ -57,7 +58,13 @@
 HELD_DECODER = msgspec.json.Decoder(dict[str, int])
 
 
-BROKEN = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+BROKEN = (
+    aiohttp.ClientError,
+    HttpProcessingError,
+    TimeoutError,
+    OSError,
+    ValueError,
+)
 
 
 class HttpEngine:
--- /dev/null
+++ b/pollenwalk/connection/hosts_http.py
@@ -0,0 +1,58 @@
+"""The platform's list of hosts over HTTP.
+
+    GET /hosts   {"ADDRESS": "live" | "leaving", …}
+
+The list lags, so it is a hint: a host that it calls leaving gets no new work,
+and nothing is concluded from one that it lacks.
+"""
+
+import aiohttp
+import msgspec
+
+from pollenwalk.errors import ConnectionLost
+
+ANSWER_TIMEOUT_S = 2
+LEAVING = 'leaving'
+DECODER = msgspec.json.Decoder(dict[str, str])
+
+
+class HttpHosts:
+    """A client of the host list."""
+
+    def __init__(self, url: str) -> None:
+        """Ask the platform at `url`; connections open at first use."""
+        self.url = url
+        self.session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self.session is not None:
+            await self.session.close()
+
+    async def leaving(self) -> list[str]:
+        """Give the IP addresses of leaving hosts.
+
+        Raises:
+            ConnectionLost: no answer, or one that makes no sense.
+        """
+        if self.session is None:
+            self.session = aiohttp.ClientSession()
+        timeout = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S)
+        try:
+            async with self.session.get(
+                f'{self.url}/hosts',
+                timeout=timeout,
+                raise_for_status=True,
+            ) as response:
+                return leaving_in(await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise ConnectionLost(f'host list: {error}') from error
+
+
+def leaving_in(body: bytes) -> list[str]:
+    """Read the leaving hosts off a list."""
+    try:
+        states = DECODER.decode(body)
+    except msgspec.DecodeError as error:
+        raise ConnectionLost(f'host list: {error}') from error
+    return [address for address, state in states.items() if state == LEAVING]
--- a/pollenwalk/connection/http_server.py
+++ b/pollenwalk/connection/http_server.py
@@ -32,6 +32,7 @@
             port=port,
             loop='asyncio',
             lifespan='off',
+            log_config=None,
             log_level='error',
             access_log=False,
             h11_max_incomplete_event_size=MAX_HEADER_BYTES,
--- a/pollenwalk/process/daemon.py
+++ b/pollenwalk/process/daemon.py
@@ -11,6 +11,7 @@
 
 from pollenwalk.connection.engine_http import HttpEngine
 from pollenwalk.connection.grpc_network import GrpcNetwork, split_address
+from pollenwalk.connection.hosts_http import HttpHosts
 from pollenwalk.connection.http_api import CallersApi
 from pollenwalk.connection.http_server import HttpServer
 from pollenwalk.connection.service_http import HttpService
@@ -79,6 +80,8 @@
     """Start an entry from its settings."""
     own = settings.of('entry')
     store = HttpStore(settings.of('store')['url'])
+    hosts_url = settings.of('hosts').get('url')
+    hosts = HttpHosts(hosts_url) if hosts_url else None
     dice = random.Random()
     entry = Entry(
         EntrySettings(
@@ -95,6 +98,7 @@
         dice,
         tracer,
         make_placement(own['placement'], dice),
+        hosts,
     )
     await entry.start()
     server = await start_http(CallersApi(entry, EntryMetrics()).app(), own['http'])
@@ -103,6 +107,8 @@
         await entry.stop()
         await server.stop()
         await store.close()
+        if hosts is not None:
+            await hosts.close()
 
     return stop
 
--- a/pollenwalk/process/entry.py
+++ b/pollenwalk/process/entry.py
@@ -34,6 +34,7 @@
 from pollenwalk.process.entry_service import EntryService
 from pollenwalk.process.fleet import Fleet, Location
 from pollenwalk.process.home import Home
+from pollenwalk.process.host_list import HostList, follow_hosts
 from pollenwalk.process.journal import Journal
 from pollenwalk.process.liveness import BEAT_MS, OBSERVERS, Liveness
 from pollenwalk.process.neighbours import Neighbours
@@ -94,6 +95,7 @@
         dice: random.Random,
         tracer: Tracer,
         placement: Placement | None = None,
+        hosts: HostList | None = None,
     ) -> None:
         """Put the parts together; nothing is started yet."""
         self.settings = settings
@@ -102,6 +104,7 @@
         self.clock = clock
         self.dice = dice
         self.tracer = tracer
+        self.hosts = hosts
         self.placement = placement or ExpectedFinish()
         self.tasks = TaskSet()
         self.config = Configuration()
@@ -206,6 +209,9 @@
         self.tasks.spawn(self.acceptance.judge_wishes(self.judges), 'judge')
         self.tasks.spawn(self.neighbours.watch_entries(), 'liveness')
         self.tasks.spawn(self.register(), 'register')
+        if self.hosts is not None:
+            following = follow_hosts(self.hosts, self.fleet, self.clock)
+            self.tasks.spawn(following, 'hosts')
 
     async def serve(self, channel: Any) -> None:
         """Serve a peer's channel under the present incarnation."""
--- a/pollenwalk/process/fleet.py
+++ b/pollenwalk/process/fleet.py
@@ -75,6 +75,7 @@
         self.regions = regions
         self.hosts: dict[str, UpstreamHost] = {}
         self.interval_ms = FIRST_INTERVAL_MS
+        self.leaving: frozenset[str] = frozenset()
 
     def take(self, report: Report) -> None:
         """Note a report."""
@@ -101,6 +102,8 @@
 
     def takes_work(self, host: UpstreamHost, now_ms: float) -> bool:
         """Tell whether a host is heard, stays, and did not just refuse."""
+        if host.report.address.rpartition(':')[0] in self.leaving:
+            return False
         if (
             host.report.leaving
             or not host.report.slots
@@ -131,6 +134,13 @@
         if host is not None:
             host.report = host.report._replace(leaving=True)
 
+    def mark_leaving(self, addresses: list[str]) -> None:
+        """Note the hosts that the platform says are leaving, by IP address.
+
+        A host that is no longer named is live again.
+        """
+        self.leaving = frozenset(addresses)
+
     def refused(self, sidecar: str, pause_ms: float) -> None:
         """Leave a host out for a while after a refusal or a lost path."""
         host = self.hosts.get(sidecar)
--- a/pollenwalk/process/logs.py
+++ b/pollenwalk/process/logs.py
@@ -1,6 +1,7 @@
 """Logs as JSON lines on standard error, one object an event."""
 
 import json
+import logging
 import sys
 from typing import TYPE_CHECKING, Any
 
@@ -33,6 +34,19 @@
     sys.stderr.write(f'{as_json_line(message.record)}\n')
 
 
+class Forward(logging.Handler):
+    """Sends what libraries log through the standard module the same way."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Pass one event on."""
+        exception = record.exc_info[1] if record.exc_info else None
+        logger.opt(exception=exception).log(
+            record.levelname,
+            record.getMessage(),
+            logger=record.name,
+        )
+
+
 def set_up_logs(level: str) -> None:
     """Send events of a level and above to standard error.
 
@@ -43,3 +57,4 @@
         raise UserError(f'log level {level!r}: allowed are {", ".join(LEVELS)}')
     logger.remove()
     logger.add(write, level=level.upper(), format='{message}')
+    logging.basicConfig(handlers=[Forward()], level=logging.WARNING, force=True)
--- a/pollenwalk/process/settings.py
+++ b/pollenwalk/process/settings.py
@@ -33,6 +33,7 @@
         'trace_share': read_number(0, 1),
     },
     'store': {'url': URL},
+    'hosts': {'url': URL},
     'entry': {
         'address': ADDRESS,
         'http': ADDRESS,
--- a/standin/scenario/runner.py
+++ b/standin/scenario/runner.py
@@ -244,6 +244,11 @@
         stopping = process.node.tasks.spawn(process[1].stop(), 'stop')
         self.background.append(stopping)
 
+    async def do_leaving(self, name: str) -> None:
+        """`leaving WHO`: the platform's list says so, after its lag."""
+        address = self.world.address(self.who(name)).rpartition(':')[0]
+        self.world.hosts.mark(address)
+
     async def do_join(self, name: str, zone: str) -> None:
         """`join NAME ZONE`: start one more entry."""
         self.world.zones[name] = zone
--- a/standin/virtual/world.py
+++ b/standin/virtual/world.py
@@ -22,6 +22,7 @@
 from standin.declarations import DECLARATIONS, REGIONS, section_keys
 from standin.door import BeginSpec, CallSpec
 from standin.engine import EngineShape, ModelEngine
+from standin.hosts import ListedHosts
 from standin.ledger import Ledger
 from standin.link import Place
 from standin.service import PlainService, ServiceShape
@@ -92,6 +93,7 @@
         self.zones: dict[str, str] = {}
         self.engine_shape = EngineShape()
         self.slots = 0
+        self.hosts = ListedHosts(self.clock)
 
     async def start(self) -> None:
         """Start everything and wait until calls can be taken."""
@@ -136,6 +138,8 @@
             NodeClock(node),
             random.Random(self.dice.getrandbits(64)),
             Tracer(),
+            None,
+            self.hosts,
         )
         self.entries[name] = EntryProcess(node, entry, store)
         await entry.start()
--- a/test/connection/test_http_api.py
+++ b/test/connection/test_http_api.py
@@ -274,6 +274,22 @@
         self.assertEqual((200, 30), (status, answer['tokens']))
         self.assertEqual(1, sum(engine.taken for engine in client.system.engines))
 
+    @served
+    async def test_slow_caller(self, client: Client) -> None:
+        program = await client.begin()
+        path = f'/v1/programs/{program}/calls'
+        body = {**CALL, 'input': {'message': 'hi', 'max_tokens': 40}}
+        async with client.session.post(
+            f'{client.system.urls[0]}{path}',
+            json=body,
+            headers=EVENTS,
+        ) as response:
+            await response.content.readany()
+            await asyncio.sleep(0.6)
+            rest = await response.read()
+        self.assertIn(b'event: answer', rest)
+        self.assertIn(b':39 ', rest)
+
     @served
     async def test_long_headers_are_refused(self, client: Client) -> None:
         url = f'{client.system.urls[0]}/healthz'
--- /dev/null
+++ b/test/connection/test_peer.py
@@ -0,0 +1,139 @@
+"""Exchanges between processes: faults of the other side."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import testtools
+
+from pollenwalk.connection.peer import Connection, Peer, PeerServer
+from pollenwalk.connection.wire import (
+    PROTOCOL_VERSION,
+    Done,
+    Drain,
+    Hello,
+    Settle,
+    Tokens,
+    encode_frames,
+)
+from pollenwalk.errors import ConnectionLost, Refusal, RefusalCode
+from pollenwalk.process.tasks import TaskSet
+from standin.link import Place
+from standin.virtual.fabric import Fabric, VirtualNetwork
+from standin.virtual.node import Node, NodeClock
+from test.helper import virtual
+
+ADDRESS = 'server:1'
+HERE = Place('rimouski', 'est')
+
+
+class Pair:
+    """A client and a server on a virtual network."""
+
+    def __init__(self, handler: Any) -> None:
+        """Serve `handler`."""
+        self.fabric = Fabric()
+        self.client_node = Node('client', HERE)
+        self.server_node = Node('server', HERE)
+        self.clock = NodeClock(self.client_node)
+        self.network = VirtualNetwork(self.fabric, self.client_node)
+        self.server = PeerServer(NodeClock(self.server_node), handler, 'boot')
+        self.peer = Peer(ADDRESS, self.network, self.clock, TaskSet())
+
+    async def start(self) -> 'Pair':
+        """Listen."""
+        network = VirtualNetwork(self.fabric, self.server_node)
+        await network.listen(ADDRESS, self.server.serve)
+        return self
+
+
+async def answer(hello: Hello, message: Any) -> AsyncIterator[Any]:
+    """Stream tokens, refuse, hang, or answer, by the kind of question."""
+    if isinstance(message, Settle):
+        for number, text in enumerate(message.calls):
+            yield Tokens(number, [text])
+    elif isinstance(message, Drain):
+        raise Refusal(RefusalCode.STOPPING, 'leaving', retry_after_ms=7)
+    elif isinstance(message, Hello):
+        await asyncio.get_running_loop().create_future()
+    else:
+        yield Done()
+
+
+class PeerTest(testtools.TestCase):
+    """One pair for each test."""
+
+    @virtual
+    async def test_streams_in_order(self) -> None:
+        pair = await Pair(answer).start()
+        texts = [str(number) for number in range(50)]
+        found = [one.texts[0] async for one in pair.peer.stream(Settle(texts))]
+        self.assertEqual(texts, found)
+
+    @virtual
+    async def test_refusal_keeps_its_parts(self) -> None:
+        pair = await Pair(answer).start()
+        try:
+            await pair.peer.ask(Drain(), 1000)
+        except Refusal as refusal:
+            found = (refusal.code, refusal.retry_after_ms, refusal.outcome)
+            self.assertEqual((RefusalCode.STOPPING, 7, 'not_run'), found)
+        else:
+            self.fail('no refusal')
+
+    @virtual
+    async def test_nobody_listens(self) -> None:
+        pair = Pair(answer)
+        with testtools.ExpectedException(ConnectionLost):
+            await pair.peer.ask(Done(), 1000)
+
+    @virtual
+    async def test_silence_is_noticed(self) -> None:
+        pair = await Pair(answer).start()
+        await pair.peer.connected()
+        pair.fabric.cut('client', 'server')
+        with testtools.ExpectedException(ConnectionLost):
+            await pair.peer.ask(Done(), 1000)
+        pair.fabric.heal()
+        self.assertEqual(Done(), await pair.peer.ask(Done(), 10_000))
+
+    @virtual
+    async def test_connects_again_with_a_later_epoch(self) -> None:
+        pair = await Pair(answer).start()
+        first = await pair.peer.connected()
+        await first.channel.close()
+        await pair.clock.sleep_ms(10)
+        second = await pair.peer.connected()
+        self.assertIsNot(first, second)
+        self.assertEqual(2, pair.peer.epoch)
+
+    @virtual
+    async def test_other_version_is_refused(self) -> None:
+        pair = await Pair(answer).start()
+        channel = await pair.network.connect(ADDRESS)
+        connection = Connection(channel, pair.clock, TaskSet())
+        hello = Hello(PROTOCOL_VERSION + 1, 'other', 1, 'rimouski')
+        with testtools.ExpectedException(Refusal):
+            await connection.greet(hello)
+        with testtools.ExpectedException(Refusal):
+            await connection.ask(Done())
+
+    @virtual
+    async def test_noise_ends_the_channel(self) -> None:
+        for noise in (b'', b'\xff' * 40, encode_frames([])[:0] + b'\x93'):
+            pair = await Pair(answer).start()
+            channel = await pair.network.connect(ADDRESS)
+            await channel.send(noise)
+            with testtools.ExpectedException(ConnectionLost):
+                await channel.receive()
+            self.assertEqual(Done(), await pair.peer.ask(Done(), 1000))
+
+    @virtual
+    async def test_question_before_greeting_ends_the_channel(self) -> None:
+        pair = await Pair(answer).start()
+        channel = await pair.network.connect(ADDRESS)
+        connection = Connection(channel, pair.clock, TaskSet())
+        connection.tasks.spawn(connection.write(), 'write')
+        connection.tasks.spawn(connection.read(), 'read')
+        with testtools.ExpectedException(ConnectionLost):
+            await connection.ask(Done())
--- /dev/null
+++ b/test/process/test_traces.py
@@ -0,0 +1,67 @@
+"""Spans of all hops under one trace, and logs as JSON lines."""
+
+import io
+import json
+import tempfile
+from contextlib import redirect_stderr
+from pathlib import Path
+
+import testtools
+from loguru import logger
+
+from pollenwalk.errors import UserError
+from pollenwalk.process.logs import set_up_logs
+from pollenwalk.process.traces import Tracer, make_tracer
+
+TRACE = '4bf92f3577b34da6a3ce929d0e0e4736'
+HEADER = f'00-{TRACE}-00f067aa0ba902b7-01'
+
+
+class TracesTest(testtools.TestCase):
+    """A tracer that writes to a file."""
+
+    def make_path(self) -> Path:
+        """Make an empty folder for one file."""
+        return Path(tempfile.mkdtemp()) / 'spans.jsonl'
+
+    def test_hops_share_the_callers_trace(self) -> None:
+        path = self.make_path()
+        tracer = make_tracer(str(path), 1.0)
+        entry = tracer.span('entry', HEADER)
+        with entry as header, tracer.span('dispatch', header) as deeper:
+            self.assertIn(TRACE, deeper)
+        tracer.close()
+        spans = [json.loads(line) for line in path.read_text().splitlines()]
+        self.assertEqual(['dispatch', 'entry'], [span['name'] for span in spans])
+        traces = {span['context']['trace_id'] for span in spans}
+        self.assertEqual({f'0x{TRACE}'}, traces)
+        self.assertEqual(spans[1]['context']['span_id'], spans[0]['parent_id'])
+
+    def test_noise_starts_a_trace_of_its_own(self) -> None:
+        tracer = make_tracer(str(self.make_path()), 1.0)
+        with tracer.span('entry', 'noise') as header:
+            self.assertNotIn(TRACE, header)
+        tracer.close()
+
+    def test_without_a_file_the_header_is_passed_on(self) -> None:
+        with Tracer().span('entry', HEADER) as header:
+            self.assertEqual(HEADER, header)
+
+
+class LogsTest(testtools.TestCase):
+    """Logs on standard error."""
+
+    def test_json_lines(self) -> None:
+        target = io.StringIO()
+        with redirect_stderr(target):
+            set_up_logs('INFO')
+            logger.info('entry_ready', incarnation='abc')
+            logger.debug('hidden')
+        logger.remove()
+        lines = [json.loads(line) for line in target.getvalue().splitlines()]
+        self.assertEqual(['entry_ready'], [line['event'] for line in lines])
+        self.assertEqual('abc', lines[0]['incarnation'])
+
+    def test_unknown_level(self) -> None:
+        with testtools.ExpectedException(UserError):
+            set_up_logs('LOUD')
--- a/test/run.py
+++ b/test/run.py
@@ -1,5 +1,6 @@
 """Runs all tests and ends with one line that counts them."""
 
+import logging
 import sys
 import unittest
 from pathlib import Path
@@ -28,6 +29,7 @@
 def main() -> int:
     """Run what is asked for, or everything."""
     logger.remove()
+    logging.disable()
     pattern = sys.argv[1] if len(sys.argv) > 1 else 'test_*.py'
     suite = unittest.defaultTestLoader.discover(
         str(ROOT),
--- a/test/test_broken.py
+++ b/test/test_broken.py
@@ -11,6 +11,7 @@
 
 import testtools
 
+from pollenwalk.process.fleet import Fleet
 from pollenwalk.process.grants import Grants
 from pollenwalk.process.home import Home
 from pollenwalk.process.sidecar_calls import Sessions
@@ -150,6 +151,13 @@
         take_any_turn,
         'calls_sent_at_once',
     ),
+    Break(
+        "the platform's list of hosts is not heeded",
+        Fleet,
+        'mark_leaving',
+        lambda self, addresses: None,
+        'host_list_says_leaving',
+    ),
 )
 
 
