--- a/pollenwalk/commands/standin.py
+++ b/pollenwalk/commands/standin.py
@@ -11,6 +11,7 @@
 from pollenwalk.process.settings import read_settings
 
 STEP_MS = 10.0
+SLOTS = 8
 KINDS = ('store', 'engine', 'service')
 
 
@@ -38,6 +39,12 @@
         default=STEP_MS,
         help='time of one step of an engine (default 10)',
     )
+    standin.add_argument(
+        '--slots',
+        type=int,
+        default=SLOTS,
+        help='calls in one batch of an engine (default 8)',
+    )
     standin.set_defaults(run=run_standin)
     load: argparse.ArgumentParser = subparsers.add_parser(
         'load',
@@ -58,7 +65,7 @@
     from standin.serve import make_app, serve_standin  # noqa: PLC0415, WPS433
 
     set_up_logs('ERROR')
-    app = make_app(options.kind, options.name, options.step_ms)
+    app = make_app(options)
     asyncio.run(serve_standin(app, options.address))
     return 0
 
--- a/pollenwalk/connection/grpc_network.py
+++ b/pollenwalk/connection/grpc_network.py
@@ -32,6 +32,8 @@
     ('grpc.keepalive_timeout_ms', KEEPALIVE_MS),
     ('grpc.keepalive_permit_without_calls', 1),
     ('grpc.http2.max_pings_without_data', 0),
+    # The other side is one of ours: its pings are never too many.
+    ('grpc.http2.max_ping_strikes', 0),
     ('grpc.http2.min_recv_ping_interval_without_data_ms', KEEPALIVE_MS // 2),
 )
 STOP_GRACE_S = 0.2
--- a/standin/experiments/slopes.py
+++ b/standin/experiments/slopes.py
@@ -25,6 +25,7 @@
 STREAMS = (0, 60, 120, 240)
 STEP_MS = 40.0
 STREAM_TOKENS = 100
+SLOTS = 512
 CALL_RATES = (0, 20, 40, 80)
 PROGRAMS = (0, 200, 400, 800)
 TOGETHER = 40
@@ -42,6 +43,7 @@
         """Start everything."""
         self.processes = Processes()
         self.processes.engine_step_ms = STEP_MS
+        self.processes.slots = SLOTS
         zones = ('rimouski', 'saguenay', 'envigado')
         self.processes.start_all(zones, models=1, plains=1)
         self.url = self.processes.urls[0]
@@ -204,6 +206,7 @@
     session: aiohttp.ClientSession,
     program: str,
     sequence: int,
+    note: str = '',
 ) -> None:
     """Make one non-idempotent call."""
     async with session.post(
@@ -212,7 +215,7 @@
             'sequence': sequence,
             'upstream': 'orders',
             'operation': 'reserve',
-            'input': {'number': sequence},
+            'input': {'number': sequence, 'note': note},
         },
         headers={'Idempotency-Key': f'k{sequence}'},
     ) as response:
@@ -227,9 +230,8 @@
     async with aiohttp.ClientSession() as session:
         for count in PROGRAMS:
             while made < count:
-                messages = [make_message(dice) for _ in range(TOGETHER)]
                 await asyncio.gather(
-                    *(chat(rig, session, message, 1) for message in messages),
+                    *(remember(rig, session, dice) for _ in range(TOGETHER)),
                 )
                 made += TOGETHER
             points.append((float(count), await rig.memory()))
@@ -242,6 +244,16 @@
     return ' '.join(words)
 
 
+async def remember(
+    rig: Rig,
+    session: aiohttp.ClientSession,
+    dice: random.Random,
+) -> None:
+    """Begin a program and make one call with a long input."""
+    program = await begin(rig, session)
+    await reserve(rig, session, program, 1, make_message(dice))
+
+
 async def resource_memory(rig: Rig) -> Line:
     """Measure resident memory against accepted resources."""
     store = HttpStore(rig.processes.store)
--- a/standin/processes.py
+++ b/standin/processes.py
@@ -30,6 +30,7 @@
         self.standins: dict[str, str] = {}
         self.coalesce_ms = 4.0
         self.engine_step_ms = 10.0
+        self.slots = 8
 
     def start(self, name: str, *words: str) -> None:
         """Start one `pollenwalk` process."""
@@ -62,7 +63,8 @@
                 name = f'{upstream}-{number}'
                 url = self.start_standin(f'standin-{name}', standin)
                 self.start_sidecar(name, upstream, kind, url)
-        declared = self.write('declared.ini', DECLARATIONS)
+        declarations = DECLARATIONS.replace('slots = 8', f'slots = {self.slots}')
+        declared = self.write('declared.ini', declarations)
         subprocess.run(
             [
                 *(sys.executable, '-m', 'pollenwalk', 'apply'),
@@ -81,6 +83,7 @@
             name,
             *('standin', kind, '--address', address, '--name', name),
             *('--step-ms', str(self.engine_step_ms)),
+            *('--slots', str(self.slots)),
         )
         self.standins[name] = f'http://{address}'
         wait_answer(f'http://{address}/')
--- a/standin/serve.py
+++ b/standin/serve.py
@@ -1,5 +1,6 @@
 """Stand-ins as processes of their own."""
 
+import argparse
 import asyncio
 import signal
 
@@ -14,15 +15,15 @@
 from standin.store import MemoryStore, StoreApi
 
 
-def make_app(kind: str, name: str, step_ms: float) -> Starlette:
-    """Make the application of a stand-in."""
+def make_app(options: argparse.Namespace) -> Starlette:
+    """Make the application of a stand-in from the command's options."""
     clock = LoopClock()
-    if kind == 'store':
+    if options.kind == 'store':
         return StoreApi(MemoryStore(clock)).app()
-    if kind == 'engine':
-        shape = EngineShape(step_ms=step_ms)
+    if options.kind == 'engine':
+        shape = EngineShape(options.slots, options.step_ms)
         return EngineApi(ModelEngine(shape, clock, Ledger())).app()
-    return ServiceApi(PlainService(ServiceShape(name), clock, Ledger())).app()
+    return ServiceApi(PlainService(ServiceShape(options.name), clock, Ledger())).app()
 
 
 async def serve_standin(app: Starlette, address: str) -> None:
