--- a/pollenwalk/connection/engine_http.py
+++ b/pollenwalk/connection/engine_http.py
@@ -15,6 +15,7 @@
 import msgspec
 from aiohttp.http_exceptions import HttpProcessingError
 
+from pollenwalk.connection.http_client import HttpClient
 from pollenwalk.connection.upstream import ChatRequest
 from pollenwalk.connection.wire import Answer, Tokens
 from pollenwalk.errors import ConnectionLost, Outcome, Refusal, RefusalCode
@@ -67,27 +68,9 @@
 )
 
 
-class HttpEngine:
+class HttpEngine(HttpClient):
     """A client of one engine."""
 
-    def __init__(self, url: str) -> None:
-        """Talk to the engine at `url`; connections open at first use."""
-        self.url = url
-        self.session: aiohttp.ClientSession | None = None
-
-    def open_session(self) -> aiohttp.ClientSession:
-        """Give the session, making it at first use."""
-        if self.session is None:
-            self.session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0),
-            )
-        return self.session
-
-    async def close(self) -> None:
-        """Close all connections."""
-        if self.session is not None:
-            await self.session.close()
-
     async def chat(self, request: ChatRequest) -> AsyncIterator[Tokens | Answer]:
         """Stream tokens and end with the answer."""
         body = {
--- a/pollenwalk/connection/hosts_http.py
+++ b/pollenwalk/connection/hosts_http.py
@@ -9,6 +9,7 @@
 import aiohttp
 import msgspec
 
+from pollenwalk.connection.http_client import HttpClient
 from pollenwalk.errors import ConnectionLost
 
 ANSWER_TIMEOUT_S = 2
@@ -16,30 +17,18 @@
 DECODER = msgspec.json.Decoder(dict[str, str])
 
 
-class HttpHosts:
+class HttpHosts(HttpClient):
     """A client of the host list."""
 
-    def __init__(self, url: str) -> None:
-        """Ask the platform at `url`; connections open at first use."""
-        self.url = url
-        self.session: aiohttp.ClientSession | None = None
-
-    async def close(self) -> None:
-        """Close all connections."""
-        if self.session is not None:
-            await self.session.close()
-
     async def leaving(self) -> list[str]:
         """Give the IP addresses of leaving hosts.
 
         Raises:
             ConnectionLost: no answer, or one that makes no sense.
         """
-        if self.session is None:
-            self.session = aiohttp.ClientSession()
         timeout = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S)
         try:
-            async with self.session.get(
+            async with self.open_session().get(
                 f'{self.url}/hosts',
                 timeout=timeout,
                 raise_for_status=True,
--- a/pollenwalk/connection/service_http.py
+++ b/pollenwalk/connection/service_http.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from pollenwalk.connection.http_client import HttpClient
 from pollenwalk.errors import Outcome, Refusal, RefusalCode
 
 NOT_BEGUN = frozenset(
@@ -21,33 +22,15 @@
 OUTPUT_DECODER = msgspec.json.Decoder(dict[str, Any])
 
 
-class HttpService:
+class HttpService(HttpClient):
     """A client of one plain service.
 
     The call's timeout is the sidecar's, so none is set here.
     """
 
-    def __init__(self, url: str) -> None:
-        """Talk to the service at `url`; connections open at first use."""
-        self.url = url
-        self.session: aiohttp.ClientSession | None = None
-
-    def open_session(self) -> aiohttp.ClientSession:
-        """Give the session, making it at first use.
-
-        Connections are not kept: a request on a kept one that the service
-        has just closed could not be told from one that ran.
-        """
-        if self.session is None:
-            self.session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, force_close=True),
-            )
-        return self.session
-
-    async def close(self) -> None:
-        """Close all connections."""
-        if self.session is not None:
-            await self.session.close()
+    # A request on a kept connection that the service has just closed could
+    # not be told from one that ran.
+    keeps_connections = False
 
     async def invoke(
         self,
--- a/pollenwalk/connection/store_http.py
+++ b/pollenwalk/connection/store_http.py
@@ -16,6 +16,7 @@
 import aiohttp
 import msgspec
 
+from pollenwalk.connection.http_client import HttpClient
 from pollenwalk.errors import StoreConflict, StoreUnavailable
 from pollenwalk.process.store import ABSENT, Changes, StoredObject
 
@@ -41,25 +42,9 @@
 LISTING_DECODER = msgspec.json.Decoder(Listing)
 
 
-class HttpStore:
+class HttpStore(HttpClient):
     """A client of the object API."""
 
-    def __init__(self, url: str) -> None:
-        """Talk to the API at `url`; connections open at first use."""
-        self.url = url
-        self.session: aiohttp.ClientSession | None = None
-
-    def open_session(self) -> aiohttp.ClientSession:
-        """Give the session, making it at first use."""
-        if self.session is None:
-            self.session = aiohttp.ClientSession()
-        return self.session
-
-    async def close(self) -> None:
-        """Close all connections."""
-        if self.session is not None:
-            await self.session.close()
-
     async def request(
         self,
         method: str,
--- a/pollenwalk/request/execution.py
+++ b/pollenwalk/request/execution.py
@@ -221,14 +221,9 @@
             )
         return min(wished, self.program.budget.reserved - self.attempts.message_tokens)
 
-    async def intend(self, host: HostView, connection: Connection) -> None:
-        """Make the intent durable before the call is handed over.
-
-        Raises:
-            Refusal: the journal gave no answer in time; nothing was handed
-                over and the intent is withdrawn.
-        """
-        intent = Intended(
+    def make_intent(self, host: HostView, connection: Connection) -> Intended:
+        """Say what is about to be handed over, and to whom."""
+        return Intended(
             self.program.id,
             self.request.key,
             self.request.sequence,
@@ -240,6 +235,15 @@
             connection.boot,
             self.parts.incarnation,
         )
+
+    async def intend(self, host: HostView, connection: Connection) -> None:
+        """Make the intent durable before the call is handed over.
+
+        Raises:
+            Refusal: the journal gave no answer in time; nothing was handed
+                over and the intent is withdrawn.
+        """
+        intent = self.make_intent(host, connection)
         try:
             await self.parts.recorder.record(
                 self.live,
--- a/test/test_broken.py
+++ b/test/test_broken.py
@@ -18,7 +18,6 @@
 from pollenwalk.process.takeover import Sealed, Takeover
 from pollenwalk.program.budget import Budget
 from pollenwalk.program.live import LiveProgram
-from pollenwalk.program.records import Intended
 from pollenwalk.request.dispatch import Resolver
 from pollenwalk.request.execution import Execution
 from standin.scenario.language import read_scenario
@@ -39,18 +38,7 @@
 
 async def intend_later(self: Execution, host: Any, connection: Any) -> None:
     """Hand over before the intent is durable."""
-    intent = Intended(
-        self.program.id,
-        self.request.key,
-        self.request.sequence,
-        self.call.digest,
-        self.request.upstream,
-        self.request.operation,
-        self.request.argument,
-        host.address,
-        connection.boot,
-        self.parts.incarnation,
-    )
+    intent = self.make_intent(host, connection)
     self.parts.recorder.record_later(self.live, lambda: [intent])
 
 
