--- a/standin/experiments/slopes.py
+++ b/standin/experiments/slopes.py
@@ -41,6 +41,7 @@
 
     def __init__(self) -> None:
         """Start everything."""
+        self.callers = 0
         self.processes = Processes()
         self.processes.engine_step_ms = STEP_MS
         self.processes.slots = SLOTS
@@ -49,6 +50,11 @@
         self.url = self.processes.urls[0]
         self.pid = self.processes.running['entry0'].pid
 
+    def next_caller(self) -> str:
+        """Name another caller each time, so that none meets its limits."""
+        self.callers += 1
+        return f'caller-{self.callers}'
+
     async def cpu(self, work: Callable[[], Awaitable[Any]]) -> float:
         """Give the entry's share of a core while some work runs."""
         before = read_process(self.pid)
@@ -111,6 +117,7 @@
     async with session.post(
         f'{rig.url}/v1/programs',
         json={'program': 'spares-dispatch'},
+        headers={'X-Pollenwalk-Caller': rig.next_caller()},
     ) as response:
         return (await response.json())['id']
 
