--- a/pollenwalk/connection/wire.py
+++ b/pollenwalk/connection/wire.py
@@ -48,6 +48,7 @@
 
     `base` is the digest of the history the sidecar is believed to hold and
     `delta` what follows it; an empty `base` means the delta is everything.
+    `age_ms` is the time since the program began.
     """
 
     call: str
@@ -61,6 +62,7 @@
     digest: str
     max_tokens: int
     priority: int
+    age_ms: float
     deadline_in_ms: float
     trace: str
 
--- a/pollenwalk/policy/admission.py
+++ b/pollenwalk/policy/admission.py
@@ -16,23 +16,26 @@
     Attributes:
         level: priority class; a lower one goes first.
         deadline_ms: on the sidecar's clock.
-        begun: whether the call's program has had calls before.
+        born_ms: when the call's program began, on the sidecar's clock.
         arrived_ms: when it began to wait.
         turn: completed when the call may run.
     """
 
     level: int
     deadline_ms: float
-    begun: bool
+    born_ms: float
     arrived_ms: float
     turn: asyncio.Future[None]
 
 
-def urgency(ticket: Ticket, now_ms: float) -> tuple[float, bool, float]:
-    """Order tickets: class with aging, begun programs first, then deadline."""
+def urgency(ticket: Ticket, now_ms: float) -> tuple[float, float, float]:
+    """Order tickets: class with aging, then the program that began first.
+
+    A program once begun is so finished ahead of new ones.
+    """
     waited_ms = now_ms - ticket.arrived_ms
     level = ticket.level - waited_ms // AGING_MS_PER_LEVEL
-    return (level, not ticket.begun, ticket.deadline_ms)
+    return (level, ticket.born_ms, ticket.deadline_ms)
 
 
 class Admission:
@@ -52,7 +55,7 @@
         self.limit = limit
         self.admit()
 
-    async def enter(self, level: int, deadline_ms: float, begun: bool) -> None:
+    async def enter(self, level: int, deadline_ms: float, born_ms: float) -> None:
         """Wait for a slot.
 
         Raises:
@@ -67,7 +70,7 @@
             )
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         now_ms = self.clock.now_ms()
-        ticket = Ticket(level, deadline_ms, begun, now_ms, turn)
+        ticket = Ticket(level, deadline_ms, born_ms, now_ms, turn)
         self.waiting.append(ticket)
         self.admit()
         try:
--- a/pollenwalk/process/entry.py
+++ b/pollenwalk/process/entry.py
@@ -36,7 +36,7 @@
 from pollenwalk.process.home import Home
 from pollenwalk.process.host_list import HostList, follow_hosts
 from pollenwalk.process.journal import Journal
-from pollenwalk.process.liveness import BEAT_MS, OBSERVERS, Liveness
+from pollenwalk.process.liveness import LOOK_MS, OBSERVERS, Liveness
 from pollenwalk.process.neighbours import Neighbours
 from pollenwalk.process.pacing import Pace
 from pollenwalk.process.peers import Peers
@@ -237,7 +237,7 @@
         try:
             await self.directory.refresh()
         except StoreUnavailable:
-            await self.clock.sleep_ms(BEAT_MS)
+            await self.clock.sleep_ms(LOOK_MS)
 
     def fenced(self) -> None:
         """Go on as a new incarnation: a successor has our programs."""
@@ -333,7 +333,7 @@
             for other in others:
                 if await self.service.ask_handover(other):
                     return
-            await self.clock.sleep_ms(BEAT_MS)
+            await self.clock.sleep_ms(LOOK_MS)
         self.journal.closing = False
         self.home.stopping = True
 
--- a/pollenwalk/process/liveness.py
+++ b/pollenwalk/process/liveness.py
@@ -9,7 +9,8 @@
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.directory import Directory, EntryRecord
 
-BEAT_MS = 500
+LOOK_MS = 500
+BEAT_MS = 1000
 LAPSE_MS = 3000
 RANK_DELAY_MS = 1500
 FAR_LAPSE_MS = 60_000
@@ -26,6 +27,7 @@
         self.network = network
         self.clock = clock
         self.number = 0
+        self.beaten_ms = float('-inf')
         self.awake_ms = 0.0
         self.heard_ms: dict[str, float] = {}
 
@@ -41,7 +43,11 @@
         self.awake_ms = now_ms
 
     def beat(self, own: EntryRecord) -> None:
-        """Send a heartbeat to the entries that watch over this one."""
+        """Send a heartbeat, when one is due, to those that watch over us."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self.beaten_ms < BEAT_MS:
+            return
+        self.beaten_ms = now_ms
         self.number += 1
         payload = encode_datagram(Beat(own.incarnation, self.number))
         for observer in self.directory.observers(own.incarnation, OBSERVERS):
--- a/pollenwalk/process/neighbours.py
+++ b/pollenwalk/process/neighbours.py
@@ -7,7 +7,7 @@
 from pollenwalk.connection.wire import Beat
 from pollenwalk.errors import Fenced, PollenwalkError, StoreUnavailable
 from pollenwalk.process.directory import EntryRecord
-from pollenwalk.process.liveness import BEAT_MS
+from pollenwalk.process.liveness import LOOK_MS
 from pollenwalk.process.segments import WitnessRef
 
 if TYPE_CHECKING:
@@ -38,7 +38,7 @@
                 for record in self.forerunners():
                     self.suspect(record)
             self.entry.fleet.forget_silent(FORGET_SILENT_MS)
-            await self.entry.clock.sleep_ms(BEAT_MS)
+            await self.entry.clock.sleep_ms(LOOK_MS)
 
     def forerunners(self) -> list[EntryRecord]:
         """Give earlier incarnations at our own address; they are dead."""
--- a/pollenwalk/process/subsets.py
+++ b/pollenwalk/process/subsets.py
@@ -13,8 +13,8 @@
 FEW = 8
 TARGETS = 4
 SHORTEST_MS = 1000
-LONGEST_MS = 9000
-REPORTS_PER_SECOND = 14
+LONGEST_MS = 10_000
+REPORTS_PER_SECOND = 13
 STEP_MS = 1000
 DIGEST_BYTES = 4
 
--- a/pollenwalk/process/upstream_calls.py
+++ b/pollenwalk/process/upstream_calls.py
@@ -64,7 +64,7 @@
             await self.admission.enter(
                 message.priority,
                 deadline_ms,
-                bool(message.base),
+                self.clock.now_ms() - message.age_ms,
             )
         except Refusal as refusal:
             self.refused(call, refusal)
--- a/pollenwalk/program/live.py
+++ b/pollenwalk/program/live.py
@@ -35,7 +35,8 @@
         self.maybe_ran: dict[str, None] = {}
         self.doubtful = 0
         self.ending = False
-        self.used_ms = clock.now_ms()
+        self.begun_ms = clock.now_ms()
+        self.used_ms = self.begun_ms
         self.changed = asyncio.Event()
 
     @property
--- a/pollenwalk/request/attempts.py
+++ b/pollenwalk/request/attempts.py
@@ -142,6 +142,7 @@
             history.digest if model else ROOT,
             max_tokens,
             self.priority,
+            self.parts.clock.now_ms() - self.live.begun_ms,
             max(self.call.left_ms(), 0),
             trace,
         )
