Refuse new programs at the door while their model upstream is overloaded

Cause: at 120% load everybody is late when everybody is let in. Change: a new program is refused before any work while more calls wait than a share of the slots, by priority, with a drawn time to come back; begun ones are finished.

--- a/pollenwalk/process/beginnings.py
+++ b/pollenwalk/process/beginnings.py
@@ -5,6 +5,7 @@
 
 from pollenwalk.connection.wire import BeginProgram
 from pollenwalk.errors import Refusal, RefusalCode, sealed
+from pollenwalk.policy.door import has_room
 from pollenwalk.process.ids import new_program_id
 from pollenwalk.process.recorder import store_unavailable
 from pollenwalk.program.budget import Budget
@@ -18,6 +19,7 @@
 
 BEGIN_WAIT_MS = 2000
 RETRY_AFTER_MS = 1000
+DOOR_RETRY_MS = (500, 2000)
 KEY_RETAIN_MS = 600_000
 
 
@@ -158,6 +160,7 @@
         if request.parent:
             self.check_parent(request.parent, limit)
             return
+        self.check_room(request)
         budget = self.parts.config.budget(request.caller)
         running = [
             program
@@ -173,6 +176,25 @@
                 retry_after_ms=RETRY_AFTER_MS,
             )
 
+    def check_room(self, request: BeginProgram) -> None:
+        """Refuse a new program while its model upstreams are overloaded.
+
+        Raises:
+            Refusal: with a time to come back, drawn so that not all come
+                back at once.
+        """
+        spec = self.parts.config.program(request.declaration)
+        level = self.parts.config.level(spec.priority)
+        for name in spec.upstreams:
+            upstream = self.parts.config.upstream(name)
+            hosts = self.parts.fleet.views(name)
+            if upstream and upstream.kind == 'model' and not has_room(hosts, level):
+                raise Refusal(
+                    RefusalCode.OVERLOADED,
+                    f'{name} has too many calls waiting',
+                    retry_after_ms=self.parts.dice.randint(*DOOR_RETRY_MS),
+                )
+
     def check_parent(self, parent_id: str, limit: int) -> None:
         """Check that a parent can give so many tokens.
 
