--- a/pollenwalk/commands/resources.py
+++ b/pollenwalk/commands/resources.py
@@ -12,7 +12,7 @@
 from pollenwalk.commands.options import add_store, open_store, split_name
 from pollenwalk.errors import UserError
 from pollenwalk.process.clock import LoopClock
-from pollenwalk.process.operator import Operator, Shown
+from pollenwalk.process.operator import Operator
 from pollenwalk.process.settings import default_text, read_settings
 from pollenwalk.version.fields import InvalidFile
 from pollenwalk.version.resources import (
@@ -233,6 +233,3 @@
     """Print the commented defaults."""
     sys.stdout.write(default_text())
     return 0
-
-
-__all__ = ('Shown', 'add_parser')
--- a/pollenwalk/process/entry.py
+++ b/pollenwalk/process/entry.py
@@ -1,7 +1,6 @@
 """An entry: takes callers' requests and is home to a share of the programs."""
 
 import random
-from collections.abc import AsyncIterator
 from typing import Any, NamedTuple
 
 from loguru import logger
@@ -346,6 +345,3 @@
         await self.peers.close()
         for listener in self.listeners:
             await listener.close()
-
-
-__all__ = ('AsyncIterator', 'Entry', 'EntrySettings')
--- a/pollenwalk/process/recorder.py
+++ b/pollenwalk/process/recorder.py
@@ -12,7 +12,6 @@
 from pollenwalk.connection.wire import Settle
 from pollenwalk.errors import (
     ConnectionLost,
-    Fenced,
     Refusal,
     RefusalCode,
 )
@@ -132,6 +131,3 @@
         'the store does not answer',
         retry_after_ms=RETRY_AFTER_MS,
     )
-
-
-__all__ = ('Fenced', 'Recorder', 'store_unavailable')
--- a/standin/virtual/world.py
+++ b/standin/virtual/world.py
@@ -12,7 +12,7 @@
     EndProgram,
     ViewProgram,
 )
-from pollenwalk.errors import ConnectionLost, PollenwalkError
+from pollenwalk.errors import ConnectionLost
 from pollenwalk.process.acceptance import encode_wish, wish_key
 from pollenwalk.process.clock import MS_PER_SECOND
 from pollenwalk.process.entry import Entry, EntrySettings
@@ -363,6 +363,3 @@
             }
         texts[item.offset :] = item.texts
     raise ConnectionLost('the stream ended without an answer')
-
-
-__all__ = ('PollenwalkError', 'Shape', 'World', 'WorldDoor')
--- /dev/null
+++ b/test/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the policies."""
--- /dev/null
+++ b/test/policy/test_policies.py
@@ -0,0 +1,186 @@
+"""Placement, admission and the door, case by case."""
+
+import asyncio
+import random
+from typing import NamedTuple
+
+import testtools
+
+from pollenwalk.errors import Refusal
+from pollenwalk.policy.admission import Admission
+from pollenwalk.policy.door import has_room
+from pollenwalk.policy.placement import HostView, Need, make_placement
+from test.helper import make_clock, virtual
+
+NEED = Need('p', 'rimouski', 'est', 200, {}, 400.0, 0.5)
+IDLE = HostView('a', 'a:1', 'rimouski', 'est', 4, 0, 0)
+
+
+class PlacementCase(NamedTuple):
+    """Hosts, a need, and the host that must be picked."""
+
+    name: str
+    hosts: tuple[HostView, ...]
+    need: Need
+    chosen: str | None
+
+
+CASES = (
+    PlacementCase('nobody', (), NEED, None),
+    PlacementCase(
+        'the nearer of two idle ones',
+        (IDLE._replace(sidecar='b', zone='saguenay'), IDLE),
+        NEED,
+        'a',
+    ),
+    PlacementCase(
+        'not across the link for nothing',
+        (IDLE._replace(sidecar='b', region='ouest'), IDLE._replace(ahead=3)),
+        NEED,
+        'a',
+    ),
+    PlacementCase(
+        'where the prefix is cached',
+        (IDLE, IDLE._replace(sidecar='b', zone='saguenay')),
+        NEED._replace(held={'b': 190}),
+        'b',
+    ),
+    PlacementCase(
+        'away from a cached prefix when the wait costs more',
+        (IDLE, IDLE._replace(sidecar='b', ahead=40)),
+        NEED._replace(held={'b': 190}),
+        'a',
+    ),
+    PlacementCase(
+        'around a host that has just refused',
+        (IDLE, IDLE._replace(sidecar='b', ahead=9)),
+        NEED._replace(avoid=frozenset('a')),
+        'b',
+    ),
+    PlacementCase(
+        'back to it when there is no other',
+        (IDLE,),
+        NEED._replace(avoid=frozenset('a')),
+        'a',
+    ),
+)
+
+
+class PlacementTest(testtools.TestCase):
+    """Which host a call goes to."""
+
+    def test_expected_finish(self) -> None:
+        policy = make_placement('expected-finish', random.Random(1))
+        for case in CASES:
+            host = policy.choose(case.hosts, case.need)
+            self.assertEqual(case.chosen, host.sidecar if host else None, case.name)
+
+    def test_every_policy_picks_one_of_the_hosts(self) -> None:
+        hosts = (IDLE, IDLE._replace(sidecar='b'), IDLE._replace(sidecar='c'))
+        for name in ('round-robin', 'least-loaded', 'sticky', 'expected-finish'):
+            policy = make_placement(name, random.Random(1))
+            self.assertIn(policy.choose(hosts, NEED), hosts)
+            self.assertIsNone(policy.choose((), NEED), name)
+
+
+class DoorTest(testtools.TestCase):
+    """Whether a new program may begin."""
+
+    def test_room_by_load_and_level(self) -> None:
+        for ahead, level, room in (
+            (0, 5, True),
+            (7, 5, True),
+            (8, 5, False),
+            (8, 3, True),
+            (9, 3, False),
+            (6, 9, False),
+            (4, 9, True),
+        ):
+            found = has_room([IDLE._replace(ahead=ahead)], level)
+            self.assertEqual(room, found, (ahead, level))
+        self.assertTrue(has_room([], 5))
+
+
+class AdmissionTest(testtools.TestCase):
+    """The queue before the slots."""
+
+    async def enter(
+        self, admission: Admission, name: str, level: int, born_ms: float
+    ) -> None:
+        """Enter and note the name when the turn comes."""
+        await admission.enter(level, 1_000_000, born_ms)
+        self.order.append(name)
+
+    def make(self, slots: int, limit: int) -> Admission:
+        """Make a queue."""
+        self.order: list[str] = []
+        admission = Admission(make_clock())
+        admission.resize(slots, limit)
+        return admission
+
+    @virtual
+    async def test_class_then_the_oldest_program(self) -> None:
+        admission = self.make(1, 10)
+        await admission.enter(5, 1_000_000, 0)
+        entering = [
+            asyncio.ensure_future(self.enter(admission, name, level, born_ms))
+            for name, level, born_ms in (
+                ('young', 5, 30.0),
+                ('old', 5, 10.0),
+                ('urgent', 3, 90.0),
+            )
+        ]
+        await asyncio.sleep(0.01)
+        for _ in entering:
+            admission.leave()
+            await asyncio.sleep(0.01)
+        self.assertEqual(['urgent', 'old', 'young'], self.order)
+
+    @virtual
+    async def test_nobody_starves(self) -> None:
+        admission = self.make(1, 10)
+        await admission.enter(5, 1_000_000, 0)
+        waiting = asyncio.ensure_future(self.enter(admission, 'low', 7, 0))
+        await asyncio.sleep(35)
+        late = asyncio.ensure_future(self.enter(admission, 'high', 5, 0))
+        await asyncio.sleep(0.01)
+        admission.leave()
+        await asyncio.sleep(0.01)
+        self.assertEqual(['low'], self.order)
+        admission.leave()
+        await asyncio.gather(waiting, late)
+
+    @virtual
+    async def test_full_queue_refuses_at_once(self) -> None:
+        admission = self.make(1, 1)
+        await admission.enter(5, 1_000_000, 0)
+        waiting = asyncio.ensure_future(self.enter(admission, 'waits', 5, 0))
+        await asyncio.sleep(0.01)
+        try:
+            await admission.enter(5, 1_000_000, 0)
+        except Refusal as refusal:
+            self.assertEqual('not_run', refusal.outcome)
+            self.assertIsNotNone(refusal.retry_after_ms)
+        else:
+            self.fail('the queue was not full')
+        admission.leave()
+        await waiting
+
+    @virtual
+    async def test_deadline_in_the_queue(self) -> None:
+        admission = self.make(1, 5)
+        await admission.enter(5, 1_000_000, 0)
+        with testtools.ExpectedException(Refusal):
+            await admission.enter(5, 200, 0)
+        self.assertEqual([], admission.waiting)
+
+    @virtual
+    async def test_cancelled_turn_frees_its_slot(self) -> None:
+        admission = self.make(1, 5)
+        await admission.enter(5, 1_000_000, 0)
+        waiting = asyncio.ensure_future(self.enter(admission, 'gone', 5, 0))
+        await asyncio.sleep(0.01)
+        admission.leave()
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        self.assertEqual(0, admission.running)
