Hold programs to their deadline

Cause: a program's deadline was accepted and never looked at, and a withdrawn call that was then cancelled was said to have run. Change: calls after the deadline are refused, and the program is ended; a withdrawn call counts as not running. Tests for both limits of a run.

--- a/pollenwalk/process/beginnings.py
+++ b/pollenwalk/process/beginnings.py
@@ -56,7 +56,7 @@
             program_id = request.program or self.new_id()
             self.begin_new(program_id, request, spec)
         await self.wait_begun(program_id, request)
-        return self.home.book.programs[program_id]
+        return self.home.find(program_id).program
 
     def known(self, request: BeginProgram) -> Program | None:
         """Give the program that was begun with this key or id."""
--- a/pollenwalk/process/upkeep.py
+++ b/pollenwalk/process/upkeep.py
@@ -102,7 +102,8 @@
         spec = self.parts.config.program(program.declaration) or ProgramSpec([])
         try:
             if not program.ended:
-                if not live.calls and now_ms - live.used_ms > spec.idle_ms:
+                idle = now_ms - live.used_ms > spec.idle_ms
+                if not live.calls and (idle or live.is_overdue()):
                     await self.home.end(program.id)
                 return
             ended_ms = self.ended_ms.setdefault(program.id, now_ms)
--- a/pollenwalk/program/live.py
+++ b/pollenwalk/program/live.py
@@ -70,6 +70,8 @@
         program = self.program
         if program.ended or self.ending:
             raise Refusal(RefusalCode.PROGRAM_ENDED, 'the program has ended')
+        if self.is_overdue():
+            raise Refusal(RefusalCode.DEADLINE, "the program's time is up")
         if request.sequence < program.next_sequence or self.waits(request):
             raise Refusal(
                 RefusalCode.SEQUENCE_TAKEN,
@@ -78,6 +80,10 @@
         if request.sequence > program.next_sequence + MAX_AHEAD:
             raise self.gap(request)
 
+    def is_overdue(self) -> bool:
+        """Tell whether the program's time is up; a takeover starts it anew."""
+        return self.clock.now_ms() - self.begun_ms > self.program.deadline_ms
+
     def waits(self, request: CallProgram) -> bool:
         """Tell whether another call already waits at this place."""
         return any(
--- a/pollenwalk/request/execution.py
+++ b/pollenwalk/request/execution.py
@@ -259,6 +259,7 @@
 
     async def withdraw(self) -> None:
         """Note that an intent was proven not to have run."""
+        self.call.running = False
         await self.parts.recorder.record(
             self.live,
             lambda: [Withdrawn(self.program.id, self.request.key)],
--- a/test/connection/test_http_api.py
+++ b/test/connection/test_http_api.py
@@ -262,6 +262,32 @@
         status, answer = await client.ask('POST', '/v1/programs', body)
         self.assertEqual(201, status)
 
+    @served
+    async def test_deadline_of_a_program(self, client: Client) -> None:
+        program = await client.begin(deadline_ms=200)
+        await asyncio.sleep(0.3)
+        path = f'/v1/programs/{program}/calls'
+        status, answer = await client.ask('POST', path, CALL, KEYED)
+        self.assertEqual((504, 'deadline'), (status, answer['code']))
+        self.assertEqual('not_run', answer['outcome'])
+
+    @served
+    async def test_looping_program(self, client: Client) -> None:
+        program = await client.begin()
+        path = f'/v1/programs/{program}/calls'
+        codes = []
+        for sequence in range(1, 22):
+            body = {
+                'sequence': sequence,
+                'upstream': 'orders',
+                'operation': 'lookup',
+                'input': {'item': 'insert'},
+            }
+            keyed = {'Idempotency-Key': f'k{sequence}'}
+            _, answer = await client.ask('POST', path, body, keyed)
+            codes.append(answer.get('code', 'answered'))
+        self.assertEqual(['answered'] * 20 + ['loop_limit'], codes)
+
     @served
     async def test_vanishing_caller(self, client: Client) -> None:
         program = await client.begin()
