--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -1,7 +1,9 @@
-"""The daemons as separate processes: killed, stopped, and loaded."""
+"""The daemons as separate processes: killed, frozen, stopped, and loaded."""
 
 import asyncio
 import random
+import signal
+from collections.abc import Awaitable, Callable
 
 import testtools
 
@@ -13,6 +15,8 @@
 
 ZONES = ('rimouski', 'saguenay', 'envigado')
 PROGRAMS = 6
+DISTURB_AFTER_MS = 300
+FREEZE_MS = 8000
 
 
 class ProcessesTest(testtools.TestCase):
@@ -22,23 +26,30 @@
         super().setUp()
         self.processes = Processes()
         self.addCleanup(self.processes.close)
+        self.processes.start_all(ZONES, models=1, plains=1)
 
     def test_kill_and_stop_under_load(self) -> None:
-        self.processes.start_all(ZONES, models=1, plains=1)
-        tally = asyncio.run(self.run_programs())
-        self.assertEqual([], tally.refused)
-        self.assertEqual([], tally.mixed)
-        self.assertEqual(tally.begun, tally.completed)
-        for story in (SPARES, TEA_CHEST):
-            executions = [
-                execution
-                for tag, execution in tally.answered.items()
-                if tag.startswith(story.declaration)
-            ]
-            self.assertEqual(sorted(set(executions)), sorted(executions))
+        self.check(asyncio.run(self.run_programs(self.kill_entry)))
+        for name in ('entry1', 'advisory-0', 'orders-0'):
+            self.assertEqual(0, self.processes.stop(name), name)
+
+    def test_freeze_under_load(self) -> None:
+        self.check(asyncio.run(self.run_programs(self.freeze_entry)))
+        self.assertEqual(0, self.processes.stop('entry0'))
+
+    async def kill_entry(self) -> None:
+        """Kill one entry."""
+        self.processes.kill('entry0')
+
+    async def freeze_entry(self) -> None:
+        """Freeze one entry for longer than its takeover takes."""
+        process = self.processes.running['entry0']
+        process.send_signal(signal.SIGSTOP)
+        await LoopClock().sleep_ms(FREEZE_MS)
+        process.send_signal(signal.SIGCONT)
 
-    async def run_programs(self) -> Tally:
-        """Run programs while one entry is killed and one sidecar stopped."""
+    async def run_programs(self, disturb: Callable[[], Awaitable[None]]) -> Tally:
+        """Run programs while something happens to an entry."""
         clock = LoopClock()
         tally = Tally(Ledger())
         door = HttpDoor(self.processes.urls, random.Random(1))
@@ -48,13 +59,21 @@
                 name = f'{story.declaration}-{number}'
                 caller = Caller(name, door, clock, random.Random(name), tally)
                 running.append(asyncio.ensure_future(caller.run(story)))
-        await clock.sleep_ms(300)
-        self.processes.kill('entry0')
+        await clock.sleep_ms(DISTURB_AFTER_MS)
+        await disturb()
         await asyncio.gather(*running)
         await door.close()
-        codes = [
-            await asyncio.to_thread(self.processes.stop, name)
-            for name in ('entry1', 'advisory-0', 'orders-0')
-        ]
-        self.assertEqual([0, 0, 0], codes)
         return tally
+
+    def check(self, tally: Tally) -> None:
+        """See that all programs completed and no order ran twice."""
+        self.assertEqual([], tally.refused)
+        self.assertEqual([], tally.mixed)
+        self.assertEqual(tally.begun, tally.completed)
+        for story in (SPARES, TEA_CHEST):
+            executions = [
+                execution
+                for tag, execution in tally.answered.items()
+                if tag.startswith(story.declaration)
+            ]
+            self.assertEqual(sorted(set(executions)), sorted(executions))
