--- a/pollenwalk/policy/placement.py
+++ b/pollenwalk/policy/placement.py
@@ -6,7 +6,7 @@
 
 ZONE_PATH_MS = 1.0
 REGION_PATH_MS = 60.0
-PREFILL_WEIGHT = 10.0
+PREFILL_WEIGHT = 30.0
 
 
 class HostView(NamedTuple):
