--- a/standin/scenario/runner.py
+++ b/standin/scenario/runner.py
@@ -410,9 +410,19 @@
         if fresh:
             raise AssertionError(f'it took {fresh} calls')
 
+    def check_sidecars(self, upstream: str, field: str, value: str) -> None:
+        """See what is in force at the living sidecars of an upstream."""
+        for name, process in self.world.sidecars.items():
+            if process.node.dead or process.sidecar.settings.upstream != upstream:
+                continue
+            present = getattr(process.sidecar.work.spec, field)
+            if str(present) != value:
+                raise AssertionError(f'{name} has {present}')
+
     def expect_has(self, name: str, field: str, value: str) -> None:
-        """`expect KIND/NAME has KEY VALUE`, in force at every live entry."""
+        """`expect KIND/NAME has KEY VALUE`, in force at every live process."""
         kind, _, resource = name.partition('/')
+        self.check_sidecars(resource, field, value)
         for entry_name, process in self.world.entries.items():
             if process.node.dead:
                 continue
--- a/test/test_broken.py
+++ b/test/test_broken.py
@@ -11,6 +11,7 @@
 
 import testtools
 
+from pollenwalk.process.entry import Entry
 from pollenwalk.process.fleet import Fleet
 from pollenwalk.process.grants import Grants
 from pollenwalk.process.home import Home
@@ -139,6 +140,13 @@
         take_any_turn,
         'calls_sent_at_once',
     ),
+    Break(
+        'declarations are pushed once and never asked for',
+        Entry,
+        'reply',
+        lambda self, report: None,
+        'declaration_reaches_cut_sidecars',
+    ),
     Break(
         "the platform's list of hosts is not heeded",
         Fleet,
