--- a/pollenwalk/commands/experiment.py
+++ b/pollenwalk/commands/experiment.py
@@ -9,7 +9,7 @@
 
 from pollenwalk.process.logs import set_up_logs
 
-NAMES = ('overhead', 'placement', 'recovery', 'slopes')
+NAMES = ('overhead', 'placement', 'recovery', 'slopes', 'storm')
 INDENT = 2
 
 
