--- a/standin/experiments/storm.py
+++ b/standin/experiments/storm.py
@@ -54,7 +54,7 @@
 def run(seed: int) -> dict[str, Any]:
     """Run both and compare."""
     with_budgets = run_virtual(outage(seed))
-    with mock.patch.object(RetryBudget, 'spend', lambda self: True):
+    with mock.patch.object(RetryBudget, 'spend', lambda budget: True):
         without = run_virtual(outage(seed))
     return {
         'seed': seed,
