--- a/standin/processes.py
+++ b/standin/processes.py
@@ -31,6 +31,7 @@
         self.coalesce_ms = 4.0
         self.engine_step_ms = 10.0
         self.slots = 8
+        self.traced = False
 
     def start(self, name: str, *words: str) -> None:
         """Start one `pollenwalk` process."""
@@ -97,7 +98,8 @@
         config = self.write(
             f'entry{number}.ini',
             f'[store]\nurl = {self.store}\n[regions]\n{regions}\n[entry]\n'
-            f'address = {self.peers[number]}\nhttp = {http}\nzone = {zone}\n',
+            f'address = {self.peers[number]}\nhttp = {http}\nzone = {zone}\n'
+            f'{self.tracing(f"entry{number}")}',
         )
         self.start(f'entry{number}', 'entry', '--config', config)
 
@@ -108,10 +110,20 @@
             f'[sidecar]\nid = {name}\nupstream = {upstream}\nkind = {kind}\n'
             f'address = {LOOPBACK}:{free_port()}\nhttp = {LOOPBACK}:{free_port()}\n'
             f'zone = rimouski\nurl = {url}\nentries = {", ".join(self.peers)}\n'
-            f'coalesce_ms = {self.coalesce_ms}\n',
+            f'coalesce_ms = {self.coalesce_ms}\n{self.tracing(name)}',
         )
         self.start(name, 'sidecar', '--config', config)
 
+    def tracing(self, name: str) -> str:
+        """Give the settings that keep a process's spans, if they are wanted."""
+        if not self.traced:
+            return ''
+        return f'[process]\ntrace_file = {self.spans_of(name)}\ntrace_share = 1\n'
+
+    def spans_of(self, name: str) -> Path:
+        """Give where a process's spans are kept."""
+        return self.folder / f'{name}.spans'
+
     def stop(self, name: str) -> int:
         """Stop a process gracefully and give its exit code."""
         process = self.running.pop(name)
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -1,6 +1,7 @@
 """The daemons as separate processes: killed, frozen, stopped, and loaded."""
 
 import asyncio
+import json
 import random
 import signal
 from collections.abc import Awaitable, Callable
@@ -26,12 +27,14 @@
         super().setUp()
         self.processes = Processes()
         self.addCleanup(self.processes.close)
+        self.processes.traced = True
         self.processes.start_all(ZONES, models=1, plains=1)
 
     def test_kill_and_stop_under_load(self) -> None:
         self.check(asyncio.run(self.run_programs(self.kill_entry)))
-        for name in ('entry1', 'advisory-0', 'orders-0'):
+        for name in ('entry1', 'entry2', 'advisory-0', 'orders-0'):
             self.assertEqual(0, self.processes.stop(name), name)
+        self.check_spans()
 
     def test_freeze_under_load(self) -> None:
         self.check(asyncio.run(self.run_programs(self.freeze_entry)))
@@ -65,6 +68,15 @@
         await door.close()
         return tally
 
+    def check_spans(self) -> None:
+        """See that the hops of a call through three processes share a trace."""
+        hops: dict[str, set[str]] = {}
+        for name in ('entry1', 'entry2', 'advisory-0', 'orders-0'):
+            for line in self.processes.spans_of(name).read_text().splitlines():
+                span = json.loads(line)
+                hops.setdefault(span['context']['trace_id'], set()).add(span['name'])
+        self.assertIn({'entry', 'dispatch', 'upstream'}, list(hops.values()))
+
     def check(self, tally: Tally) -> None:
         """See that all programs completed and no order ran twice."""
         self.assertEqual([], tally.refused)
