Run a recovered call the ordinary way

Cause: reading found that a recovered call which is proven not to have run, and whose rerun is refused, raised out of the recovery's own handler: whoever waited for it got no word. Change: the home's ordinary run takes over, which always tells. Before: recovered_call_is_refused does not end within 15 s; after: it does.

--- a/pollenwalk/process/recovery.py
+++ b/pollenwalk/process/recovery.py
@@ -17,7 +17,6 @@
 from pollenwalk.program.records import Finished, Intended, Withdrawn
 from pollenwalk.request.call import LiveCall
 from pollenwalk.request.dispatch import Resolver
-from pollenwalk.request.execution import Execution
 
 if TYPE_CHECKING:
     from pollenwalk.process.home import Home
@@ -94,7 +93,7 @@
             lambda: [Withdrawn(intent.program, intent.key)],
         )
         if call.stream.followers:
-            call.finish(await Execution(self.parts, live, call).run())
+            await self.home.run(live, call)
             return
         call.refuse(
             Refusal(
