Follow a prefix in one way, await a beginning, drop what is dead

Cause: reading the whole change found three copies of the loop that reads a prefix and then watches it, a poll each millisecond for a program's first record beside a wait of the same kind for keys, and names that nothing reads.

Dead constants and attributes are gone.

--- a/pollenwalk/connection/wire.py
+++ b/pollenwalk/connection/wire.py
@@ -282,8 +282,6 @@
     spec: dict[str, Any]
 
 
-Message = NamedTuple
-
 MESSAGE_TYPES: tuple[type[Any], ...] = (
     Hello,
     Welcome,
--- a/pollenwalk/process/acceptance.py
+++ b/pollenwalk/process/acceptance.py
@@ -13,7 +13,7 @@
 
 from pollenwalk.errors import StoreConflict, StoreUnavailable
 from pollenwalk.process.clock import Clock
-from pollenwalk.process.store import ABSENT, ObjectStore, StoredObject
+from pollenwalk.process.store import ABSENT, ObjectStore, StoredObject, follow
 from pollenwalk.version.config import (
     Accepted,
     Configuration,
@@ -29,7 +29,6 @@
 
 WISHES = 'resources/'
 VERDICTS = 'accepted/'
-REREAD_MS = 500
 JUDGE_MS = 250
 
 
@@ -107,23 +106,17 @@
 
     async def follow_verdicts(self) -> None:
         """Keep the configuration current for as long as the process lives."""
-        revision = 0
-        while True:
-            try:
-                revision = await self.read_verdicts(revision)
-            except StoreUnavailable:
-                await self.clock.sleep_ms(REREAD_MS)
-
-    async def read_verdicts(self, revision: int) -> int:
-        """Read all verdicts, or wait for new ones."""
-        if revision:
-            changes = await self.store.watch(VERDICTS, revision)
-        else:
-            changes = await self.store.scan(VERDICTS)
-        for stored in changes.objects:
-            self.take_verdict(stored)
+        await follow(
+            self.store,
+            self.clock,
+            VERDICTS,
+            self.take_verdict,
+            self.note_synced,
+        )
+
+    def note_synced(self) -> None:
+        """Note that the verdicts have been read."""
         self.synced = True
-        return max(revision, changes.revision)
 
     def take_verdict(self, stored: StoredObject) -> None:
         """Put a verdict in force unless a newer one is."""
@@ -147,12 +140,7 @@
 
     async def follow_wishes(self) -> None:
         """Follow what operators write for as long as the process lives."""
-        revision = 0
-        while True:
-            try:
-                revision = await self.read_wishes(revision)
-            except StoreUnavailable:
-                await self.clock.sleep_ms(REREAD_MS)
+        await follow(self.store, self.clock, WISHES, self.take_wish)
 
     async def judge_wishes(self, is_ours: Callable[[], bool]) -> None:
         """Judge wishes while `is_ours()` says that this entry should."""
@@ -164,16 +152,6 @@
                 logger.info('judging_put_off', reason=error.message)
             await self.clock.sleep_ms(JUDGE_MS)
 
-    async def read_wishes(self, revision: int) -> int:
-        """Read all wishes, or wait for new ones."""
-        if revision:
-            changes = await self.store.watch(WISHES, revision)
-        else:
-            changes = await self.store.scan(WISHES)
-        for stored in changes.objects:
-            self.take_wish(stored)
-        return max(revision, changes.revision)
-
     def take_wish(self, stored: StoredObject) -> None:
         """Note a wish; only its version is kept once it has been judged."""
         if self.wishes.get(stored.key, 0) >= stored.version:
--- a/pollenwalk/process/beginnings.py
+++ b/pollenwalk/process/beginnings.py
@@ -1,10 +1,10 @@
 """Beginning programs: keys, ids, and the limits of callers and parents."""
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from pollenwalk.connection.wire import BeginProgram
-from pollenwalk.errors import Refusal, RefusalCode, sealed
+from pollenwalk.errors import Refusal, RefusalCode
 from pollenwalk.policy.door import has_room
 from pollenwalk.process.ids import new_program_id
 from pollenwalk.process.recorder import store_unavailable
@@ -23,6 +23,13 @@
 KEY_RETAIN_MS = 600_000
 
 
+class Beginning(NamedTuple):
+    """A program whose first record is on its way."""
+
+    program: str
+    task: asyncio.Task[None]
+
+
 class Beginnings:
     """Programs that begin at one home, and keys that it settles."""
 
@@ -30,7 +37,7 @@
         """Begin programs at `home`."""
         self.home = home
         self.parts = home.parts
-        self.beginning: dict[tuple[str, str], str] = {}
+        self.beginning: dict[tuple[str, str], Beginning] = {}
         self.claiming: dict[tuple[str, str], asyncio.Task[None]] = {}
         self.claimed_ms: dict[tuple[str, str], float] = {}
 
@@ -40,7 +47,6 @@
         Raises:
             Refusal: it is not declared, or a limit or budget forbids it.
         """
-        identity = (request.caller, request.key)
         known = self.known(request)
         if known is not None:
             return self.repeated(known, request)
@@ -51,11 +57,37 @@
                 RefusalCode.UNKNOWN_DECLARATION,
                 f'no program is declared as {request.declaration!r}',
             )
-        program_id = self.beginning.get(identity) if request.key else None
-        if program_id is None:
-            program_id = request.program or self.new_id()
-            self.begin_new(program_id, request, spec)
-        await self.wait_begun(program_id, request)
+        identity = (request.caller, request.key or request.program)
+        beginning = self.beginning.get(identity)
+        if beginning is None:
+            beginning = self.begin_new(request, spec)
+        await self.durable(beginning.task)
+        return self.begun(beginning.program)
+
+    async def durable(self, task: asyncio.Task[None]) -> None:
+        """Wait a bounded time for a commit that goes on in any case.
+
+        Raises:
+            Refusal: it takes too long.
+            Fenced: this home has a successor; ask there.
+        """
+        try:
+            async with self.parts.clock.timeout_ms(BEGIN_WAIT_MS):
+                await asyncio.shield(task)
+        except TimeoutError as error:
+            raise store_unavailable() from error
+
+    def begun(self, program_id: str) -> Program:
+        """Give a program whose record is durable.
+
+        Raises:
+            Refusal: its parent had given its tokens away meanwhile.
+        """
+        if program_id not in self.home.book.programs:
+            raise Refusal(
+                RefusalCode.BUDGET_EXHAUSTED,
+                'the parent has too few tokens to give',
+            )
         return self.home.find(program_id).program
 
     def known(self, request: BeginProgram) -> Program | None:
@@ -92,11 +124,7 @@
             task = self.home.tasks.spawn(self.parts.recorder.commit([record]), 'claim')
             self.claiming[identity] = task
             task.add_done_callback(lambda _: self.claiming.pop(identity, None))
-        try:
-            async with self.parts.clock.timeout_ms(BEGIN_WAIT_MS):
-                await asyncio.shield(task)
-        except TimeoutError as error:
-            raise store_unavailable() from error
+        await self.durable(task)
         self.claimed_ms[identity] = self.parts.clock.now_ms()
         return self.home.book.claims[identity]
 
@@ -116,13 +144,9 @@
             self.parts.dice,
         )
 
-    def begin_new(
-        self,
-        program_id: str,
-        request: BeginProgram,
-        spec: ProgramSpec,
-    ) -> None:
+    def begin_new(self, request: BeginProgram, spec: ProgramSpec) -> Beginning:
         """Check the limits and start recording a new program."""
+        program_id = request.program or self.new_id()
         limit = min(request.budget or spec.budget_tokens, spec.budget_tokens)
         self.check_limits(request, limit)
         record = Begun(
@@ -135,15 +159,19 @@
             Budget(limit).ahead(spec.reserve_tokens),
             min(request.deadline_ms or spec.deadline_ms, spec.deadline_ms),
         )
-        self.beginning[request.caller, request.key or program_id] = program_id
-        if request.parent:
-            parent = self.home.find(request.parent)
-            self.parts.recorder.record_later(
-                parent,
-                lambda: self.carved(parent, record),
-            )
-        else:
-            self.home.tasks.spawn(self.parts.recorder.commit([record]), 'begin')
+        beginning = Beginning(program_id, self.record(record))
+        identity = (request.caller, request.key or program_id)
+        self.beginning[identity] = beginning
+        beginning.task.add_done_callback(lambda _: self.beginning.pop(identity, None))
+        return beginning
+
+    def record(self, record: Begun) -> asyncio.Task[None]:
+        """Start to record a beginning, a child's under its parent's lock."""
+        recorder = self.parts.recorder
+        if not record.parent:
+            return self.home.tasks.spawn(recorder.commit([record]), 'begin')
+        parent = self.home.find(record.parent)
+        return recorder.record_later(parent, lambda: self.carved(parent, record))
 
     def carved(self, parent: LiveProgram, record: Begun) -> list[Record]:
         """Check the parent's budget again under its lock."""
@@ -210,24 +238,6 @@
                 f'the parent has {parent.program.budget.free} tokens to give',
             )
 
-    async def wait_begun(self, program_id: str, request: BeginProgram) -> None:
-        """Wait until a program's beginning is durable."""
-        journal = self.parts.recorder.journal
-        until_ms = self.parts.clock.now_ms() + BEGIN_WAIT_MS
-        identity = (request.caller, request.key or program_id)
-        while program_id not in self.home.book.programs:
-            if journal.fenced:
-                raise sealed()
-            if self.parts.clock.now_ms() > until_ms:
-                raise store_unavailable()
-            if identity not in self.beginning:
-                raise Refusal(
-                    RefusalCode.BUDGET_EXHAUSTED,
-                    'the parent has too few tokens to give',
-                )
-            await self.parts.clock.sleep_ms(1)
-        self.beginning.pop(identity, None)
-
     def drop_claims(self) -> None:
         """Forget keys whose retention has passed."""
         now_ms = self.parts.clock.now_ms()
--- a/pollenwalk/process/directory.py
+++ b/pollenwalk/process/directory.py
@@ -11,12 +11,10 @@
 
 import msgspec
 
-from pollenwalk.errors import StoreUnavailable
 from pollenwalk.process.clock import Clock
-from pollenwalk.process.store import ObjectStore, StoredObject
+from pollenwalk.process.store import ObjectStore, StoredObject, follow
 
 PREFIX = 'entries/'
-REREAD_MS = 500
 MAX_CHAIN = 1000
 
 
@@ -85,24 +83,7 @@
 
     async def follow(self) -> None:
         """Keep the view current for as long as the process lives."""
-        revision = 0
-        while True:
-            try:
-                changes = await self.read_from(revision)
-            except StoreUnavailable:
-                await self.clock.sleep_ms(REREAD_MS)
-                continue
-            revision = max(revision, changes)
-
-    async def read_from(self, revision: int) -> int:
-        """Read everything, or wait for what is new."""
-        if revision:
-            changes = await self.store.watch(PREFIX, revision)
-        else:
-            changes = await self.store.scan(PREFIX)
-        for stored in changes.objects:
-            self.take(stored)
-        return changes.revision
+        await follow(self.store, self.clock, PREFIX, self.take)
 
     def take(self, stored: StoredObject) -> None:
         """Note a record unless a newer one is known."""
@@ -118,7 +99,9 @@
 
     async def refresh(self) -> None:
         """Read all records now; raises `StoreUnavailable`."""
-        await self.read_from(0)
+        changes = await self.store.scan(PREFIX)
+        for stored in changes.objects:
+            self.take(stored)
 
     def owner(self, incarnation: str) -> EntryRecord | None:
         """Follow the successors of an incarnation to the present owner."""
--- a/pollenwalk/process/home.py
+++ b/pollenwalk/process/home.py
@@ -53,7 +53,6 @@
     )
 )
 ID_BITS = 64
-PROGRAM_PREFIX = 'p'
 
 
 class Home:
--- a/pollenwalk/process/journal.py
+++ b/pollenwalk/process/journal.py
@@ -93,7 +93,6 @@
         self.effective: list[WitnessRef] = []
         self.proposed: list[WitnessRef] = []
         self.links: dict[WitnessRef, WitnessLink] = {}
-        self.on_segment: Callable[[int], None] = lambda number: None
         self.on_fenced: Callable[[], None] = lambda: None
         self.peers: PeerSource | None = None
         self.segments_written = 0
@@ -223,7 +222,6 @@
 
     def stored(self, batches: list[Batch]) -> None:
         """Note a written segment."""
-        number = self.next_segment
         self.next_segment += 1
         self.segments_written += 1
         self.base += len(batches)
@@ -231,7 +229,6 @@
         self.effective = self.proposed
         self.settle(batches)
         self.link_witnesses()
-        self.on_segment(number)
 
     def fence(self) -> None:
         """Stop for good: a successor owns the programs now."""
--- a/pollenwalk/process/sidecar_calls.py
+++ b/pollenwalk/process/sidecar_calls.py
@@ -20,7 +20,6 @@
         self.message = message
         self.history = history
         self.stream = TokenStream()
-        self.started = False
         self.ended_ms = 0.0
         self.alone_ms: float | None = None
         self.result: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
--- a/pollenwalk/process/store.py
+++ b/pollenwalk/process/store.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from pollenwalk.errors import StoreConflict, StoreUnavailable
@@ -15,6 +16,7 @@
 ABSENT = 0
 RETRY_FIRST_MS = 20
 RETRY_LAST_MS = 1000
+REREAD_MS = 500
 BACKOFF = 2
 NONCE_BITS = 64
 
@@ -122,3 +124,40 @@
         present = await store.get(key)
         return present is not None and present.body == body
     return True
+
+
+async def follow(
+    store: ObjectStore,
+    clock: Clock,
+    prefix: str,
+    take: Callable[[StoredObject], None],
+    after_read: Callable[[], None] | None = None,
+) -> None:
+    """Hand over what is below a prefix, then each change, for ever.
+
+    Args:
+        store: the platform's store.
+        clock: paces the tries while the store is silent.
+        prefix: what to follow.
+        take: gets each object; it must bear one that it has seen.
+        after_read: called after each answer.
+    """
+    revision = 0
+    while True:
+        try:
+            changes = await read_from(store, prefix, revision)
+        except StoreUnavailable:
+            await clock.sleep_ms(REREAD_MS)
+            continue
+        for stored in changes.objects:
+            take(stored)
+        if after_read is not None:
+            after_read()
+        revision = max(revision, changes.revision)
+
+
+async def read_from(store: ObjectStore, prefix: str, revision: int) -> Changes:
+    """Read everything, or wait for what is newer than a revision."""
+    if revision:
+        return await store.watch(prefix, revision)
+    return await store.scan(prefix)
--- a/pollenwalk/process/upstream_calls.py
+++ b/pollenwalk/process/upstream_calls.py
@@ -69,7 +69,6 @@
         except Refusal as refusal:
             self.refused(call, refusal)
             return
-        call.started = True
         try:
             await self.run_upstream(call, deadline_ms)
         except Refusal as refusal:
--- a/standin/caller.py
+++ b/standin/caller.py
@@ -20,7 +20,6 @@
 
 MAX_TRIES = 60
 LOST_PAUSE_MS = 200
-DEFAULT_RETRY_MS = 200
 CHILD_CHANCE = 0.25
 CHILD_BUDGET = 400
 
@@ -113,7 +112,6 @@
         self.not_run: list[str] = []
         self.answered: dict[str, int] = {}
         self.latency_ms: list[float] = []
-        self.first_ms: list[float] = []
         self.programs: list[str] = []
         self.budgets: dict[str, int] = {}
         self.late_tries = 0
--- a/standin/experiments/measure.py
+++ b/standin/experiments/measure.py
@@ -77,15 +77,6 @@
     return Line(float(slope), float(base), residual, points)
 
 
-def loopback_bytes() -> int:
-    """Count the bytes that the loopback interface has received."""
-    for line in Path('/proc/net/dev').read_text(encoding='ascii').splitlines():
-        name, _, counters = line.strip().partition(':')
-        if name == 'lo':
-            return int(counters.split()[0])
-    return 0
-
-
 def as_json(value: Any) -> Any:
     """Turn nested results into JSON."""
     if isinstance(value, Line):
--- a/standin/scenario/language.py
+++ b/standin/scenario/language.py
@@ -7,7 +7,6 @@
 from pollenwalk.errors import UserError
 from standin.virtual.world import Shape
 
-COMMENT = '#'
 ZONE_SETUPS = ('entries', 'models', 'plains')
 NUMBER_SETUPS = ('witnesses', 'seed')
 
