--- a/pollenwalk/connection/grpc_network.py
+++ b/pollenwalk/connection/grpc_network.py
@@ -9,6 +9,7 @@
 
 import grpc
 
+from pollenwalk.connection.addresses import split_address
 from pollenwalk.connection.channel import (
     Channel,
     ChannelHandler,
@@ -138,12 +139,6 @@
             self.transport.close()
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split `ip:port`."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
 class GrpcNetwork:
     """The network of the real daemons."""
 
--- a/pollenwalk/errors.py
+++ b/pollenwalk/errors.py
@@ -44,6 +44,8 @@
     UNKNOWN_UPSTREAM = 'unknown_upstream'
     UNKNOWN_OPERATION = 'unknown_operation'
     UNKNOWN_CALL = 'unknown_call'
+    UNKNOWN_ROUTE = 'unknown_route'
+    UNKNOWN_TURN = 'unknown_turn'
     KEY_MISSING = 'key_missing'
     KEY_REUSED = 'key_reused'
     SEQUENCE_TAKEN = 'sequence_taken'
@@ -63,6 +65,9 @@
     OUTCOME_UNKNOWN = 'outcome_unknown'
     STALE_SESSION = 'stale_session'
     PROTOCOL = 'protocol'
+    NOT_CONFIGURED = 'not_configured'
+    KEEPERS_UNAVAILABLE = 'keepers_unavailable'
+    INTERNAL = 'internal'
 
 
 class Refusal(PollenwalkError):
@@ -150,12 +155,36 @@
     code = 'store_conflict'
 
 
+class StoreHistoryGone(StoreUnavailable):
+    """The store no longer has the changes since a revision; list anew."""
+
+    code = 'store_history_gone'
+
+
+class MalformedObject(PollenwalkError):
+    """An object of the store that can't be read; the others hold."""
+
+    code = 'malformed_object'
+
+
 class ConnectionLost(PollenwalkError):
     """A peer's connection ended before the exchange did."""
 
     code = 'connection_lost'
 
 
+class NotSent(PollenwalkError):
+    """No byte of a request reached the upstream host: it did not run."""
+
+    code = 'not_sent'
+
+
+class BrokenAnswer(PollenwalkError):
+    """An upstream host's answer ended early; the request may have run."""
+
+    code = 'broken_answer'
+
+
 class Fenced(PollenwalkError):
     """This incarnation has been sealed by a successor."""
 
--- /dev/null
+++ b/pollenwalk/platform/documents.py
@@ -0,0 +1,220 @@
+"""The objects that the operator and the upstreams write, decoded."""
+
+from typing import Any, NotRequired, TypedDict
+
+import msgspec
+
+from pollenwalk.connection.hosts import UpstreamHost
+from pollenwalk.errors import MalformedObject
+from pollenwalk.version.routes import (
+    CallerLimits,
+    CallKind,
+    Configuration,
+    Engine,
+    Route,
+    Share,
+    Upstream,
+    index_routes,
+)
+
+CONFIGURATION_KIND = 'config/'
+CONFIGURATION_KEY = 'config/main'
+HOSTS_KIND = 'servers/'
+RETIREMENTS_KIND = 'retirements/'
+
+MS_PER_SECOND = 1000
+KINDS = {
+    'safe': CallKind.SAFE,
+    'unsafe': CallKind.UNSAFE,
+    'streaming': CallKind.STREAM,
+}
+STATES = {'ready': False, 'draining': True}
+
+
+class WireShare(TypedDict):
+    """An entry of `traffic_split`."""
+
+    service: str
+    weight: float
+
+
+class WireRoute(TypedDict):
+    """A route as the operator writes it."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: NotRequired[float]
+    gap_aim_ms: NotRequired[float]
+    priority: NotRequired[int]
+    service: NotRequired[str]
+    traffic_split: NotRequired[list[WireShare]]
+    max_attempts: NotRequired[int]
+    resumable: NotRequired[bool]
+    retain_history: NotRequired[bool]
+    retention_s: NotRequired[float]
+
+
+class WireEngine(TypedDict):
+    """The `engine` of a service; `kv_capacity` is in tokens."""
+
+    slots: int
+    kv_capacity: int
+    tokens_per_event: int
+
+
+class WireService(TypedDict):
+    """A service as the operator writes it."""
+
+    name: str
+    max_conns: int
+    engine: NotRequired[WireEngine]
+
+
+class WireLimits(TypedDict):
+    """The limits of callers' connections."""
+
+    idle_timeout_ms: float
+
+
+class WireConfiguration(TypedDict):
+    """The object `config/main`."""
+
+    version: int
+    routes: list[WireRoute]
+    services: list[WireService]
+    limits: WireLimits
+
+
+class WireServer(TypedDict):
+    """An upstream host's entry.
+
+    `version` is that of its software, `born` the Unix time of its start.
+    """
+
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    cold_left_ms: NotRequired[float]
+    born: NotRequired[int]
+
+
+class WireRetirement(TypedDict):
+    """A request to empty a storage host within `duration_s`."""
+
+    duration_s: float
+
+
+CONFIGURATION_DECODER = msgspec.json.Decoder(WireConfiguration)
+SERVER_DECODER = msgspec.json.Decoder(WireServer)
+RETIREMENT_DECODER = msgspec.json.Decoder(WireRetirement)
+
+
+def decode(decoder: msgspec.json.Decoder[Any], key: str, body: bytes) -> Any:
+    """Decode one object.
+
+    Raises:
+        MalformedObject: it is not what its kind should be.
+    """
+    try:
+        return decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise MalformedObject(f'{key}: {error}') from error
+
+
+def decode_configuration(key: str, body: bytes) -> Configuration:
+    """Decode the operator's configuration.
+
+    Raises:
+        MalformedObject: it is no configuration.
+    """
+    wire: WireConfiguration = decode(CONFIGURATION_DECODER, key, body)
+    return Configuration(
+        wire['version'],
+        index_routes([decode_route(key, one) for one in wire['routes']]),
+        {one['name']: decode_upstream(one) for one in wire['services']},
+        CallerLimits(wire['limits']['idle_timeout_ms']),
+    )
+
+
+def decode_route(key: str, wire: WireRoute) -> Route:
+    """Decode one route."""
+    kind = KINDS.get(wire['kind'])
+    shares = decode_shares(wire)
+    if kind is None or not shares:
+        raise MalformedObject(f'{key}: route {wire["name"]!r}')
+    timeout_ms = wire['timeout_ms']
+    return Route(
+        name=wire['name'],
+        host=wire['host'].lower(),
+        path_prefix=wire['path_prefix'],
+        kind=kind,
+        timeout_ms=timeout_ms,
+        target_ms=wire.get('target_latency_ms', timeout_ms),
+        pause_target_ms=wire.get('gap_aim_ms', 0),
+        priority=wire.get('priority', 0),
+        shares=shares,
+        max_attempts=wire.get('max_attempts', 1),
+        resumable=wire.get('resumable', False),
+        keeps_history=wire.get('retain_history', False),
+        retention_ms=wire.get('retention_s', 0) * MS_PER_SECOND,
+    )
+
+
+def decode_shares(wire: WireRoute) -> tuple[Share, ...]:
+    """Read the upstreams of a route, whichever way they are written."""
+    split = wire.get('traffic_split') or []
+    shares = tuple(
+        Share(one['service'], one['weight']) for one in split if one['weight'] > 0
+    )
+    service = wire.get('service')
+    return shares or ((Share(service, 1),) if service else ())
+
+
+def decode_upstream(wire: WireService) -> Upstream:
+    """Decode one service."""
+    engine = wire.get('engine')
+    if engine is None:
+        return Upstream(wire['name'], wire['max_conns'], None)
+    return Upstream(
+        wire['name'],
+        wire['max_conns'],
+        Engine(engine['slots'], engine['kv_capacity'], engine['tokens_per_event']),
+    )
+
+
+def decode_host(key: str, body: bytes) -> UpstreamHost:
+    """Decode an upstream host's entry; its id is the object's name.
+
+    Raises:
+        MalformedObject: it names no host that can be used.
+    """
+    wire: WireServer = decode(SERVER_DECODER, key, body)
+    leaving = STATES.get(wire['state'])
+    address, _, port = wire['address'].rpartition(':')
+    if leaving is None or not address or not port.isdecimal():
+        raise MalformedObject(f'{key}: state or address')
+    return UpstreamHost(
+        id=key.removeprefix(HOSTS_KIND),
+        upstream=wire['service'],
+        address=wire['address'],
+        zone=wire['zone'],
+        slots=wire['slots'],
+        leaving=leaving,
+        warm_up_ms=wire.get('cold_left_ms', 0),
+        born_ms=wire.get('born', 0),
+    )
+
+
+def decode_retirement(key: str, body: bytes) -> float:
+    """Give the time in ms within which a storage host is to be emptied.
+
+    Raises:
+        MalformedObject: it is no such request.
+    """
+    wire: WireRetirement = decode(RETIREMENT_DECODER, key, body)
+    return wire['duration_s'] * MS_PER_SECOND
--- /dev/null
+++ b/pollenwalk/policy/host_choice.py
@@ -0,0 +1,96 @@
+"""Which upstream host runs a call next: the one expected to finish it first."""
+
+import random
+from collections.abc import Iterable
+from typing import NamedTuple, Protocol
+
+# The way to a host and back, in ms, where nothing else is known.
+NEAR_WAY_MS = 1.0
+FAR_WAY_MS = 60.0
+# Estimates closer than this are as good as equal; choosing at random among
+# them keeps several gateways from going the same way at once.
+TIE_MS = 4.0
+# The share by which a full host is slower than an idle one.
+CROWDING = 0.2
+
+
+class Candidate(NamedTuple):
+    """A host that could run a call.
+
+    Attributes:
+        host: its id.
+        slots: calls that it runs at a time.
+        load: calls believed to be there.
+        same_zone: whether it stands in the gateway's zone.
+        same_region: whether it stands in the gateway's region.
+        cached_tokens: of the call's prompt, believed to be in its memory.
+        warm_up_ms: how much longer it is slow.
+        suspected: whether it has just failed.
+    """
+
+    host: str
+    slots: int
+    load: float
+    same_zone: bool
+    same_region: bool
+    cached_tokens: int
+    warm_up_ms: float
+    suspected: bool
+
+
+class Work(NamedTuple):
+    """What a call costs a host.
+
+    Attributes:
+        run_ms: on an idle host.
+        prompt_tokens: to be read where they are not cached.
+        read_ms_per_token: time to read one of them.
+    """
+
+    run_ms: float
+    prompt_tokens: int = 0
+    read_ms_per_token: float = 0.0
+
+
+class HostChoice(Protocol):
+    """A policy that picks a host."""
+
+    def choose(self, candidates: Iterable[Candidate], work: Work) -> Candidate | None:
+        """Pick one of the candidates; None where there is none."""
+
+
+class EarliestFinish:
+    """Picks the host that is expected to finish first.
+
+    Answers the load of several gateways that place on the same few hosts,
+    unevenly far away, some of them full.
+    """
+
+    def __init__(self, dice: random.Random) -> None:
+        """Break ties by `dice`."""
+        self.dice = dice
+
+    def choose(self, candidates: Iterable[Candidate], work: Work) -> Candidate | None:
+        """Compare the expected finish at every host that isn't suspected."""
+        known = list(candidates)
+        trusted = [one for one in known if not one.suspected] or known
+        if not trusted:
+            return None
+        estimates = [(finish_ms(one, work), one) for one in trusted]
+        best = min(estimate for estimate, _ in estimates)
+        near_best = [one for estimate, one in estimates if estimate <= best + TIE_MS]
+        return self.dice.choice(near_best)
+
+
+def finish_ms(candidate: Candidate, work: Work) -> float:
+    """Estimate way, wait, reading and running at a host."""
+    way_ms = NEAR_WAY_MS if candidate.same_region else FAR_WAY_MS
+    if candidate.same_zone:
+        way_ms = 0
+    slots = max(candidate.slots, 1)
+    share = candidate.load / slots
+    queued = max(candidate.load + 1 - slots, 0)
+    wait_ms = queued * work.run_ms / slots
+    unread = max(work.prompt_tokens - candidate.cached_tokens, 0)
+    crowding_ms = work.run_ms * CROWDING * min(share, 1)
+    return way_ms + wait_ms + crowding_ms + unread * work.read_ms_per_token
--- a/pollenwalk/process/daemon.py
+++ b/pollenwalk/process/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+import sys
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -10,7 +11,8 @@
 from starlette.applications import Starlette
 
 from pollenwalk.connection.engine_http import HttpEngine
-from pollenwalk.connection.grpc_network import GrpcNetwork, split_address
+from pollenwalk.connection.addresses import split_address
+from pollenwalk.connection.grpc_network import GrpcNetwork
 from pollenwalk.connection.hosts_http import HttpHosts
 from pollenwalk.connection.http_api import CallersApi
 from pollenwalk.connection.http_server import HttpServer
@@ -41,7 +43,7 @@
         UserError: an address can't be bound.
     """
     process = settings.of('process')
-    set_up_logs(process['log_level'])
+    set_up_logs(process['log_level'], sys.stdout)
     tracer = make_tracer(process['trace_file'], process['trace_share'])
     try:
         asyncio.run(serve(settings, tracer, start))
--- /dev/null
+++ b/pollenwalk/process/gateway.py
@@ -0,0 +1,192 @@
+"""The gateway: takes callers' requests and has them run by upstream hosts."""
+
+import random
+import zlib
+from typing import NamedTuple
+
+from loguru import logger
+
+from pollenwalk.connection.link_pool import LinkPool
+from pollenwalk.errors import Outcome, Refusal, RefusalCode, StoreUnavailable
+from pollenwalk.platform.documents import CONFIGURATION_KIND, HOSTS_KIND
+from pollenwalk.policy.host_choice import EarliestFinish
+from pollenwalk.process.clock import Clock
+from pollenwalk.process.host_book import HostBook
+from pollenwalk.process.placing import Placing
+from pollenwalk.process.store import ObjectStore, follow
+from pollenwalk.process.tasks import TaskSet
+from pollenwalk.request.call_state import Call, end_of_wait
+from pollenwalk.request.plain import run_plain
+from pollenwalk.request.reply import Reply
+from pollenwalk.request.sends import Upstreams
+from pollenwalk.request.streamed import UnboundTurn, run_stream
+from pollenwalk.request.traits import Request
+from pollenwalk.version.in_force import InForce
+from pollenwalk.version.routes import Configuration, Route
+
+# Retry-After before the configuration is known: a start takes about a second.
+STARTING_RETRY_MS = 500
+DRAWS = 1 << 32
+
+
+class GatewaySettings(NamedTuple):
+    """What a gateway is told at its start."""
+
+    name: str
+    zone: str
+    regions: dict[str, str]
+    tolerated_losses: int
+
+
+class Gateway:
+    """One gateway process."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        store: ObjectStore,
+        clock: Clock,
+        dice: random.Random,
+    ) -> None:
+        """Prepare; nothing is known yet."""
+        self.settings = settings
+        self.store = store
+        self.clock = clock
+        self.tasks = TaskSet()
+        self.in_force = InForce()
+        self.book = HostBook(clock)
+        self.pool = LinkPool(clock)
+        self.stopping = False
+        placing = Placing(
+            clock,
+            self.book,
+            EarliestFinish(dice),
+            settings.zone,
+            settings.regions,
+        )
+        self.upstreams = Upstreams(clock, self.pool, placing)
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether new callers may come."""
+        known = self.in_force.current is not None and self.book.listed
+        return known and not self.stopping
+
+    async def start(self) -> None:
+        """Follow the store."""
+        self.tasks.spawn(
+            follow(
+                self.store,
+                self.clock,
+                CONFIGURATION_KIND,
+                self.in_force.take,
+                on_loss=lambda error: store_lost('configuration', error),
+            ),
+            'follow_configuration',
+        )
+        self.tasks.spawn(
+            follow(
+                self.store,
+                self.clock,
+                HOSTS_KIND,
+                self.book.take,
+                self.store_answered,
+                self.store_failed,
+            ),
+            'follow_hosts',
+        )
+
+    def store_answered(self) -> None:
+        """Note that the list of hosts is fresh."""
+        self.book.store_answered()
+        self.pool.drop(set(self.book.states))
+
+    def store_failed(self, error: StoreUnavailable) -> None:
+        """Note that the list of hosts may be stale."""
+        self.book.store_failed(error)
+        store_lost('hosts', error)
+
+    async def stop(self) -> None:
+        """End all work."""
+        await self.tasks.cancel()
+        self.pool.close()
+
+    async def handle(self, request: Request, reply: Reply) -> None:
+        """Answer one request.
+
+        Raises:
+            Refusal: it gets no answer of an upstream host.
+            BrokenAnswer: its stream broke off.
+        """
+        call = self.accept(request)
+        rest_ms = call.rest_ms(self.clock.now_ms())
+        try:
+            async with self.clock.timeout_ms(rest_ms):
+                await self.run(call, reply)
+        except TimeoutError as error:
+            raise deadline_passed() from error
+
+    def accept(self, request: Request) -> Call:
+        """Find the route and the upstream of a request.
+
+        Raises:
+            Refusal: there is none, or the request has no id.
+        """
+        current = self.in_force.current
+        if current is None:
+            raise Refusal(
+                RefusalCode.NOT_CONFIGURED,
+                'this gateway is starting',
+                retry_after_ms=STARTING_RETRY_MS,
+            )
+        route = current.match(request.host, request.path)
+        if route is None:
+            raise Refusal(
+                RefusalCode.UNKNOWN_ROUTE,
+                f'no route at version {current.version}',
+            )
+        if not request.traits.id:
+            raise Refusal(RefusalCode.MALFORMED, 'the request has no id')
+        return make_call(current, route, request)
+
+    async def run(self, call: Call, reply: Reply) -> None:
+        """Run a call the way its route asks for."""
+        if call.route.streams:
+            turn = UnboundTurn(call.request.body)
+            await run_stream(self.upstreams, call, turn, reply)
+        else:
+            await run_plain(self.upstreams, call, reply)
+
+
+def deadline_passed() -> Refusal:
+    """Refuse a call whose time has run out; it may have run."""
+    return Refusal(RefusalCode.DEADLINE, 'the time is over', Outcome.UNKNOWN)
+
+
+def make_call(current: Configuration, route: Route, request: Request) -> Call:
+    """Choose the upstream of a call and the end of its time."""
+    traits = request.traits
+    return Call(
+        request=request,
+        route=route,
+        upstream=pick_upstream(route, traits.program or traits.id),
+        version=current.version,
+        ends_ms=end_of_wait(request, route),
+        tokens_per_event=current.tokens_per_event(route),
+    )
+
+
+def pick_upstream(route: Route, key: str) -> str:
+    """Pick an upstream by the weights, the same one for all of a program."""
+    whole = sum(share.weight for share in route.shares)
+    draw = zlib.crc32(key.encode('latin-1')) / DRAWS * whole
+    for share in route.shares:
+        draw -= share.weight
+        if draw < 0:
+            return share.upstream
+    return route.shares[-1].upstream
+
+
+def store_lost(what: str, error: StoreUnavailable) -> None:
+    """Log that the store gave no answer."""
+    logger.warning('store_unavailable', what=what, reason=error.message)
--- /dev/null
+++ b/pollenwalk/process/host_book.py
@@ -0,0 +1,173 @@
+"""The upstream hosts that are alive, and what is believed of each.
+
+A host is listed in the store under its id. An entry that goes while the
+store is in trouble may only have lapsed, so it is kept for as long as a
+living host takes to register again.
+"""
+
+from collections.abc import Iterator
+
+from loguru import logger
+
+from pollenwalk.connection.hosts import UpstreamHost
+from pollenwalk.errors import MalformedObject, StoreUnavailable
+from pollenwalk.platform.documents import HOSTS_KIND, decode_host
+from pollenwalk.process.clock import Clock
+from pollenwalk.process.store import StoredObject
+
+# Living hosts are listed again about two seconds after the store is back.
+LISTED_AGAIN_MS = 2200.0
+# How long after the store was last silent an entry may still lapse.
+STORE_UNSETTLED_MS = 4000.0
+# The weight of a new service time in the running mean.
+SMOOTHING = 0.1
+# How long a host that failed is passed over, growing with each failure in a
+# row up to the second figure: a crashed process is back within seconds.
+FIRST_SUSPICION_MS = 300.0
+LAST_SUSPICION_MS = 4000.0
+# Reported load of other gateways is trusted for about one service time.
+REPORT_TRUST_MS = 400.0
+
+
+class HostState:
+    """What one gateway believes of one start of a host.
+
+    Attributes:
+        listed: as the host registered itself.
+        in_flight: calls of this gateway there.
+        others: calls of others there, at the last report.
+        reported_ms: time of that report.
+        failures: in a row.
+        passed_over_until_ms: while it is suspected.
+        gone_at_ms: when an entry that went is to be taken as gone.
+    """
+
+    def __init__(self, listed: UpstreamHost) -> None:
+        """Believe the best of a new host."""
+        self.listed = listed
+        self.in_flight = 0
+        self.others = 0
+        self.waiting = 0
+        self.reported_ms = 0.0
+        self.failures = 0
+        self.passed_over_until_ms = 0.0
+        self.gone_at_ms: float | None = None
+
+    def note_load(self, load: tuple[int, int, int], now_ms: float) -> None:
+        """Take a load that the host told with an answer."""
+        running, waiting, _ = load
+        self.others = max(running + waiting - self.in_flight, 0)
+        self.waiting = waiting
+        self.reported_ms = now_ms
+
+    def load(self, now_ms: float) -> float:
+        """Estimate the calls at the host."""
+        age_ms = now_ms - self.reported_ms
+        trust = max(0.0, 1 - age_ms / (2 * REPORT_TRUST_MS))
+        return self.in_flight + self.others * trust
+
+    def failed(self, now_ms: float) -> None:
+        """Pass the host over for a while."""
+        self.failures += 1
+        pause_ms = FIRST_SUSPICION_MS * 2 ** (self.failures - 1)
+        self.passed_over_until_ms = now_ms + min(pause_ms, LAST_SUSPICION_MS)
+
+    def worked(self) -> None:
+        """Trust the host again."""
+        self.failures = 0
+        self.passed_over_until_ms = 0.0
+
+
+class HostBook:
+    """All hosts, by id."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start with none."""
+        self.clock = clock
+        self.states: dict[str, HostState] = {}
+        self.listed = False
+        self.store_lost_ms: float | None = None
+        self.store_back_ms: float | None = None
+
+    def take(self, stored: StoredObject) -> None:
+        """Take a change of one host's entry."""
+        name = stored.key.removeprefix(HOSTS_KIND)
+        if not stored.body:
+            self.entry_gone(name, stored.version)
+            return
+        try:
+            listed = decode_host(stored.key, stored.body)
+        except MalformedObject as error:
+            logger.warning('upstream_host_unreadable', host=name, reason=error.message)
+            return
+        self.register(listed, stored.version)
+
+    def register(self, listed: UpstreamHost, version: int) -> None:
+        """Add a host, or change what it says of itself."""
+        state = self.states.get(listed.id)
+        if state is None or state.listed.born_ms != listed.born_ms:
+            state = HostState(listed)
+            self.states[listed.id] = state
+        state.listed = listed
+        state.gone_at_ms = None
+        logger.info(
+            'upstream_host',
+            host=listed.id,
+            upstream=listed.upstream,
+            leaving=listed.leaving,
+            version=version,
+        )
+
+    def entry_gone(self, name: str, version: int) -> None:
+        """Drop a host, at once or when it had time to register again."""
+        state = self.states.get(name)
+        if state is None:
+            return
+        grace_ms = LISTED_AGAIN_MS if self.store_unsettled() else 0
+        state.gone_at_ms = self.clock.now_ms() + grace_ms
+        logger.info(
+            'upstream_host_gone',
+            host=name,
+            version=version,
+            grace_ms=grace_ms,
+        )
+        self.sweep()
+
+    def store_unsettled(self) -> bool:
+        """Tell whether entries may have lapsed although their hosts live."""
+        if self.store_lost_ms is not None:
+            return True
+        if self.store_back_ms is None:
+            return False
+        return self.clock.now_ms() - self.store_back_ms < STORE_UNSETTLED_MS
+
+    def store_answered(self) -> None:
+        """Note an answer of the store."""
+        self.listed = True
+        if self.store_lost_ms is None:
+            return
+        self.store_lost_ms = None
+        self.store_back_ms = self.clock.now_ms()
+
+    def store_failed(self, _: StoreUnavailable) -> None:
+        """Note that the store gave no answer."""
+        if self.store_lost_ms is None:
+            self.store_lost_ms = self.clock.now_ms()
+
+    def sweep(self) -> None:
+        """Forget the hosts whose time is over."""
+        now_ms = self.clock.now_ms()
+        over = [
+            name
+            for name, state in self.states.items()
+            if state.gone_at_ms is not None and state.gone_at_ms <= now_ms
+        ]
+        for name in over:
+            self.states.pop(name)
+
+    def usable(self, upstream: str) -> Iterator[HostState]:
+        """Give the hosts of an upstream that take new calls."""
+        self.sweep()
+        for state in self.states.values():
+            if state.listed.upstream == upstream and not state.listed.leaving:
+                yield state
--- a/pollenwalk/process/logs.py
+++ b/pollenwalk/process/logs.py
@@ -1,9 +1,20 @@
-"""Logs as JSON lines on standard error, one object an event."""
+"""Logs as JSON lines, one object an event.
 
+Daemons write them to standard output, commands to standard error.
+
+Lines are handed to a thread that writes them, so a reader that stops can
+never stop a request. What exceeds the rate or the room is dropped and
+counted; the count is logged as soon as lines flow again.
+"""
+
+import atexit
+import collections
 import json
 import logging
 import sys
-from typing import TYPE_CHECKING, Any
+import threading
+import time
+from typing import TYPE_CHECKING, Any, TextIO
 
 from loguru import logger
 
@@ -13,6 +24,12 @@
     from loguru import Record
 
 LEVELS = ('TRACE', 'DEBUG', 'INFO', 'WARNING', 'ERROR', 'CRITICAL')
+# Lines that may wait for the reader: about half a megabyte.
+MAX_WAITING = 2000
+# Lines a second that a process writes at most; a line costs about 50 us.
+MAX_LINES_PER_SECOND = 600
+# The longest that a process waits for the reader of its last lines.
+DRAIN_S = 0.5
 
 
 def as_json_line(record: 'Record') -> str:
@@ -29,9 +46,68 @@
     return json.dumps(fields, default=str)
 
 
-def write(message: Any) -> None:
-    """Write one event."""
-    sys.stderr.write(f'{as_json_line(message.record)}\n')
+class LineWriter:
+    """Writes lines without ever making the caller wait.
+
+    Attributes:
+        dropped: lines that were given up since the last one was written.
+    """
+
+    def __init__(self, target: TextIO) -> None:
+        """Write to a file in a thread of its own."""
+        self.target = target
+        self.waiting: collections.deque[str] = collections.deque()
+        self.there_are_lines = threading.Event()
+        self.idle = threading.Event()
+        self.idle.set()
+        self.dropped = 0
+        self.second = 0
+        self.in_second = 0
+        threading.Thread(target=self.run, name='logs', daemon=True).start()
+
+    def put(self, message: Any) -> None:
+        """Queue one event, or drop it."""
+        if self.too_many() or len(self.waiting) >= MAX_WAITING:
+            self.dropped += 1
+            return
+        if self.dropped:
+            missing, self.dropped = self.dropped, 0
+            self.waiting.append(json.dumps({'event': 'dropped', 'lines': missing}))
+        self.waiting.append(as_json_line(message.record))
+        self.idle.clear()
+        self.there_are_lines.set()
+
+    def too_many(self) -> bool:
+        """Count a line and tell whether it exceeds the rate."""
+        second = int(time.monotonic())
+        if second != self.second:
+            self.second = second
+            self.in_second = 0
+        self.in_second += 1
+        return self.in_second > MAX_LINES_PER_SECOND
+
+    def run(self) -> None:
+        """Write what is queued, for ever."""
+        while True:
+            self.there_are_lines.wait()
+            self.there_are_lines.clear()
+            batch = [self.waiting.popleft() for _ in range(len(self.waiting))]
+            if batch:
+                self.write(batch)
+            if not self.waiting:
+                self.idle.set()
+
+    def write(self, batch: list[str]) -> None:
+        """Write some lines; without a reader they are lost."""
+        try:
+            self.target.write('\n'.join((*batch, '')))
+            self.target.flush()
+        except (OSError, ValueError):
+            self.dropped += len(batch)
+
+    def drain(self, timeout_s: float) -> None:
+        """Wait a bounded time until all lines are written."""
+        self.idle.wait(timeout_s)
 
 
 class Forward(logging.Handler):
@@ -47,14 +123,24 @@
         )
 
 
-def set_up_logs(level: str) -> None:
-    """Send events of a level and above to standard error.
+def set_up_logs(level: str, target: TextIO | None = None) -> LineWriter:
+    """Send events of a level and above to a file.
+
+    Args:
+        level: of the least important events that are written.
+        target: standard error if left out.
+
+    Returns:
+        The writer, which has lines left for a moment.
 
     Raises:
         UserError: there is no such level.
     """
     if level.upper() not in LEVELS:
         raise UserError(f'log level {level!r}: allowed are {", ".join(LEVELS)}')
+    writer = LineWriter(target or sys.stderr)
+    atexit.register(writer.drain, DRAIN_S)
     logger.remove()
-    logger.add(write, level=level.upper(), format='{message}')
+    logger.add(writer.put, level=level.upper(), format='{message}')
     logging.basicConfig(handlers=[Forward()], level=logging.WARNING, force=True)
+    return writer
--- /dev/null
+++ b/pollenwalk/process/placing.py
@@ -0,0 +1,70 @@
+"""Choosing an upstream host with what this gateway believes of all of them."""
+
+from pollenwalk.policy.host_choice import Candidate, HostChoice, Work
+from pollenwalk.process.clock import Clock
+from pollenwalk.process.host_book import SMOOTHING, HostBook, HostState
+from pollenwalk.request.call_state import Call
+
+# Expected time of a call on an idle host before any was seen.
+UNKNOWN_RUN_MS = 150.0
+
+
+class Placing:
+    """Applies the policy to the hosts of an upstream."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        book: HostBook,
+        choice: HostChoice,
+        zone: str,
+        regions: dict[str, str],
+    ) -> None:
+        """Place for a gateway in `zone`."""
+        self.clock = clock
+        self.book = book
+        self.choice = choice
+        self.zone = zone
+        self.regions = regions
+        self.run_times: dict[str, float] = {}
+
+    def choose(self, call: Call, work: Work, avoid: set[str]) -> HostState | None:
+        """Pick a host that has not been tried; None where there is none."""
+        now_ms = self.clock.now_ms()
+        states = {
+            state.listed.id: state
+            for state in self.book.usable(call.upstream)
+            if state.listed.id not in avoid
+        }
+        candidates = (self.candidate(state, now_ms) for state in states.values())
+        chosen = self.choice.choose(candidates, work)
+        return None if chosen is None else states[chosen.host]
+
+    def candidate(self, state: HostState, now_ms: float) -> Candidate:
+        """Describe a host to the policy."""
+        listed = state.listed
+        region = self.regions.get(self.zone)
+        return Candidate(
+            host=listed.id,
+            slots=listed.slots,
+            load=state.load(now_ms),
+            same_zone=listed.zone == self.zone,
+            same_region=self.regions.get(listed.zone) == region,
+            cached_tokens=0,
+            warm_up_ms=listed.warm_up_ms,
+            suspected=state.passed_over_until_ms > now_ms,
+        )
+
+    def bounced(self, state: HostState, _reason: str) -> None:
+        """Pass over a host that can't be reached or takes nothing."""
+        state.failed(self.clock.now_ms())
+
+    def run_ms(self, call: Call) -> float:
+        """Give the expected time of a call once it runs."""
+        return self.run_times.get(call.route.name, UNKNOWN_RUN_MS)
+
+    def ran(self, call: Call, run_ms: float) -> None:
+        """Learn from a call that was answered whole."""
+        known = self.run_ms(call)
+        learnt = known + (run_ms - known) * SMOOTHING
+        self.run_times[call.route.name] = learnt
--- a/pollenwalk/process/settings.py
+++ b/pollenwalk/process/settings.py
@@ -59,6 +59,24 @@
         'entries': ADDRESSES,
         'coalesce_ms': read_number(0, 40),
     },
+    'gateway': {
+        'name': NAME,
+        'zone': NAME,
+        'http': ADDRESS,
+        'ready': ADDRESS,
+        'metrics': ADDRESS,
+        'grace_ms': read_number(0, 600_000),
+        'tolerated_losses': read_int(0, 16),
+    },
+    'keeper': {
+        'name': NAME,
+        'zone': NAME,
+        'address': ADDRESS,
+        'metrics': ADDRESS,
+        'folder': TEXT,
+        'first_start': read_choice('true', 'false'),
+        'tolerated_losses': read_int(0, 16),
+    },
     'load': {
         'entries': URLS,
         'seed': read_int(0, 1_000_000_000),
@@ -71,9 +89,12 @@
 ROLES: dict[str, tuple[str, ...]] = {
     'entry': ('process', 'store', 'entry'),
     'sidecar': ('process', 'sidecar'),
+    'gateway': ('process', 'store', 'gateway'),
+    'keeper': ('process', 'store', 'keeper'),
     'load': ('process', 'load'),
     'operator': ('process', 'store'),
 }
+PLACING_ROLES = frozenset(('entry', 'gateway', 'keeper'))
 
 
 class Settings(NamedTuple):
@@ -198,10 +219,10 @@
     source: str,
     role: str,
 ) -> list[Problem]:
-    """Check that an entry's zone has a region."""
-    zone = sections['entry'].get('zone')
-    if role != 'entry' or zone in regions:
+    """Check that the zone of a role that places calls has a region."""
+    zone = sections[role].get('zone') if role in PLACING_ROLES else None
+    if zone is None or zone in regions:
         return []
     known = ', '.join(regions) or 'none'
     text = f'{zone!r} has no region; zones in [{REGIONS}]: {known}'
-    return [Problem(source, 'entry', 'zone', text)]
+    return [Problem(source, role, 'zone', text)]
--- a/pollenwalk/process/store.py
+++ b/pollenwalk/process/store.py
@@ -9,14 +9,13 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from pollenwalk.errors import StoreConflict, StoreUnavailable
+from pollenwalk.errors import StoreConflict, StoreHistoryGone, StoreUnavailable
 from pollenwalk.process.clock import Clock
 
 MAX_VALUE_BYTES = 1_000_000
 ABSENT = 0
 RETRY_FIRST_MS = 20
 RETRY_LAST_MS = 1000
-REREAD_MS = 500
 BACKOFF = 2
 NONCE_BITS = 64
 
@@ -132,32 +131,80 @@
     prefix: str,
     take: Callable[[StoredObject], None],
     after_read: Callable[[], None] | None = None,
+    on_loss: Callable[[StoreUnavailable], None] | None = None,
 ) -> None:
     """Hand over what is below a prefix, then each change, for ever.
 
+    An object that has gone is handed over without a body, also when it went
+    while the store could not be watched.
+
     Args:
         store: the platform's store.
         clock: paces the tries while the store is silent.
         prefix: what to follow.
         take: gets each object; it must bear one that it has seen.
         after_read: called after each answer.
+        on_loss: called when the store gave no answer.
     """
-    revision = 0
+    follower = Follower(store, prefix)
+    backoff = Backoff(clock)
     while True:
         try:
-            changes = await read_from(store, prefix, revision)
-        except StoreUnavailable:
-            await clock.sleep_ms(REREAD_MS)
+            changed = await follower.read()
+        except StoreUnavailable as error:
+            if on_loss is not None:
+                on_loss(error)
+            await backoff.pause()
             continue
-        for stored in changes.objects:
+        backoff = Backoff(clock)
+        for stored in changed:
             take(stored)
         if after_read is not None:
             after_read()
-        revision = max(revision, changes.revision)
 
 
-async def read_from(store: ObjectStore, prefix: str, revision: int) -> Changes:
-    """Read everything, or wait for what is newer than a revision."""
-    if revision:
-        return await store.watch(prefix, revision)
-    return await store.scan(prefix)
+class Follower:
+    """What has been read below one prefix."""
+
+    def __init__(self, store: ObjectStore, prefix: str) -> None:
+        """Start with nothing read."""
+        self.store = store
+        self.prefix = prefix
+        self.revision = 0
+        self.known: set[str] = set()
+
+    async def read(self) -> list[StoredObject]:
+        """Read everything at first, then what is newer than the last read.
+
+        Raises:
+            StoreUnavailable: the store gave no answer.
+        """
+        if not self.revision:
+            return self.list_anew(await self.store.scan(self.prefix))
+        try:
+            changes = await self.store.watch(self.prefix, self.revision)
+        except StoreHistoryGone:
+            self.revision = 0
+            return await self.read()
+        self.revision = max(self.revision, changes.revision)
+        for stored in changes.objects:
+            self.note(stored)
+        return changes.objects
+
+    def list_anew(self, listing: Changes) -> list[StoredObject]:
+        """Add a deletion for each object that is no longer listed."""
+        self.revision = listing.revision
+        listed = {stored.key for stored in listing.objects}
+        gone = [
+            StoredObject(key, b'', listing.revision)
+            for key in sorted(self.known - listed)
+        ]
+        self.known = listed
+        return [*listing.objects, *gone]
+
+    def note(self, stored: StoredObject) -> None:
+        """Remember whether an object is there."""
+        if stored.body:
+            self.known.add(stored.key)
+        else:
+            self.known.discard(stored.key)
--- /dev/null
+++ b/pollenwalk/request/plain.py
@@ -0,0 +1,40 @@
+"""Calls whose answers are passed on whole."""
+
+from pollenwalk.errors import BrokenAnswer, Outcome, Refusal, RefusalCode
+from pollenwalk.request.call_state import Call
+from pollenwalk.request.reply import Reply
+from pollenwalk.request.exchange import Exchange
+from pollenwalk.request.sends import Sends, Upstreams
+
+
+async def run_plain(upstreams: Upstreams, call: Call, reply: Reply) -> None:
+    """Run a call and pass its answer on once it is complete.
+
+    Raises:
+        Refusal: there is no complete answer.
+    """
+    sends = Sends(upstreams, call, call.request.body)
+    begun_ms = upstreams.clock.now_ms()
+    while True:
+        exchange = await sends.begin()
+        body = await body_or_none(sends, exchange)
+        if body is not None:
+            break
+        if not sends.may_run():
+            raise Refusal(
+                RefusalCode.UPSTREAM_FAILED,
+                'the upstream host broke off its answer',
+                Outcome.UNKNOWN,
+            )
+    upstreams.placing.ran(call, upstreams.clock.now_ms() - begun_ms)
+    await reply.whole(exchange.head.status, exchange.head.headers, body)
+
+
+async def body_or_none(sends: Sends, exchange: Exchange) -> bytes | None:
+    """Read the body; None where it broke off."""
+    try:
+        with exchange:
+            return await exchange.body()
+    except BrokenAnswer as error:
+        sends.broke(exchange.state, error.message)
+        return None
--- a/standin/experiments/slopes.py
+++ b/standin/experiments/slopes.py
@@ -12,7 +12,7 @@
 
 import aiohttp
 
-from pollenwalk.connection.grpc_network import split_address
+from pollenwalk.connection.addresses import split_address
 from pollenwalk.connection.store_http import HttpStore
 from pollenwalk.connection.wire import Beat, Report, encode_datagram
 from pollenwalk.process.acceptance import encode_wish, wish_key
--- a/standin/serve.py
+++ b/standin/serve.py
@@ -6,7 +6,7 @@
 
 from starlette.applications import Starlette
 
-from pollenwalk.connection.grpc_network import split_address
+from pollenwalk.connection.addresses import split_address
 from pollenwalk.connection.http_server import HttpServer
 from pollenwalk.process.clock import LoopClock
 from standin.engine import EngineApi, EngineShape, ModelEngine
