Keep turns and budgets on the keepers' disks

Change: keepers, written to by the gateways without a leader: a record counts once f + 1 disks have synced it, budgets are decided by a majority, a turn's absence by all but f. Watches are decoded.

--- a/pollenwalk/connection/gateway_app.py
+++ b/pollenwalk/connection/gateway_app.py
@@ -204,7 +204,7 @@
 
 def status_of(refusal: Refusal) -> int:
     """Give the status whose promise is true of a refusal."""
-    if refusal.code in STATUSES:
+    if refusal.code in STATUSES and refusal.outcome == Outcome.NOT_RUN:
         return STATUSES[refusal.code]
     if refusal.code == RefusalCode.DEADLINE and refusal.outcome != Outcome.NOT_RUN:
         return HTTPStatus.GATEWAY_TIMEOUT
--- a/pollenwalk/connection/peer.py
+++ b/pollenwalk/connection/peer.py
@@ -220,6 +220,9 @@
         self.epoch = 0
         self.lock = asyncio.Lock()
         self.connection: Connection | None = None
+        # Set where every question is answered soon, so that silence means
+        # that the connection is dead.
+        self.drops_when_silent = False
 
     def identify(self, incarnation: str, zone: str) -> 'Peer':
         """Set who this side is, for the greeting."""
@@ -236,6 +239,7 @@
         """
         async with self.lock:
             if self.connection is None or self.connection.lost:
+                await self.close()
                 self.connection = await self.open()
             return self.connection
 
@@ -269,8 +273,15 @@
                 connection = await self.connected()
                 return await connection.ask(message)
         except TimeoutError as error:
+            self.drop_silent()
             raise ConnectionLost(f'{self.address} is silent') from error
 
+    def drop_silent(self) -> None:
+        """Give up a connection on which no answer came."""
+        if self.drops_when_silent and self.connection is not None:
+            self.tasks.spawn(self.connection.close(), 'drop_silent')
+            self.connection = None
+
     async def stream(self, message: Any) -> AsyncIterator[Any]:
         """Ask a question and give its answers as they come."""
         connection = await self.connected()
--- a/pollenwalk/connection/wire.py
+++ b/pollenwalk/connection/wire.py
@@ -10,6 +10,18 @@
 import msgspec
 
 from pollenwalk.errors import Outcome, Refusal, RefusalBody, RefusalCode
+from pollenwalk.program.turns import (
+    Chain,
+    FindChain,
+    PullRecords,
+    PushRecords,
+    RecordBatch,
+    ReserveTokens,
+    SettleTokens,
+    Spent,
+    Stored,
+    TurnRecord,
+)
 
 PROTOCOL_VERSION = 1
 CANCEL_KIND = 'cancel'
@@ -314,6 +326,16 @@
     Entries,
     UpstreamConfig,
     RefusalBody,
+    TurnRecord,
+    ReserveTokens,
+    SettleTokens,
+    Stored,
+    Spent,
+    FindChain,
+    Chain,
+    PullRecords,
+    PushRecords,
+    RecordBatch,
 )
 DECODERS = {
     message_type.__name__: msgspec.msgpack.Decoder(message_type)
--- a/pollenwalk/platform/objects.py
+++ b/pollenwalk/platform/objects.py
@@ -52,7 +52,7 @@
 class WireEvent(TypedDict):
     """A change; a `tombstone` is the object as it was deleted."""
 
-    object: msgspec.Raw
+    object: NotRequired[msgspec.Raw]
     tombstone: NotRequired[bool]
 
 
@@ -280,7 +280,8 @@
 
 def read_event(prefix: str, event: WireEvent) -> StoredObject | None:
     """Read a change; a deleted object has no body."""
-    wire = read_metadata(event['object'])
+    raw = event.get('object')
+    wire = None if raw is None else read_metadata(raw)
     if wire is None:
         return None
     stored = as_stored(f'{prefix}{wire["metadata"]["name"]}', wire)
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -6,20 +6,23 @@
 
 from loguru import logger
 
+from pollenwalk.connection.channel import Network
 from pollenwalk.connection.link_pool import LinkPool
 from pollenwalk.errors import Outcome, Refusal, RefusalCode, StoreUnavailable
 from pollenwalk.platform.documents import CONFIGURATION_KIND, HOSTS_KIND
 from pollenwalk.policy.host_choice import EarliestFinish
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.host_book import HostBook
+from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.placing import Placing
 from pollenwalk.process.store import ObjectStore, follow
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.request.call_state import Call, end_of_wait
 from pollenwalk.request.plain import run_plain
+from pollenwalk.request.program_turn import ProgramTurn
 from pollenwalk.request.reply import Reply
 from pollenwalk.request.sends import Upstreams
-from pollenwalk.request.streamed import UnboundTurn, run_stream
+from pollenwalk.request.streamed import Turn, UnboundTurn, run_stream
 from pollenwalk.request.traits import Request
 from pollenwalk.version.in_force import InForce
 from pollenwalk.version.routes import Configuration, Route
@@ -45,6 +48,7 @@
         self,
         settings: GatewaySettings,
         store: ObjectStore,
+        network: Network,
         clock: Clock,
         dice: random.Random,
     ) -> None:
@@ -65,11 +69,20 @@
             settings.regions,
         )
         self.upstreams = Upstreams(clock, self.pool, placing)
+        self.keepers = KeeperGroup(
+            network,
+            clock,
+            self.tasks,
+            settings.zone,
+            settings.regions,
+            settings.tolerated_losses,
+        )
 
     @property
     def ready(self) -> bool:
         """Tell whether new callers may come."""
         known = self.in_force.current is not None and self.book.listed
+        known = known and self.keepers.members.listed
         return known and not self.stopping
 
     async def start(self) -> None:
@@ -95,6 +108,10 @@
             ),
             'follow_hosts',
         )
+        self.keepers.follow(
+            self.store,
+            lambda error: store_lost('keepers', error),
+        )
 
     def store_answered(self) -> None:
         """Note that the list of hosts is fresh."""
@@ -152,11 +169,17 @@
     async def run(self, call: Call, reply: Reply) -> None:
         """Run a call the way its route asks for."""
         if call.route.streams:
-            turn = UnboundTurn(call.request.body)
-            await run_stream(self.upstreams, call, turn, reply)
+            await run_stream(self.upstreams, call, self.turn_of(call), reply)
         else:
             await run_plain(self.upstreams, call, reply)
 
+    def turn_of(self, call: Call) -> Turn:
+        """Tell what a stream means to its program."""
+        keeps = call.route.keeps_history
+        if keeps or call.request.traits.budget is not None:
+            return ProgramTurn(self.keepers, call)
+        return UnboundTurn(call.request.body)
+
 
 def deadline_passed() -> Refusal:
     """Refuse a call whose time has run out; it may have run."""
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -14,6 +14,7 @@
 
 from pollenwalk.connection.addresses import split_address
 from pollenwalk.connection.gateway_app import GatewayApp
+from pollenwalk.connection.grpc_network import GrpcNetwork
 from pollenwalk.connection.http_server import HttpServer
 from pollenwalk.errors import UserError
 from pollenwalk.platform.names import READY_PATH
@@ -63,6 +64,7 @@
                 own['tolerated_losses'],
             ),
             self.store,
+            GrpcNetwork(),
             self.clock,
             random.Random(),
         )
--- /dev/null
+++ b/pollenwalk/program/turns.py
@@ -0,0 +1,119 @@
+"""The turns and spent tokens of programs, as keepers hold them.
+
+Turns form a graph: several turns may continue from the same one. A record
+never changes once it is written, so any copy of it is right.
+"""
+
+from typing import NamedTuple
+
+
+class TurnRecord(NamedTuple):
+    """A turn that was answered whole.
+
+    Attributes:
+        turn: the id of its request.
+        program: that it belongs to.
+        previous: the turn that it continues; empty at the start of a chain.
+        given: its new input.
+        made: the data of its events, each followed by a line feed.
+        tokens: that were generated.
+        kept_ms: how long it is kept after its last use.
+        holders: the keepers that were asked to hold it.
+    """
+
+    turn: str
+    program: str
+    previous: str
+    given: bytes
+    made: bytes
+    tokens: int
+    kept_ms: float
+    holders: list[str]
+
+    @property
+    def size(self) -> int:
+        """Give the bytes that it adds to a prompt."""
+        return len(self.given) + len(self.made)
+
+
+class ReserveTokens(NamedTuple):
+    """Sets aside the most that a turn can generate."""
+
+    program: str
+    turn: str
+    most: int
+    kept_ms: float
+
+
+class SettleTokens(NamedTuple):
+    """Replaces what a turn has set aside by what it has shown."""
+
+    program: str
+    turn: str
+    tokens: int
+    kept_ms: float
+
+
+class Stored(NamedTuple):
+    """A record is on a keeper's disk.
+
+    Attributes:
+        complete: whether the keeper has all that it should have.
+    """
+
+    complete: bool
+
+
+class TokenEntry(NamedTuple):
+    """What one turn counts for; the most of it until it is settled."""
+
+    turn: str
+    tokens: int
+    settled: bool
+
+
+class Spent(NamedTuple):
+    """All that a keeper knows of a program's tokens."""
+
+    complete: bool
+    entries: list[TokenEntry]
+
+
+class FindChain(NamedTuple):
+    """Asks for a turn and those before it."""
+
+    turn: str
+
+
+class Chain(NamedTuple):
+    """A turn and those before it, the oldest first.
+
+    Attributes:
+        complete: whether the keeper has all that it should have.
+        turns: an unbroken part of the chain, up to the turn asked for.
+        missing: the turn before the oldest; empty at the chain's start. It
+            is the turn asked for where nothing was found.
+    """
+
+    complete: bool
+    turns: list[TurnRecord]
+    missing: str
+
+
+class PullRecords(NamedTuple):
+    """Asks for all accounts and for the turns that lost keepers held."""
+
+    lost: list[str]
+
+
+class RecordBatch(NamedTuple):
+    """Some encoded records."""
+
+    complete: bool
+    records: list[bytes]
+
+
+class PushRecords(NamedTuple):
+    """Hands records to another keeper."""
+
+    records: list[bytes]
--- /dev/null
+++ b/pollenwalk/request/program_turn.py
@@ -0,0 +1,201 @@
+"""A turn of a program: its prompt, its budget and its record."""
+
+import asyncio
+
+from loguru import logger
+
+from pollenwalk.errors import Outcome, Refusal, RefusalCode
+from pollenwalk.process.keeper_group import KeeperGroup, keepers_unavailable
+from pollenwalk.program.ledger import judge
+from pollenwalk.program.turn_index import prompt_of
+from pollenwalk.program.turns import (
+    ReserveTokens,
+    SettleTokens,
+    Spent,
+    TokenEntry,
+    TurnRecord,
+)
+from pollenwalk.request.call_state import Call
+from pollenwalk.request.event_stream import Event
+
+# Turns of one program that may be reserved at the same moment without seeing
+# each other. Farther from its budget than that, one keeper's word is enough.
+UNSEEN_TURNS = 8
+
+
+class Reservation:
+    """Tokens set aside for one turn.
+
+    Attributes:
+        permitted: done once the turn may run.
+        recorded: done once a majority of the keepers have it on disk.
+    """
+
+    def __init__(self, group: KeeperGroup, call: Call) -> None:
+        """Ask all keepers at once."""
+        self.group = group
+        self.call = call
+        traits = call.request.traits
+        self.most = traits.most_tokens
+        self.budget = traits.budget or 0
+        self.message = ReserveTokens(
+            traits.program,
+            traits.id,
+            self.most,
+            call.route.retention_ms,
+        )
+        loop = asyncio.get_running_loop()
+        self.permitted: asyncio.Future[None] = loop.create_future()
+        self.recorded = asyncio.ensure_future(self.record())
+        self.recorded.add_done_callback(self.pass_on)
+
+    def pass_on(self, recorded: asyncio.Future[None]) -> None:
+        """End whoever waits for the permission as the recording ended."""
+        if self.permitted.done():
+            return
+        if recorded.cancelled():
+            self.permitted.cancel()
+        elif (error := recorded.exception()) is not None:
+            self.permitted.set_exception(error)
+        else:
+            self.permitted.set_result(None)
+
+    async def record(self) -> None:
+        """Wait until a majority has the reservation, and judge it.
+
+        Raises:
+            Refusal: the budget is spent, or too few keepers answer.
+        """
+        known = await self.ask_majority()
+        if not self.is_far(known):
+            # Whoever reserved at the same time is seen by the second round.
+            known.extend(await self.ask_majority())
+        verdict = judge(known, self.call.id, self.most, self.budget)
+        logger.info(
+            'budget',
+            request=self.call.id,
+            program=self.message.program,
+            budget=self.budget,
+            others=verdict.others,
+            most=self.most,
+            fits=verdict.fits,
+        )
+        if not verdict.fits:
+            raise Refusal(RefusalCode.BUDGET_EXHAUSTED, 'the budget is spent')
+
+    async def ask_majority(self) -> list[list[TokenEntry]]:
+        """Ask all keepers; give what a majority of complete ones know."""
+        known: list[list[TokenEntry]] = []
+        disks = 0
+        links = self.group.ordered()
+        async for spent in self.group.answers(links, self.message):
+            disks += 1
+            self.take(spent, known)
+            if self.enough(len(known), disks):
+                return known
+        raise keepers_unavailable(f'{len(known)} of {len(links)} know the budget')
+
+    def enough(self, voices: int, disks: int) -> bool:
+        """Tell whether a majority has spoken and enough disks have it."""
+        return voices >= self.group.majority and disks >= self.group.copies
+
+    def take(self, spent: Spent, known: list[list[TokenEntry]]) -> None:
+        """Take one keeper's word; it may be enough to begin."""
+        if not spent.complete:
+            return
+        known.append(spent.entries)
+        if not self.permitted.done() and self.is_far(known):
+            self.permitted.set_result(None)
+
+    def is_far(self, known: list[list[TokenEntry]]) -> bool:
+        """Tell whether the budget bears even turns that are not seen yet."""
+        margin = self.most * UNSEEN_TURNS
+        return judge(known, self.call.id, self.most + margin, self.budget).fits
+
+    def close(self) -> None:
+        """Stop waiting."""
+        self.recorded.cancel()
+
+
+class ProgramTurn:
+    """Implements `Turn` for a turn that belongs to a program."""
+
+    def __init__(self, group: KeeperGroup, call: Call) -> None:
+        """Prepare; nothing is reserved yet."""
+        self.group = group
+        self.call = call
+        self.made: list[bytes] = []
+        self.tokens = 0
+        self.kept = False
+        self.reservation: Reservation | None = None
+
+    async def prepare(self) -> bytes:
+        """Reserve the tokens and put the prompt together."""
+        if self.call.request.traits.budget is not None:
+            self.reservation = Reservation(self.group, self.call)
+        body = await self.prompt()
+        if self.reservation is not None:
+            await self.reservation.permitted
+        return body
+
+    async def prompt(self) -> bytes:
+        """Give the chain's inputs and outputs, then the new input."""
+        request = self.call.request
+        if not self.call.route.keeps_history or not request.traits.previous:
+            return request.body
+        chain = await self.group.chain(request.traits.previous)
+        return prompt_of(chain, request.body)
+
+    async def before_event(self, event: Event) -> None:
+        """Show tokens only once they are surely counted."""
+        if event.payload is None:
+            return
+        if self.reservation is not None:
+            try:
+                await self.reservation.recorded
+            except Refusal as refusal:
+                raise as_unknown(refusal) from refusal
+        self.made.append(event.payload)
+        self.tokens += self.call.tokens_per_event
+
+    async def before_end(self) -> None:
+        """Have the turn kept before its end is shown."""
+        if not self.call.route.keeps_history:
+            return
+        traits = self.call.request.traits
+        record = TurnRecord(
+            turn=traits.id,
+            program=traits.program,
+            previous=traits.previous,
+            given=self.call.request.body,
+            made=b''.join(payload + b'\n' for payload in self.made),
+            tokens=self.tokens,
+            kept_ms=self.call.route.retention_ms,
+            holders=[],
+        )
+        try:
+            await self.group.keep(record)
+        except Refusal as refusal:
+            raise as_unknown(refusal) from refusal
+        self.kept = True
+        logger.info('turn_kept', request=traits.id, previous=traits.previous)
+
+    def close(self) -> None:
+        """Settle what was shown."""
+        if self.reservation is None:
+            return
+        self.reservation.close()
+        message = self.reservation.message
+        self.group.settle(
+            SettleTokens(
+                message.program,
+                message.turn,
+                self.tokens,
+                message.kept_ms,
+            ),
+        )
+
+
+def as_unknown(refusal: Refusal) -> Refusal:
+    """Say the same of a turn that has begun to run."""
+    return Refusal(refusal.code, refusal.message, Outcome.UNKNOWN)
