Bear deaf watches, hang-ups and restarts of keepers

Change: an empty answer of a watch never moves the revision to go on from, the configuration is asked every 1.5 s, and its answers show other watches that they are deaf; the mark is read by listing; SIGHUP is taken.

--- a/pollenwalk/connection/store_http.py
+++ b/pollenwalk/connection/store_http.py
@@ -18,7 +18,7 @@
 
 from pollenwalk.connection.http_client import HttpClient
 from pollenwalk.errors import StoreConflict, StoreUnavailable
-from pollenwalk.process.store import ABSENT, Changes, StoredObject
+from pollenwalk.process.store import ABSENT, LONG_WAIT_MS, Changes, StoredObject
 
 ANSWER_TIMEOUT_S = 2
 WATCH_TIMEOUT_S = 15
@@ -111,7 +111,12 @@
         answer = await self.request('GET', f'/list?prefix={quote(prefix)}')
         return as_changes(answer)
 
-    async def watch(self, prefix: str, revision: int) -> Changes:
+    async def watch(
+        self,
+        prefix: str,
+        revision: int,
+        wait_ms: int = LONG_WAIT_MS,
+    ) -> Changes:
         """Wait for changes after a revision."""
         path = f'/watch?prefix={quote(prefix)}&revision={revision}'
         return as_changes(await self.request('GET', path, WATCH_TIMEOUT_S))
--- a/pollenwalk/platform/objects.py
+++ b/pollenwalk/platform/objects.py
@@ -14,14 +14,12 @@
 
 from pollenwalk.connection.keepalive import probe_peer
 from pollenwalk.errors import StoreConflict, StoreHistoryGone, StoreUnavailable
-from pollenwalk.process.store import ABSENT, Changes, StoredObject
+from pollenwalk.process.store import ABSENT, LONG_WAIT_MS, Changes, StoredObject
 
 OBJECTS = '/v1/objects/'
 # Three round trips between regions and the slowest answer that still helps.
 ANSWER_TIMEOUT_S = 2.0
-# The longest wait that the store grants; fewer calls are cheaper.
-WATCH_WAIT_MS = 25_000
-WATCH_TIMEOUT_S = 27.0
+MS_PER_SECOND = 1000
 UNAVAILABLE = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.REQUEST_TIMEOUT),
 )
@@ -190,7 +188,12 @@
             path = next_page(kind, page, found)
         return Changes(revision, found)
 
-    async def watch(self, prefix: str, revision: int) -> Changes:
+    async def watch(
+        self,
+        prefix: str,
+        revision: int,
+        wait_ms: int = LONG_WAIT_MS,
+    ) -> Changes:
         """Wait for changes after a revision.
 
         Raises:
@@ -199,8 +202,8 @@
         kind = quote(prefix.rstrip('/'))
         answer = await self.request(
             'GET',
-            f'{kind}?watch={revision}&wait_ms={WATCH_WAIT_MS}',
-            timeout_s=WATCH_TIMEOUT_S,
+            f'{kind}?watch={revision}&wait_ms={wait_ms}',
+            timeout_s=wait_ms / MS_PER_SECOND + ANSWER_TIMEOUT_S,
         )
         try:
             page: WireEvents = EVENTS_DECODER.decode(answer['body'])
--- a/pollenwalk/process/acceptance.py
+++ b/pollenwalk/process/acceptance.py
@@ -13,7 +13,8 @@
 
 from pollenwalk.errors import StoreConflict, StoreUnavailable
 from pollenwalk.process.clock import Clock
-from pollenwalk.process.store import ABSENT, ObjectStore, StoredObject, follow
+from pollenwalk.process.following import follow
+from pollenwalk.process.store import ABSENT, ObjectStore, StoredObject
 from pollenwalk.version.config import (
     Accepted,
     Configuration,
--- a/pollenwalk/process/directory.py
+++ b/pollenwalk/process/directory.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from pollenwalk.process.clock import Clock
-from pollenwalk.process.store import ObjectStore, StoredObject, follow
+from pollenwalk.process.following import follow
+from pollenwalk.process.store import ObjectStore, StoredObject
 
 PREFIX = 'entries/'
 MAX_CHAIN = 1000
--- /dev/null
+++ b/pollenwalk/process/following.py
@@ -0,0 +1,198 @@
+"""Following what is below a prefix of the store.
+
+A watch is not enough: it may hear nothing while changes are made, or be cut
+without a word. So an answer without changes never moves the revision that
+the next watch starts from, and a watch that stays quiet although the store's
+revision has grown is asked again.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from pollenwalk.errors import StoreHistoryGone, StoreUnavailable
+from pollenwalk.process.clock import Clock
+from pollenwalk.process.store import (
+    LONG_WAIT_MS,
+    Backoff,
+    Changes,
+    ObjectStore,
+    StoredObject,
+)
+
+# A change is told within milliseconds by a watch that is not deaf.
+DEAF_AFTER_MS = 300.0
+ASK_AGAIN_WAIT_MS = 10
+
+
+class Head:
+    """The newest revision of the store that this process has seen."""
+
+    def __init__(self) -> None:
+        """Start before the first revision."""
+        self.revision = 0
+        self.grown = asyncio.Event()
+
+    def note(self, revision: int) -> None:
+        """Take a revision from any answer."""
+        if revision > self.revision:
+            self.revision = revision
+            self.grown.set()
+            self.grown = asyncio.Event()
+
+    async def beyond(self, revision: int) -> None:
+        """Wait until the store has gone beyond a revision."""
+        while self.revision <= revision:
+            await self.grown.wait()
+
+
+class Handlers(NamedTuple):
+    """Who hears of what is followed.
+
+    Attributes:
+        take: gets each object; it must bear one that it has seen. An object
+            that is gone comes without a body, also when it went while the
+            store could not be watched.
+        after_read: called after each answer.
+        on_loss: called when the store gave no answer.
+    """
+
+    take: Callable[[StoredObject], None]
+    after_read: Callable[[], None] = lambda: None
+    on_loss: Callable[[StoreUnavailable], None] = lambda _: None
+
+
+class Follower:
+    """Reads everything below a prefix, then each change, for ever.
+
+    Attributes:
+        revision: that the next watch starts from; 0 to list anew.
+        checked: of the store, at its last answer.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        clock: Clock,
+        prefix: str,
+        handlers: Handlers,
+        head: Head | None = None,
+        wait_ms: int = LONG_WAIT_MS,
+    ) -> None:
+        """Prepare to follow.
+
+        Args:
+            store: the platform's store.
+            clock: paces the tries while the store is silent.
+            prefix: what to follow.
+            handlers: who hears of it.
+            head: shared with other followers, which show by their answers
+                that there is something to hear.
+            wait_ms: how long a watch may stay quiet.
+        """
+        self.store = store
+        self.clock = clock
+        self.prefix = prefix
+        self.handlers = handlers
+        self.head = head or Head()
+        self.wait_ms = wait_ms
+        self.revision = 0
+        self.checked = 0
+        self.known: set[str] = set()
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        backoff = Backoff(self.clock)
+        while True:
+            try:
+                changed = await self.read()
+            except StoreUnavailable as error:
+                self.handlers.on_loss(error)
+                await backoff.pause()
+                continue
+            backoff = Backoff(self.clock)
+            for stored in changed:
+                self.handlers.take(stored)
+            self.handlers.after_read()
+
+    async def read(self) -> list[StoredObject]:
+        """Read everything at first, then what is newer than the last read.
+
+        Raises:
+            StoreUnavailable: the store gave no answer.
+        """
+        if not self.revision:
+            return self.list_anew(await self.store.scan(self.prefix))
+        try:
+            changes = await self.watch()
+        except StoreHistoryGone:
+            self.revision = 0
+            return await self.read()
+        self.note(changes.revision)
+        if changes.objects:
+            self.revision = max(self.revision, changes.revision)
+        for stored in changes.objects:
+            self.note_object(stored)
+        return changes.objects
+
+    def note(self, revision: int) -> None:
+        """Note how far the store is."""
+        self.checked = max(self.checked, revision)
+        self.head.note(revision)
+
+    async def watch(self) -> Changes:
+        """Watch; a watch that seems to be deaf is ended and asked again."""
+        watching = asyncio.ensure_future(
+            self.store.watch(self.prefix, self.revision, self.wait_ms),
+        )
+        lagging = asyncio.ensure_future(self.lag())
+        try:
+            await asyncio.wait(
+                (watching, lagging),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if watching.done():
+                return watching.result()
+        finally:
+            watching.cancel()
+            lagging.cancel()
+        return await self.store.watch(
+            self.prefix,
+            self.revision,
+            ASK_AGAIN_WAIT_MS,
+        )
+
+    async def lag(self) -> None:
+        """Wait until this watch should have heard something."""
+        await self.head.beyond(self.checked)
+        await self.clock.sleep_ms(DEAF_AFTER_MS)
+
+    def list_anew(self, listing: Changes) -> list[StoredObject]:
+        """Add a deletion for each object that is no longer listed."""
+        self.revision = listing.revision
+        self.note(listing.revision)
+        listed = {stored.key for stored in listing.objects}
+        gone = [
+            StoredObject(key, b'', listing.revision)
+            for key in sorted(self.known - listed)
+        ]
+        self.known = listed
+        return [*listing.objects, *gone]
+
+    def note_object(self, stored: StoredObject) -> None:
+        """Remember whether an object is there."""
+        if stored.body:
+            self.known.add(stored.key)
+        else:
+            self.known.discard(stored.key)
+
+
+async def follow(
+    store: ObjectStore,
+    clock: Clock,
+    prefix: str,
+    take: Callable[[StoredObject], None],
+    after_read: Callable[[], None] = lambda: None,
+) -> None:
+    """Follow a prefix on its own, for ever."""
+    await Follower(store, clock, prefix, Handlers(take, after_read)).run()
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -12,10 +12,12 @@
 from pollenwalk.platform.documents import CONFIGURATION_KIND, HOSTS_KIND
 from pollenwalk.policy.host_choice import EarliestFinish
 from pollenwalk.process.clock import Clock
+from pollenwalk.process.following import Follower, Handlers, Head
 from pollenwalk.process.host_book import HostBook
 from pollenwalk.process.keeper_group import KeeperGroup
+from pollenwalk.process.members import KEEPERS
 from pollenwalk.process.placing import Placing
-from pollenwalk.process.store import ObjectStore, follow
+from pollenwalk.process.store import LONG_WAIT_MS, ObjectStore
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.request.call_state import Call, end_of_wait
 from pollenwalk.request.plain import run_plain
@@ -29,6 +31,10 @@
 
 # Retry-After before the configuration is known: a start takes about a second.
 STARTING_RETRY_MS = 500
+# Half the time within which a configuration has to be in force, so that a
+# watch that is deaf or cut is asked again early enough. Its answers also show
+# the other watches how far the store is.
+CONFIGURATION_WAIT_MS = 1500
 DRAWS = 1 << 32
 
 
@@ -57,6 +63,7 @@
         self.store = store
         self.clock = clock
         self.tasks = TaskSet()
+        self.head = Head()
         self.in_force = InForce()
         self.book = HostBook(clock)
         self.pool = LinkPool(clock)
@@ -87,31 +94,36 @@
 
     async def start(self) -> None:
         """Follow the store."""
-        self.tasks.spawn(
-            follow(
-                self.store,
-                self.clock,
-                CONFIGURATION_KIND,
-                self.in_force.take,
-                on_loss=lambda error: store_lost('configuration', error),
-            ),
-            'follow_configuration',
+        configuration = Handlers(
+            self.in_force.take,
+            on_loss=lambda error: store_lost('configuration', error),
         )
-        self.tasks.spawn(
-            follow(
-                self.store,
-                self.clock,
-                HOSTS_KIND,
-                self.book.take,
-                self.store_answered,
-                self.store_failed,
-            ),
-            'follow_hosts',
+        hosts = Handlers(self.book.take, self.store_answered, self.store_failed)
+        keepers = Handlers(
+            self.keepers.members.take,
+            self.keepers.members.mark_listed,
+            lambda error: store_lost('keepers', error),
         )
-        self.keepers.follow(
+        self.follow(CONFIGURATION_KIND, configuration, CONFIGURATION_WAIT_MS)
+        self.follow(HOSTS_KIND, hosts)
+        self.follow(KEEPERS, keepers)
+
+    def follow(
+        self,
+        prefix: str,
+        handlers: Handlers,
+        wait_ms: int = LONG_WAIT_MS,
+    ) -> None:
+        """Follow one kind of objects for as long as the process lives."""
+        follower = Follower(
             self.store,
-            lambda error: store_lost('keepers', error),
+            self.clock,
+            prefix,
+            handlers,
+            self.head,
+            wait_ms,
         )
+        self.tasks.spawn(follower.run(), f'follow {prefix}')
 
     def store_answered(self) -> None:
         """Note that the list of hosts is fresh."""
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -16,9 +16,10 @@
 from pollenwalk.connection.wire import Hello
 from pollenwalk.errors import PollenwalkError, Refusal, RefusalCode, StoreUnavailable
 from pollenwalk.process.clock import Clock
+from pollenwalk.process.following import Follower, Handlers
 from pollenwalk.process.keeper_state import KeeperState
 from pollenwalk.process.members import KEEPERS, Member, Members
-from pollenwalk.process.store import Backoff, ObjectStore, follow
+from pollenwalk.process.store import Backoff, ObjectStore
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.program.turns import (
     FindChain,
@@ -87,17 +88,9 @@
             self.settings.address,
             self.server.serve,
         )
-        self.tasks.spawn(
-            follow(
-                self.store,
-                self.clock,
-                KEEPERS,
-                self.members.take,
-                self.note_listed,
-                store_lost,
-            ),
-            'follow_keepers',
-        )
+        handlers = Handlers(self.members.take, self.note_listed, store_lost)
+        follower = Follower(self.store, self.clock, KEEPERS, handlers)
+        self.tasks.spawn(follower.run(), 'follow_keepers')
         self.tasks.spawn(self.stay_registered(), 'register')
         self.tasks.spawn(self.expire(), 'expire')
         if not self.state.complete:
--- a/pollenwalk/process/keeper_daemon.py
+++ b/pollenwalk/process/keeper_daemon.py
@@ -37,6 +37,7 @@
     loop = asyncio.get_running_loop()
     for one in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(one, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: logger.info('reload'))
     clock = LoopClock()
     store = PlatformStore(settings.of('store')['url'])
     keeper = Keeper(
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Iterable
 from typing import Any, NamedTuple
 
 from loguru import logger
@@ -15,8 +15,7 @@
 from pollenwalk.connection.peer import Peer
 from pollenwalk.errors import PollenwalkError, Refusal, RefusalCode
 from pollenwalk.process.clock import Clock
-from pollenwalk.process.members import KEEPERS, Member, Members
-from pollenwalk.process.store import ObjectStore, follow
+from pollenwalk.process.members import Member, Members
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.program.turn_index import TurnIndex
 from pollenwalk.program.turns import (
@@ -73,20 +72,6 @@
         self.suspected: dict[str, float] = {}
         self.cache = TurnIndex(clock, CACHE_BYTES)
 
-    def follow(self, store: ObjectStore, on_loss: Callable[[Any], None]) -> None:
-        """Follow the list of keepers in the store."""
-        self.tasks.spawn(
-            follow(
-                store,
-                self.clock,
-                KEEPERS,
-                self.members.take,
-                self.members.mark_listed,
-                on_loss,
-            ),
-            'follow_keepers',
-        )
-
     def ordered(self) -> list[Link]:
         """Give the keepers, those that answer and stand near first."""
         now_ms = self.clock.now_ms()
--- a/pollenwalk/process/keeper_state.py
+++ b/pollenwalk/process/keeper_state.py
@@ -1,6 +1,7 @@
 """What one keeper holds: turns and accounts, in memory and on disk."""
 
 import asyncio
+import os
 from collections.abc import Collection, Iterable, Iterator
 from pathlib import Path
 from typing import Any
@@ -10,7 +11,7 @@
 from pollenwalk.connection.wire import decode_datagram, encode_datagram
 from pollenwalk.errors import PollenwalkError
 from pollenwalk.process.clock import Clock
-from pollenwalk.process.record_log import RecordLog, sync_folder
+from pollenwalk.process.record_log import RecordLog, write_synced
 from pollenwalk.program.ledger import Ledger
 from pollenwalk.program.turn_index import TurnIndex
 from pollenwalk.program.turns import (
@@ -48,7 +49,7 @@
             first_start: whether an empty disk is as it should be.
         """
         self.folder.mkdir(parents=True, exist_ok=True)
-        known = (self.folder / COMPLETE_MARK).exists()
+        known = COMPLETE_MARK in os.listdir(self.folder)
         count = 0
         for segment, record in self.log.replay():
             count += 1
@@ -66,8 +67,7 @@
     def mark_complete(self) -> None:
         """Remember across restarts that the disk is complete."""
         self.complete = True
-        (self.folder / COMPLETE_MARK).touch()
-        sync_folder(self.folder)
+        write_synced(self.folder / COMPLETE_MARK, b'1')
 
     def take(self, record: bytes, segment: int) -> None:
         """Apply an encoded record that is on the disk."""
--- a/pollenwalk/process/record_log.py
+++ b/pollenwalk/process/record_log.py
@@ -140,6 +140,15 @@
         yield record
 
 
+def write_synced(path: Path, payload: bytes) -> None:
+    """Write a small file that survives a power loss."""
+    with path.open('wb') as target:
+        target.write(payload)
+        target.flush()
+        os.fsync(target.fileno())
+    sync_folder(path.parent)
+
+
 def sync_folder(folder: Path) -> None:
     """Make created and removed names survive a power loss."""
     handle = os.open(folder, os.O_RDONLY)
--- a/pollenwalk/process/store.py
+++ b/pollenwalk/process/store.py
@@ -6,14 +6,15 @@
 """
 
 import random
-from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from pollenwalk.errors import StoreConflict, StoreHistoryGone, StoreUnavailable
+from pollenwalk.errors import StoreConflict, StoreUnavailable
 from pollenwalk.process.clock import Clock
 
 MAX_VALUE_BYTES = 1_000_000
 ABSENT = 0
+# Fewer and longer watches cost the store less.
+LONG_WAIT_MS = 25_000
 RETRY_FIRST_MS = 20
 RETRY_LAST_MS = 1000
 BACKOFF = 2
@@ -64,8 +65,17 @@
     async def scan(self, prefix: str) -> Changes:
         """Read all objects below a prefix, in the order of their names."""
 
-    async def watch(self, prefix: str, revision: int) -> Changes:
-        """Wait a bounded time for changes after a revision."""
+    async def watch(
+        self,
+        prefix: str,
+        revision: int,
+        wait_ms: int = LONG_WAIT_MS,
+    ) -> Changes:
+        """Wait a bounded time for changes after a revision.
+
+        Raises:
+            StoreHistoryGone: the store has forgotten that revision.
+        """
 
 
 def make_nonce(dice: random.Random) -> str:
@@ -123,88 +133,3 @@
         present = await store.get(key)
         return present is not None and present.body == body
     return True
-
-
-async def follow(
-    store: ObjectStore,
-    clock: Clock,
-    prefix: str,
-    take: Callable[[StoredObject], None],
-    after_read: Callable[[], None] | None = None,
-    on_loss: Callable[[StoreUnavailable], None] | None = None,
-) -> None:
-    """Hand over what is below a prefix, then each change, for ever.
-
-    An object that has gone is handed over without a body, also when it went
-    while the store could not be watched.
-
-    Args:
-        store: the platform's store.
-        clock: paces the tries while the store is silent.
-        prefix: what to follow.
-        take: gets each object; it must bear one that it has seen.
-        after_read: called after each answer.
-        on_loss: called when the store gave no answer.
-    """
-    follower = Follower(store, prefix)
-    backoff = Backoff(clock)
-    while True:
-        try:
-            changed = await follower.read()
-        except StoreUnavailable as error:
-            if on_loss is not None:
-                on_loss(error)
-            await backoff.pause()
-            continue
-        backoff = Backoff(clock)
-        for stored in changed:
-            take(stored)
-        if after_read is not None:
-            after_read()
-
-
-class Follower:
-    """What has been read below one prefix."""
-
-    def __init__(self, store: ObjectStore, prefix: str) -> None:
-        """Start with nothing read."""
-        self.store = store
-        self.prefix = prefix
-        self.revision = 0
-        self.known: set[str] = set()
-
-    async def read(self) -> list[StoredObject]:
-        """Read everything at first, then what is newer than the last read.
-
-        Raises:
-            StoreUnavailable: the store gave no answer.
-        """
-        if not self.revision:
-            return self.list_anew(await self.store.scan(self.prefix))
-        try:
-            changes = await self.store.watch(self.prefix, self.revision)
-        except StoreHistoryGone:
-            self.revision = 0
-            return await self.read()
-        self.revision = max(self.revision, changes.revision)
-        for stored in changes.objects:
-            self.note(stored)
-        return changes.objects
-
-    def list_anew(self, listing: Changes) -> list[StoredObject]:
-        """Add a deletion for each object that is no longer listed."""
-        self.revision = listing.revision
-        listed = {stored.key for stored in listing.objects}
-        gone = [
-            StoredObject(key, b'', listing.revision)
-            for key in sorted(self.known - listed)
-        ]
-        self.known = listed
-        return [*listing.objects, *gone]
-
-    def note(self, stored: StoredObject) -> None:
-        """Remember whether an object is there."""
-        if stored.body:
-            self.known.add(stored.key)
-        else:
-            self.known.discard(stored.key)
--- a/standin/linked_store.py
+++ b/standin/linked_store.py
@@ -1,7 +1,7 @@
 """The store as seen from a place: its latency, and the bytes across regions."""
 
 from pollenwalk.process.clock import Clock
-from pollenwalk.process.store import Changes, ObjectStore, StoredObject
+from pollenwalk.process.store import LONG_WAIT_MS, Changes, ObjectStore, StoredObject
 from standin.link import Map, Place
 
 OVERHEAD_BYTES = 200
@@ -68,10 +68,15 @@
         await self.back(size_of(changes))
         return changes
 
-    async def watch(self, prefix: str, revision: int) -> Changes:
+    async def watch(
+        self,
+        prefix: str,
+        revision: int,
+        wait_ms: int = LONG_WAIT_MS,
+    ) -> Changes:
         """Wait for changes."""
         await self.there(0)
-        changes = await self.inner.watch(prefix, revision)
+        changes = await self.inner.watch(prefix, revision, wait_ms)
         await self.back(size_of(changes))
         return changes
 
--- a/standin/store.py
+++ b/standin/store.py
@@ -14,6 +14,7 @@
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.store import (
     ABSENT,
+    LONG_WAIT_MS,
     MAX_VALUE_BYTES,
     Changes,
     StoredObject,
@@ -132,11 +133,16 @@
         ]
         return Changes(self.revision, found)
 
-    async def watch(self, prefix: str, revision: int) -> Changes:
+    async def watch(
+        self,
+        prefix: str,
+        revision: int,
+        wait_ms: int = LONG_WAIT_MS,
+    ) -> Changes:
         """Wait a bounded time for changes."""
         await self.before()
         self.reads += 1
-        until_ms = self.clock.now_ms() + WATCH_MS
+        until_ms = self.clock.now_ms() + min(WATCH_MS, wait_ms)
         while not self.since(prefix, revision):
             left_ms = until_ms - self.clock.now_ms()
             if left_ms <= 0 or self.closing:
--- a/standin/virtual/edges.py
+++ b/standin/virtual/edges.py
@@ -8,7 +8,7 @@
 from pollenwalk.connection.wire import Answer, Tokens
 from pollenwalk.errors import PollenwalkError, StoreUnavailable
 from pollenwalk.process.clock import MS_PER_SECOND
-from pollenwalk.process.store import Changes, StoredObject
+from pollenwalk.process.store import LONG_WAIT_MS, Changes, StoredObject
 from standin.engine import ModelEngine
 from standin.service import PlainService
 from standin.store import MemoryStore
@@ -81,10 +81,15 @@
         self.reads += 1
         return await self.ask(0, lambda: self.inner.scan(prefix))
 
-    async def watch(self, prefix: str, revision: int) -> Changes:
+    async def watch(
+        self,
+        prefix: str,
+        revision: int,
+        wait_ms: int = LONG_WAIT_MS,
+    ) -> Changes:
         """Wait for changes."""
         self.reads += 1
-        return await self.ask(0, lambda: self.inner.watch(prefix, revision))
+        return await self.ask(0, lambda: self.inner.watch(prefix, revision, wait_ms))
 
 
 class NodeService:
