Test the adapter and the connection to upstream hosts against stand-ins

A store and an upstream host that speak the users' protocol, with their faults, and tables of cases.

--- a/pollenwalk/connection/upstream_link.py
+++ b/pollenwalk/connection/upstream_link.py
@@ -85,7 +85,9 @@
         """Write on."""
         self.writable.set()
 
-    async def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
+    async def send(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> None:
         """Send one whole request.
 
         Raises:
--- a/pollenwalk/process/daemon.py
+++ b/pollenwalk/process/daemon.py
@@ -10,8 +10,8 @@
 from loguru import logger
 from starlette.applications import Starlette
 
-from pollenwalk.connection.engine_http import HttpEngine
 from pollenwalk.connection.addresses import split_address
+from pollenwalk.connection.engine_http import HttpEngine
 from pollenwalk.connection.grpc_network import GrpcNetwork
 from pollenwalk.connection.hosts_http import HttpHosts
 from pollenwalk.connection.http_api import CallersApi
--- a/pollenwalk/request/plain.py
+++ b/pollenwalk/request/plain.py
@@ -2,8 +2,8 @@
 
 from pollenwalk.errors import BrokenAnswer, Outcome, Refusal, RefusalCode
 from pollenwalk.request.call_state import Call
-from pollenwalk.request.reply import Reply
 from pollenwalk.request.exchange import Exchange
+from pollenwalk.request.reply import Reply
 from pollenwalk.request.sends import Sends, Upstreams
 
 
--- a/pollenwalk/request/streamed.py
+++ b/pollenwalk/request/streamed.py
@@ -7,8 +7,8 @@
 from pollenwalk.errors import BrokenAnswer
 from pollenwalk.request.call_state import Call
 from pollenwalk.request.event_stream import Event, EventSplitter
-from pollenwalk.request.reply import Reply
 from pollenwalk.request.exchange import Exchange
+from pollenwalk.request.reply import Reply
 from pollenwalk.request.sends import Sends, Upstreams
 
 
--- /dev/null
+++ b/standin/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform: its store and its upstream hosts."""
--- a/test/connection/test_contracts.py
+++ b/test/connection/test_contracts.py
@@ -1,7 +1,6 @@
 """One contract an interface, held to by the stand-in and the HTTP client."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple
 
 import testtools
@@ -31,20 +30,11 @@
 from standin.ledger import Ledger
 from standin.service import PlainService, ServiceApi, ServiceShape
 from standin.store import Faults, MemoryStore, StoreApi
+from test.helper import on_loop
 
 REQUEST = ChatRequest('c1', 'p1', [HistoryItem('user', 'hello there')], 3, 5)
 
 
-def on_loop(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[[Any], None]:
-    """Run an asynchronous test on a real loop."""
-
-    def wrapper(self: Any) -> None:
-        asyncio.run(test(self))
-
-    wrapper.__name__ = test.__name__
-    return wrapper
-
-
 async def serve(app: Starlette) -> tuple[HttpServer, str]:
     """Serve an application and give its URL."""
     port = free_port()
--- a/test/helper.py
+++ b/test/helper.py
@@ -1,5 +1,6 @@
 """Small helpers that many tests use."""
 
+import asyncio
 import functools
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -26,3 +27,13 @@
 def make_clock(name: str = 'tester') -> NodeClock:
     """Make a clock that never stops."""
     return NodeClock(Node(name, Place('rimouski', 'est')))
+
+
+def on_loop(test: AsyncTest) -> Callable[..., None]:
+    """Run an asynchronous test on a real loop, on loopback addresses."""
+
+    @functools.wraps(test)
+    def wrapper(self: testtools.TestCase, *parts: Any) -> None:
+        asyncio.run(test(self, *parts))
+
+    return wrapper
--- /dev/null
+++ b/test/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/test/platform/test_documents.py
@@ -0,0 +1,137 @@
+"""The objects of the operator and of the upstream hosts."""
+
+import json
+from typing import Any
+
+import testtools
+
+from pollenwalk.errors import MalformedObject
+from pollenwalk.platform.documents import decode_configuration, decode_host
+from pollenwalk.version.routes import CallKind, Share
+
+HOST = {
+    'service': 'huvo',
+    'address': '10.128.0.9:8080',
+    'zone': 'rimouski',
+    'version': 'v1',
+    'slots': 8,
+    'state': 'ready',
+    'cold_left_ms': 0,
+    'seq': 4,
+}
+ROUTE = {
+    'name': 'r1',
+    'host': 'Ficu95.example',
+    'path_prefix': '/pufi/',
+    'kind': 'streaming',
+    'timeout_ms': 3000,
+    'target_latency_ms': 300,
+    'priority': 0,
+    'service': 'huvo',
+    'max_attempts': 2,
+    'retain_history': True,
+    'retention_s': 60.0,
+    'resumable': False,
+    'gap_aim_ms': 150,
+}
+CONFIGURATION = {
+    'version': 7,
+    'routes': [
+        ROUTE,
+        {
+            **ROUTE,
+            'name': 'r2',
+            'path_prefix': '/pufi/long/',
+            'kind': 'unsafe',
+            'service': None,
+            'traffic_split': [
+                {'service': 'huvo', 'weight': 90},
+                {'service': 'wuno', 'weight': 0},
+            ],
+        },
+    ],
+    'services': [
+        {
+            'name': 'huvo',
+            'max_conns': 140,
+            'engine': {'slots': 8, 'kv_capacity': 97943, 'tokens_per_event': 14},
+        },
+        {'name': 'wuno', 'max_conns': 100},
+    ],
+    'limits': {'idle_timeout_ms': 15000},
+}
+
+
+def without(document: dict[str, Any], key: str) -> dict[str, Any]:
+    """Leave out one key."""
+    return {name: field for name, field in document.items() if name != key}
+
+
+UNREADABLE_HOSTS = (
+    b'',
+    b'nonsense',
+    b'\xff\xfe{}',
+    b'null',
+    b'[]',
+    json.dumps(without(HOST, 'address')).encode(),
+    json.dumps({**HOST, 'slots': 'eight'}).encode(),
+    json.dumps({**HOST, 'state': 'resting'}).encode(),
+    json.dumps({**HOST, 'address': 'nowhere'}).encode(),
+    json.dumps({**HOST, 'service': 5}).encode(),
+)
+
+
+class HostsTest(testtools.TestCase):
+    """Entries of upstream hosts."""
+
+    def test_whole(self) -> None:
+        host = decode_host('servers/i-1', json.dumps({**HOST, 'born': 5}).encode())
+        self.assertEqual('i-1', host.id)
+        self.assertEqual('10.128.0.9:8080', host.address)
+        self.assertEqual(5, host.born_ms)
+        self.assertFalse(host.leaving)
+
+    def test_leaving(self) -> None:
+        body = json.dumps({**HOST, 'state': 'draining'}).encode()
+        self.assertTrue(decode_host('servers/i-1', body).leaving)
+
+    def test_unreadable_ones_name_no_host(self) -> None:
+        for body in UNREADABLE_HOSTS:
+            with testtools.ExpectedException(MalformedObject):
+                decode_host('servers/i-1', body)
+
+
+class ConfigurationTest(testtools.TestCase):
+    """The operator's configuration."""
+
+    def test_routes(self) -> None:
+        found = decode_configuration('c', json.dumps(CONFIGURATION).encode())
+        self.assertEqual(7, found.version)
+        short = found.match('ficu95.example:80', '/pufi/x')
+        assert short is not None
+        self.assertEqual('r1', short.name)
+        self.assertEqual(CallKind.STREAM, short.kind)
+        self.assertEqual(60_000, short.retention_ms)
+        self.assertFalse(short.idempotent)
+        self.assertEqual(14, found.tokens_per_event(short))
+
+    def test_the_longest_prefix_wins(self) -> None:
+        found = decode_configuration('c', json.dumps(CONFIGURATION).encode())
+        longer = found.match('ficu95.example', '/pufi/long/x')
+        assert longer is not None
+        self.assertEqual('r2', longer.name)
+        self.assertEqual((Share('huvo', 90),), longer.shares)
+
+    def test_no_route(self) -> None:
+        found = decode_configuration('c', json.dumps(CONFIGURATION).encode())
+        self.assertIsNone(found.match('ficu95.example', '/pufix'))
+        self.assertIsNone(found.match('other.example', '/pufi/x'))
+
+    def test_unreadable(self) -> None:
+        for broken in (
+            without(CONFIGURATION, 'version'),
+            {**CONFIGURATION, 'routes': [{**ROUTE, 'kind': 'magic'}]},
+            {**CONFIGURATION, 'routes': [without(ROUTE, 'service')]},
+        ):
+            with testtools.ExpectedException(MalformedObject):
+                decode_configuration('c', json.dumps(broken).encode())
--- /dev/null
+++ b/test/platform/test_headers.py
@@ -0,0 +1,135 @@
+"""The platform's headers."""
+
+import testtools
+
+from pollenwalk.platform.headers import (
+    read_answer,
+    read_traits,
+    request_headers,
+    retry_header,
+    sent_headers,
+)
+from pollenwalk.request.traits import PromptPart
+
+
+class TraitsTest(testtools.TestCase):
+    """What a request says of itself."""
+
+    def test_all(self) -> None:
+        traits = read_traits(
+            [
+                (b'x-pollenwalk-request-id', b'9c41'),
+                (b'x-pollenwalk-deadline-ms', b'3000'),
+                (b'x-pollenwalk-program-id', b'p1'),
+                (b'x-pollenwalk-session-id', b's1'),
+                (b'x-pollenwalk-program-deadline-ms', b'5200'),
+                (b'x-pollenwalk-token-budget', b'2240'),
+                (b'x-pollenwalk-token-usage', b'1840,280'),
+                (b'x-pollenwalk-length-hint', b'90'),
+                (b'x-pollenwalk-prompt-prefix', b'5c1e:800,91bd:410'),
+                (b'x-pollenwalk-previous-turn', b'e5b2'),
+                (b'last-event-id', b'12'),
+            ],
+        )
+        self.assertEqual('9c41', traits.id)
+        self.assertEqual(3000, traits.deadline_ms)
+        self.assertEqual(('p1', 's1'), (traits.program, traits.session))
+        self.assertEqual(5200, traits.program_rest_ms)
+        self.assertEqual(2240, traits.budget)
+        self.assertEqual((1840, 280), (traits.prompt_tokens, traits.most_tokens))
+        self.assertEqual(90, traits.expected_tokens)
+        self.assertEqual(
+            (PromptPart('5c1e', 800), PromptPart('91bd', 410)),
+            traits.parts,
+        )
+        self.assertEqual('e5b2', traits.previous)
+        self.assertTrue(traits.resumes)
+
+    def test_none_and_nonsense(self) -> None:
+        nothing = read_traits([])
+        self.assertIsNone(nothing.deadline_ms)
+        self.assertIsNone(nothing.budget)
+        nonsense = read_traits(
+            [
+                (b'x-pollenwalk-deadline-ms', b'soon'),
+                (b'x-pollenwalk-token-usage', b'many'),
+                (b'x-pollenwalk-prompt-prefix', b',,:'),
+            ],
+        )
+        self.assertIsNone(nonsense.deadline_ms)
+        self.assertEqual(0, nonsense.most_tokens)
+
+
+class PassedOnTest(testtools.TestCase):
+    """Which headers go on."""
+
+    def test_of_one_connection_and_ours_are_dropped(self) -> None:
+        given = [
+            (b'host', b'a.example'),
+            (b'connection', b'close, X-Hop'),
+            (b'x-hop', b'1'),
+            (b'transfer-encoding', b'chunked'),
+            (b'content-length', b'3'),
+            (b'x-pollenwalk-deadline-ms', b'3000'),
+            (b'x-pollenwalk-hold', b'h'),
+            (b'x-pollenwalk-pin-ms', b'1'),
+            (b'x-pollenwalk-kv-backup', b'a:1'),
+            (b'kv-from', b'a:1/2'),
+            (b'x-pollenwalk-expect-instance', b'forged'),
+            (b'x-pollenwalk-request-id', b'9c41'),
+            (b'accept', b'text/event-stream'),
+        ]
+        self.assertEqual(
+            [
+                (b'host', b'a.example'),
+                (b'x-pollenwalk-request-id', b'9c41'),
+                (b'accept', b'text/event-stream'),
+            ],
+            request_headers(given),
+        )
+
+    def test_ours_are_set(self) -> None:
+        self.assertEqual(
+            [
+                (b'x-pollenwalk-expect-instance', b'i-1'),
+                (b'x-pollenwalk-deadline-ms', b'1499'),
+                (b'x-pollenwalk-request-priority', b'3'),
+            ],
+            sent_headers('i-1', 1499.9, 3),
+        )
+
+    def test_retry_after_is_in_seconds(self) -> None:
+        self.assertEqual((b'retry-after', b'0.250'), retry_header(250))
+
+
+class AnswerTest(testtools.TestCase):
+    """What an answer says."""
+
+    def test_all(self) -> None:
+        head = read_answer(
+            200,
+            [
+                (b'x-pollenwalk-request-id', b'9c41'),
+                (b'x-pollenwalk-server-signature', b'3e'),
+                (b'x-pollenwalk-server-load', b'3,1,8'),
+                (b'keep-alive', b'timeout=5, max=3'),
+                (b'content-length', b'3'),
+                (b'content-type', b'text/plain'),
+            ],
+        )
+        self.assertTrue(head.signed)
+        self.assertFalse(head.refused)
+        self.assertEqual((3, 1, 8), head.load)
+        self.assertEqual(5000, head.keep_ms)
+        self.assertIn((b'content-type', b'text/plain'), head.headers)
+        self.assertNotIn((b'content-length', b'3'), head.headers)
+
+    def test_proofs_that_it_did_not_run(self) -> None:
+        self.assertTrue(read_answer(503, [(b'x-pollenwalk-not-executed', b'1')]).refused)
+        self.assertTrue(read_answer(421, []).refused)
+        self.assertFalse(read_answer(503, []).refused)
+
+    def test_a_load_that_makes_no_sense_is_none(self) -> None:
+        self.assertIsNone(
+            read_answer(200, [(b'x-pollenwalk-server-load', b'3,x')]).load,
+        )
--- /dev/null
+++ b/test/platform/test_objects.py
@@ -0,0 +1,144 @@
+"""The client of the platform's store, against a stand-in."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import testtools
+
+from pollenwalk.connection.http_server import HttpServer, free_port
+from pollenwalk.errors import StoreConflict, StoreHistoryGone, StoreUnavailable
+from pollenwalk.platform import objects
+from pollenwalk.platform.objects import PlatformStore
+from pollenwalk.process.clock import LoopClock
+from pollenwalk.process.store import ABSENT
+from standin.platform.store import PlatformStoreApi, Refusal, Trouble
+from standin.store import MemoryStore
+from test.helper import on_loop
+
+SHORT_MS = 30
+
+
+@asynccontextmanager
+async def running() -> AsyncIterator[tuple[PlatformStoreApi, PlatformStore]]:
+    """Run a stand-in store and a client of it."""
+    memory = MemoryStore(LoopClock())
+    api = PlatformStoreApi(memory)
+    port = free_port()
+    server = HttpServer(api.app(), '127.0.0.1', port)
+    await server.start()
+    store = PlatformStore(f'http://127.0.0.1:{port}')
+    try:
+        yield api, store
+    finally:
+        await store.close()
+        memory.close()
+        await server.stop()
+
+
+class ObjectsTest(testtools.TestCase):
+    """Reading and writing."""
+
+    @on_loop
+    async def test_create_replace_read_delete(self) -> None:
+        async with running() as (_, store):
+            first = await store.put('things/a', b'{"x":1}', ABSENT)
+            second = await store.put('things/a', b'{"x":2}', first)
+            self.assertTrue(second > first)
+            stored = await store.get('things/a')
+            assert stored is not None
+            self.assertEqual((b'{"x":2}', second), (stored.body, stored.version))
+            await store.delete('things/a')
+            self.assertIsNone(await store.get('things/a'))
+
+    @on_loop
+    async def test_conditions(self) -> None:
+        async with running() as (_, store):
+            version = await store.put('things/a', b'1', ABSENT)
+            with testtools.ExpectedException(StoreConflict):
+                await store.put('things/a', b'2', ABSENT)
+            with testtools.ExpectedException(StoreConflict):
+                await store.put('things/a', b'2', version + 5)
+            await store.put('things/a', b'2', None)
+            await store.put('things/b', b'3', None)
+
+    @on_loop
+    async def test_a_list_in_pages(self) -> None:
+        async with running() as (_, store):
+            for name in 'abcde':
+                await store.put(f'things/{name}', b'1', ABSENT)
+            listing = await store.scan('things/')
+            self.assertEqual(
+                [f'things/{name}' for name in 'abcde'],
+                [one.key for one in listing.objects],
+            )
+            self.assertEqual(5, listing.revision)
+
+    @on_loop
+    async def test_status(self) -> None:
+        async with running() as (api, store):
+            await store.report('retirements/k', {'state': 'running'})
+            self.assertEqual({'state': 'running'}, api.statuses['retirements/k'])
+
+
+class WatchTest(testtools.TestCase):
+    """Watching."""
+
+    @on_loop
+    async def test_changes_and_deletions(self) -> None:
+        async with running() as (_, store):
+            version = await store.put('things/a', b'1', ABSENT)
+            watching = asyncio.ensure_future(store.watch('things/', version))
+            await asyncio.sleep(0.05)
+            await store.delete('things/a')
+            changes = await watching
+            self.assertEqual([b''], [one.body for one in changes.objects])
+
+    @on_loop
+    async def test_nothing_in_time(self) -> None:
+        async with running() as (_, store):
+            version = await store.put('things/a', b'1', ABSENT)
+            changes = await store.watch('things/', version, SHORT_MS)
+            self.assertEqual([], changes.objects)
+
+    @on_loop
+    async def test_forgotten_history(self) -> None:
+        async with running() as (api, store):
+            await store.put('things/a', b'1', ABSENT)
+            api.trouble = Trouble(horizon=9)
+            with testtools.ExpectedException(StoreHistoryGone):
+                await store.watch('things/', 1, SHORT_MS)
+
+
+class TroubleTest(testtools.TestCase):
+    """A store that gives no answer."""
+
+    def setUp(self) -> None:
+        """Wait less than in earnest."""
+        super().setUp()
+        self.patch(objects, 'ANSWER_TIMEOUT_S', 0.1)
+
+    @on_loop
+    async def test_turned_away(self) -> None:
+        async with running() as (api, store):
+            for refusal in (Refusal.BUSY, Refusal.MANY, Refusal.SILENT):
+                api.trouble = Trouble(refusal=refusal)
+                with testtools.ExpectedException(StoreUnavailable):
+                    await store.get('things/a')
+
+    @on_loop
+    async def test_nobody_listens(self) -> None:
+        store = PlatformStore(f'http://127.0.0.1:{free_port()}')
+        with testtools.ExpectedException(StoreUnavailable):
+            await store.scan('things/')
+        await store.close()
+
+    @on_loop
+    async def test_a_write_is_done_though_its_answer_is_lost(self) -> None:
+        async with running() as (api, store):
+            api.trouble = Trouble(late_s=0.2)
+            with testtools.ExpectedException(StoreUnavailable):
+                await store.put('things/a', b'1', ABSENT)
+            api.trouble = Trouble()
+            await asyncio.sleep(0.3)
+            self.assertIsNotNone(await store.get('things/a'))
--- /dev/null
+++ b/test/request/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what lives as long as a request."""
