Talk to keepers over plain TCP, fail fast on lost ones, settle in batches

Cause: a request cost 5.6 ms of processor time, most of it messages over grpc and three settlements a turn; a keeper behind a cut was waited for by every request; uvicorn closed callers' connections after 5 s of idleness, while the configuration allows 15 s. Change: channels over TCP with probes, one settlement message in 30 ms, a lost keeper is probed in the background and not asked until it answers; a gateway without a majority is not ready; idle time of callers 120 s.

--- a/pollenwalk/connection/channel.py
+++ b/pollenwalk/connection/channel.py
@@ -31,8 +31,8 @@
 DatagramHandler = Callable[[bytes, str], None]
 
 
-class Network(Protocol):
-    """Channels for requests and datagrams for control."""
+class StreamNetwork(Protocol):
+    """Channels between processes."""
 
     async def connect(self, address: str) -> Channel:
         """Open a channel to `ip:port`; raises `ConnectionLost`."""
@@ -40,6 +40,10 @@
     async def listen(self, address: str, handler: ChannelHandler) -> Listener:
         """Accept channels on `ip:port`."""
 
+
+class Network(StreamNetwork, Protocol):
+    """Channels for requests and datagrams for control."""
+
     async def bind(self, address: str, handler: DatagramHandler) -> Listener:
         """Receive datagrams on `ip:port`."""
 
--- a/pollenwalk/connection/http_server.py
+++ b/pollenwalk/connection/http_server.py
@@ -9,6 +9,7 @@
 
 MAX_HEADER_BYTES = 32_768
 STOP_GRACE_S = 3
+KEEP_ALIVE_S = 5
 START_CHECK_S = 0.005
 
 
@@ -24,8 +25,21 @@
 class HttpServer:
     """One application on one loopback address."""
 
-    def __init__(self, app: object, host: str, port: int) -> None:
-        """Prepare to serve."""
+    def __init__(
+        self,
+        app: object,
+        host: str,
+        port: int,
+        keep_alive_s: int = KEEP_ALIVE_S,
+    ) -> None:
+        """Prepare to serve.
+
+        Args:
+            app: the ASGI application.
+            host: where to listen.
+            port: where to listen.
+            keep_alive_s: how long a connection may be idle.
+        """
         config = uvicorn.Config(
             app,
             host=host,
@@ -35,6 +49,9 @@
             log_config=None,
             log_level='error',
             access_log=False,
+            server_header=False,
+            date_header=False,
+            timeout_keep_alive=keep_alive_s,
             h11_max_incomplete_event_size=MAX_HEADER_BYTES,
             timeout_graceful_shutdown=STOP_GRACE_S,
         )
--- a/pollenwalk/connection/peer.py
+++ b/pollenwalk/connection/peer.py
@@ -11,7 +11,7 @@
 
 from loguru import logger
 
-from pollenwalk.connection.channel import Channel, Network
+from pollenwalk.connection.channel import Channel, StreamNetwork
 from pollenwalk.connection.wire import (
     CANCEL_KIND,
     END_KIND,
@@ -206,7 +206,7 @@
     def __init__(
         self,
         address: str,
-        network: Network,
+        network: StreamNetwork,
         clock: Clock,
         tasks: TaskSet,
     ) -> None:
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from pollenwalk.connection.channel import Network
+from pollenwalk.connection.channel import StreamNetwork
 from pollenwalk.connection.link_pool import LinkPool
 from pollenwalk.errors import Outcome, Refusal, RefusalCode, StoreUnavailable
 from pollenwalk.platform.documents import CONFIGURATION_KIND, HOSTS_KIND
@@ -15,6 +15,7 @@
 from pollenwalk.process.following import Follower, Handlers, Head
 from pollenwalk.process.host_book import HostBook
 from pollenwalk.process.keeper_group import KeeperGroup
+from pollenwalk.process.keeper_links import KeeperLinks
 from pollenwalk.process.members import KEEPERS
 from pollenwalk.process.placing import Placing
 from pollenwalk.process.store import LONG_WAIT_MS, ObjectStore
@@ -35,6 +36,9 @@
 # watch that is deaf or cut is asked again early enough. Its answers also show
 # the other watches how far the store is.
 CONFIGURATION_WAIT_MS = 1500
+# A gateway that reaches no majority of the keepers for so long lets callers
+# go to others; shorter than a balancer's second look.
+UNDECIDED_MS = 500.0
 DRAWS = 1 << 32
 
 
@@ -54,7 +58,7 @@
         self,
         settings: GatewaySettings,
         store: ObjectStore,
-        network: Network,
+        network: StreamNetwork,
         clock: Clock,
         dice: random.Random,
     ) -> None:
@@ -76,12 +80,17 @@
             settings.regions,
         )
         self.upstreams = Upstreams(clock, self.pool, placing)
-        self.keepers = KeeperGroup(
+        self.links = KeeperLinks(
             network,
             clock,
             self.tasks,
             settings.zone,
             settings.regions,
+        )
+        self.keepers = KeeperGroup(
+            self.links,
+            clock,
+            self.tasks,
             settings.tolerated_losses,
         )
 
@@ -89,8 +98,9 @@
     def ready(self) -> bool:
         """Tell whether new callers may come."""
         known = self.in_force.current is not None and self.book.listed
-        known = known and self.keepers.members.listed
-        return known and not self.stopping
+        known = known and self.links.members.listed
+        decided = self.links.undecided_ms < UNDECIDED_MS
+        return known and decided and not self.stopping
 
     async def start(self) -> None:
         """Follow the store."""
@@ -100,8 +110,8 @@
         )
         hosts = Handlers(self.book.take, self.store_answered, self.store_failed)
         keepers = Handlers(
-            self.keepers.members.take,
-            self.keepers.members.mark_listed,
+            self.links.members.take,
+            self.links.members.mark_listed,
             lambda error: store_lost('keepers', error),
         )
         self.follow(CONFIGURATION_KIND, configuration, CONFIGURATION_WAIT_MS)
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -14,8 +14,8 @@
 
 from pollenwalk.connection.addresses import split_address
 from pollenwalk.connection.gateway_app import GatewayApp
-from pollenwalk.connection.grpc_network import GrpcNetwork
 from pollenwalk.connection.http_server import HttpServer
+from pollenwalk.connection.tcp_network import TcpNetwork
 from pollenwalk.errors import UserError
 from pollenwalk.platform.names import READY_PATH
 from pollenwalk.platform.objects import PlatformStore
@@ -29,6 +29,9 @@
 # Left of the grace period for closing what is still open.
 CLOSING_MS = 700.0
 CHECK_MS = 50.0
+# Longer than any configured idle time, so that a caller never meets the end
+# of a connection that it may still use.
+CALLERS_KEEP_ALIVE_S = 120
 # Settings may change without a signal.
 SETTINGS_CHECK_MS = 1000.0
 
@@ -64,12 +67,16 @@
                 own['tolerated_losses'],
             ),
             self.store,
-            GrpcNetwork(),
+            TcpNetwork(),
             self.clock,
             random.Random(),
         )
         self.app = GatewayApp(self.clock, self.gateway.handle)
-        self.callers = HttpServer(self.app, *split_address(own['http']))
+        self.callers = HttpServer(
+            self.app,
+            *split_address(own['http']),
+            CALLERS_KEEP_ALIVE_S,
+        )
         self.readiness = HttpServer(
             self.readiness_app(),
             *split_address(own['ready']),
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -6,12 +6,13 @@
 says again that something does not exist.
 """
 
+import asyncio
 from collections.abc import AsyncIterator, Iterable, Iterator
 from typing import Any, NamedTuple
 
 from loguru import logger
 
-from pollenwalk.connection.channel import Listener, Network
+from pollenwalk.connection.channel import Listener, StreamNetwork
 from pollenwalk.connection.peer import Peer, PeerServer
 from pollenwalk.connection.wire import Hello
 from pollenwalk.errors import PollenwalkError, Refusal, RefusalCode, StoreUnavailable
@@ -27,7 +28,7 @@
     PushRecords,
     RecordBatch,
     ReserveTokens,
-    SettleTokens,
+    Settlements,
     Spent,
     Stored,
     TurnRecord,
@@ -64,7 +65,7 @@
         settings: KeeperSettings,
         state: KeeperState,
         store: ObjectStore,
-        network: Network,
+        network: StreamNetwork,
         clock: Clock,
     ) -> None:
         """Prepare; the disk is not read yet."""
@@ -121,9 +122,12 @@
         if isinstance(message, ReserveTokens):
             entries = await self.state.reserve(message)
             return Spent(self.state.complete, entries)
-        if isinstance(message, TurnRecord | SettleTokens):
+        if isinstance(message, TurnRecord):
             await self.state.keep(message)
             return Stored(self.state.complete)
+        if isinstance(message, Settlements):
+            await asyncio.gather(*map(self.state.keep, message.settled))
+            return Stored(self.state.complete)
         if isinstance(message, FindChain):
             return self.state.chain(message.turn)
         if isinstance(message, PushRecords):
--- a/pollenwalk/process/keeper_daemon.py
+++ b/pollenwalk/process/keeper_daemon.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from pollenwalk.connection.grpc_network import GrpcNetwork
+from pollenwalk.connection.tcp_network import TcpNetwork
 from pollenwalk.errors import UserError
 from pollenwalk.platform.objects import PlatformStore
 from pollenwalk.process.clock import LoopClock
@@ -50,7 +50,7 @@
         ),
         KeeperState(Path(own['folder']), clock),
         store,
-        GrpcNetwork(),
+        TcpNetwork(),
         clock,
     )
     logger.info('start', role='keeper', name=own['name'], zone=own['zone'])
--- a/pollenwalk/program/turns.py
+++ b/pollenwalk/program/turns.py
@@ -54,6 +54,12 @@
     kept_ms: float
 
 
+class Settlements(NamedTuple):
+    """What several turns have shown."""
+
+    settled: list[SettleTokens]
+
+
 class Stored(NamedTuple):
     """A record is on a keeper's disk.
 
--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -5,7 +5,8 @@
 from loguru import logger
 
 from pollenwalk.errors import Outcome, Refusal, RefusalCode
-from pollenwalk.process.keeper_group import KeeperGroup, keepers_unavailable
+from pollenwalk.process.copies import keepers_unavailable
+from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.program.ledger import judge
 from pollenwalk.program.turn_index import prompt_of
 from pollenwalk.program.turns import (
@@ -87,17 +88,16 @@
         """Ask all keepers; give what a majority of complete ones know."""
         known: list[list[TokenEntry]] = []
         disks = 0
-        links = self.group.ordered()
-        async for spent in self.group.answers(links, self.message):
+        async for spent in self.group.answers(self.message):
             disks += 1
             self.take(spent, known)
             if self.enough(len(known), disks):
                 return known
-        raise keepers_unavailable(f'{len(known)} of {len(links)} know the budget')
+        raise keepers_unavailable(f'{len(known)} of {self.group.links.majority} know the budget')
 
     def enough(self, voices: int, disks: int) -> bool:
         """Tell whether a majority has spoken and enough disks have it."""
-        return voices >= self.group.majority and disks >= self.group.copies
+        return voices >= self.group.links.majority and disks >= self.group.copies
 
     def take(self, spent: Spent, known: list[list[TokenEntry]]) -> None:
         """Take one keeper's word; it may be enough to begin."""
