Empty retiring keepers, and read the store by way of a keeper when turned away

Change: a keeper that is to leave takes no turns, copies what others lack, leaves the list and says so; a follower whose store gives no answer lists the prefix by way of a keeper.

--- a/pollenwalk/connection/gateway_app.py
+++ b/pollenwalk/connection/gateway_app.py
@@ -154,8 +154,9 @@
 
 async def left(receive: Receive) -> None:
     """Wait until the caller has left."""
-    while (await receive())['type'] != 'http.disconnect':
-        continue
+    message = await receive()
+    while message['type'] != 'http.disconnect':
+        message = await receive()
 
 
 def read_request(scope: dict[str, Any], body: bytes, arrived_ms: float) -> Request:
@@ -166,7 +167,7 @@
     host = next((field for name, field in headers if name == b'host'), b'')
     return Request(
         method=scope['method'].encode('ascii'),
-        target=path + b'?' + query if query else path,
+        target=b'?'.join((path, query)) if query else path,
         path=path.decode('latin-1'),
         host=host.decode('latin-1'),
         headers=request_headers(headers),
--- a/pollenwalk/connection/link_pool.py
+++ b/pollenwalk/connection/link_pool.py
@@ -47,7 +47,7 @@
 
     def drop(self, hosts: set[str]) -> None:
         """Close the connections to all hosts but these."""
-        for name in [known for known in self.idle if known not in hosts]:
+        for name in self.idle.keys() - hosts:
             for link in self.idle.pop(name):
                 link.abort()
 
--- a/pollenwalk/connection/tcp_network.py
+++ b/pollenwalk/connection/tcp_network.py
@@ -5,15 +5,14 @@
 """
 
 import asyncio
-import struct
 
 from pollenwalk.connection.addresses import split_address
 from pollenwalk.connection.channel import Channel, ChannelHandler, Listener
 from pollenwalk.connection.keepalive import probe_peer
 from pollenwalk.errors import ConnectionLost
 
-LENGTH = struct.Struct('<I')
-MAX_FRAME_BYTES = 32 * 1024 * 1024
+LENGTH_BYTES = 4
+MAX_FRAME_BYTES = 33_554_432
 
 
 class TcpChannel:
@@ -31,7 +30,7 @@
 
     async def send(self, frame: bytes) -> None:
         """Write one frame."""
-        self.writer.write(LENGTH.pack(len(frame)) + frame)
+        self.writer.write(len(frame).to_bytes(LENGTH_BYTES, 'little') + frame)
         try:
             await self.writer.drain()
         except OSError as error:
@@ -40,8 +39,8 @@
     async def receive(self) -> bytes:
         """Read one frame."""
         try:
-            head = await self.reader.readexactly(LENGTH.size)
-            (length,) = LENGTH.unpack(head)
+            head = await self.reader.readexactly(LENGTH_BYTES)
+            length = int.from_bytes(head, 'little')
             if length > MAX_FRAME_BYTES:
                 raise ConnectionLost(f'a frame of {length} bytes')
             return await self.reader.readexactly(length)
--- a/pollenwalk/connection/upstream_link.py
+++ b/pollenwalk/connection/upstream_link.py
@@ -157,8 +157,7 @@
             if not found.request or found.request == request:
                 return found
             self.reusable = False
-            async for _part in self.chunks():
-                continue
+            await self.body()
             self.start_over()
         raise BrokenAnswer('only answers to other requests came')
 
@@ -170,16 +169,21 @@
         if not isinstance(event, h11.Response):
             raise BrokenAnswer('the connection ended without an answer')
         found = wire.read_answer(event.status_code, list(event.headers))
-        self.keep_ms = found.keep_ms if found.keep_ms is not None else self.keep_ms
+        if found.keep_ms is not None:
+            self.keep_ms = found.keep_ms
         return found
 
+    async def body(self) -> bytes:
+        """Read the rest of the answer."""
+        return b''.join([chunk async for chunk in self.chunks()])
+
     def start_over(self) -> None:
         """Expect one more answer to the request that was sent."""
         left, _ = self.parser.trailing_data
         self.parser = h11.Connection(h11.CLIENT)
         for event in self.sent:
             self.parser.send(event)
-        self.received[:0] = left
+        self.received = bytearray(left) + self.received
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Give the body as it comes.
--- a/pollenwalk/connection/wire.py
+++ b/pollenwalk/connection/wire.py
@@ -13,8 +13,12 @@
 from pollenwalk.program.turns import (
     Chain,
     FindChain,
+    FindMissing,
+    Listing,
+    Missing,
     PullRecords,
     PushRecords,
+    ReadPrefix,
     RecordBatch,
     ReserveTokens,
     Settlements,
@@ -335,8 +339,12 @@
     Spent,
     FindChain,
     Chain,
+    FindMissing,
+    Listing,
+    Missing,
     PullRecords,
     PushRecords,
+    ReadPrefix,
     RecordBatch,
 )
 DECODERS = {
--- a/pollenwalk/errors.py
+++ b/pollenwalk/errors.py
@@ -67,6 +67,7 @@
     PROTOCOL = 'protocol'
     NOT_CONFIGURED = 'not_configured'
     KEEPERS_UNAVAILABLE = 'keepers_unavailable'
+    RETIRING = 'retiring'
     INTERNAL = 'internal'
 
 
--- a/pollenwalk/platform/documents.py
+++ b/pollenwalk/platform/documents.py
@@ -172,7 +172,9 @@
         Share(one['service'], one['weight']) for one in split if one['weight'] > 0
     )
     service = wire.get('service')
-    return shares or ((Share(service, 1),) if service else ())
+    if shares or not service:
+        return shares
+    return (Share(service, 1),)
 
 
 def decode_upstream(wire: WireService) -> Upstream:
@@ -210,6 +212,11 @@
     )
 
 
+def retirement_status(done: bool) -> dict[str, str]:
+    """Write how far the emptying of a storage host is."""
+    return {'state': 'completed' if done else 'running'}
+
+
 def decode_retirement(key: str, body: bytes) -> float:
     """Give the time in ms within which a storage host is to be emptied.
 
--- a/pollenwalk/process/copies.py
+++ b/pollenwalk/process/copies.py
@@ -54,11 +54,12 @@
         while self.made < self.needed:
             if not self.sending:
                 raise keepers_unavailable(f'{self.made} of {self.needed} copies')
-            done, self.sending = await asyncio.wait(
+            done, left = await asyncio.wait(
                 self.sending,
                 timeout=self.hedge_ms() / MS_PER_SECOND,
                 return_when=asyncio.FIRST_COMPLETED,
             )
+            self.sending = left
             good = sum(task.exception() is None for task in done)
             self.made += good
             self.send_to(len(done) - good if done else 1)
--- a/pollenwalk/process/following.py
+++ b/pollenwalk/process/following.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from pollenwalk.errors import StoreHistoryGone, StoreUnavailable
@@ -55,11 +55,14 @@
             store could not be watched.
         after_read: called after each answer.
         on_loss: called when the store gave no answer.
+        relay: lists the prefix by way of another process while the store
+            gives no answer here; None where that can't be done either.
     """
 
     take: Callable[[StoredObject], None]
-    after_read: Callable[[], None] = lambda: None
-    on_loss: Callable[[StoreUnavailable], None] = lambda _: None
+    after_read: Callable[[], None] | None = None
+    on_loss: Callable[[StoreUnavailable], None] | None = None
+    relay: Callable[[str], Awaitable[Changes | None]] | None = None
 
 
 class Follower:
@@ -107,14 +110,29 @@
             try:
                 changed = await self.read()
             except StoreUnavailable as error:
-                self.handlers.on_loss(error)
+                if self.handlers.on_loss is not None:
+                    self.handlers.on_loss(error)
+                await self.read_elsewhere()
                 await backoff.pause()
                 continue
             backoff = Backoff(self.clock)
-            for stored in changed:
-                self.handlers.take(stored)
+            self.tell(changed)
+
+    def tell(self, changed: list[StoredObject]) -> None:
+        """Hand over what was read."""
+        for stored in changed:
+            self.handlers.take(stored)
+        if self.handlers.after_read is not None:
             self.handlers.after_read()
 
+    async def read_elsewhere(self) -> None:
+        """List by way of another process, if there is one."""
+        if self.handlers.relay is None:
+            return
+        listing = await self.handlers.relay(self.prefix)
+        if listing is not None and listing.revision >= self.checked:
+            self.tell(self.list_anew(listing))
+
     async def read(self) -> list[StoredObject]:
         """Read everything at first, then what is newer than the last read.
 
@@ -192,7 +210,7 @@
     clock: Clock,
     prefix: str,
     take: Callable[[StoredObject], None],
-    after_read: Callable[[], None] = lambda: None,
+    after_read: Callable[[], None] | None = None,
 ) -> None:
     """Follow a prefix on its own, for ever."""
     await Follower(store, clock, prefix, Handlers(take, after_read)).run()
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -39,7 +39,8 @@
 # A gateway that reaches no majority of the keepers for so long lets callers
 # go to others; shorter than a balancer's second look.
 UNDECIDED_MS = 500.0
-DRAWS = 1 << 32
+# One more than the greatest checksum.
+DRAWS = 4_294_967_296
 
 
 class GatewaySettings(NamedTuple):
@@ -104,15 +105,23 @@
 
     async def start(self) -> None:
         """Follow the store."""
+        relay = self.keepers.read_prefix
         configuration = Handlers(
             self.in_force.take,
             on_loss=lambda error: store_lost('configuration', error),
+            relay=relay,
+        )
+        hosts = Handlers(
+            self.book.take,
+            self.store_answered,
+            self.store_failed,
+            relay,
         )
-        hosts = Handlers(self.book.take, self.store_answered, self.store_failed)
         keepers = Handlers(
             self.links.members.take,
             self.links.members.mark_listed,
             lambda error: store_lost('keepers', error),
+            relay,
         )
         self.follow(CONFIGURATION_KIND, configuration, CONFIGURATION_WAIT_MS)
         self.follow(HOSTS_KIND, hosts)
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -4,12 +4,13 @@
 import random
 import signal
 import sys
+from http import HTTPStatus
 from pathlib import Path
 
 from loguru import logger
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import PlainTextResponse, Response
+from starlette.responses import Response
 from starlette.routing import Route
 
 from pollenwalk.connection.addresses import split_address
@@ -29,6 +30,8 @@
 # Left of the grace period for closing what is still open.
 CLOSING_MS = 700.0
 CHECK_MS = 50.0
+OK = HTTPStatus.OK
+NOT_READY = HTTPStatus.SERVICE_UNAVAILABLE
 # Longer than any configured idle time, so that a caller never meets the end
 # of a connection that it may still use.
 CALLERS_KEEP_ALIVE_S = 120
@@ -86,19 +89,16 @@
     def readiness_app(self) -> Starlette:
         """Make the application that the balancer asks."""
 
-        async def ready(_: Request) -> Response:  # noqa: WPS430
-            status = 200 if self.gateway.ready else 503
-            return PlainTextResponse('', status)
+        async def answer(_: Request) -> Response:  # noqa: WPS430
+            ready = self.gateway.ready
+            return Response(status_code=OK if ready else NOT_READY)
 
-        return Starlette(routes=[Route(READY_PATH, ready)])
+        return Starlette(routes=[Route(READY_PATH, answer)])
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what has begun."""
         own = self.settings.of('gateway')
-        loop = asyncio.get_running_loop()
-        for one in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(one, self.stopped.set)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.take_signals()
         logger.info('start', role='gateway', name=own['name'], zone=own['zone'])
         await self.gateway.start()
         await self.callers.start()
@@ -106,7 +106,13 @@
         self.gateway.tasks.spawn(self.watch_settings(), 'watch_settings')
         await self.stopped.wait()
         await self.drain(own['grace_ms'])
-        logger.info('stop', role='gateway', unfinished=self.app.in_progress)
+
+    def take_signals(self) -> None:
+        """Stop on SIGTERM and SIGINT, reload on SIGHUP."""
+        loop = asyncio.get_running_loop()
+        for one in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(one, self.stopped.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
 
     async def drain(self, grace_ms: float) -> None:
         """Take no new callers and finish the requests in progress."""
@@ -122,6 +128,7 @@
         await self.readiness.stop()
         await self.gateway.stop()
         await self.store.close()
+        logger.info('stop', role='gateway', unfinished=self.app.in_progress)
 
     async def watch_settings(self) -> None:
         """Reload the settings when their file has changed."""
--- a/pollenwalk/process/keeper_daemon.py
+++ b/pollenwalk/process/keeper_daemon.py
@@ -11,9 +11,11 @@
 from pollenwalk.errors import UserError
 from pollenwalk.platform.objects import PlatformStore
 from pollenwalk.process.clock import LoopClock
+from pollenwalk.process.joining import Joining
 from pollenwalk.process.keeper import Keeper, KeeperSettings
 from pollenwalk.process.keeper_state import KeeperState
 from pollenwalk.process.logs import set_up_logs
+from pollenwalk.process.retirement import Retirement
 from pollenwalk.process.settings import Settings
 
 
@@ -32,18 +34,39 @@
 
 async def serve(settings: Settings) -> None:
     """Serve until SIGTERM."""
-    own = settings.of('keeper')
+    stopped = take_signals()
+    store = PlatformStore(settings.of('store')['url'])
+    keeper = make_keeper(settings, store)
+    logger.info('start', role='keeper', name=keeper.settings.name)
+    await keeper.start()
+    keeper.tasks.spawn(Retirement(keeper, store).follow(), 'follow_retirements')
+    if not keeper.state.complete:
+        keeper.tasks.spawn(Joining(keeper).run(), 'join')
+    await stopped.wait()
+    await keeper.stop()
+    await store.close()
+    logger.info('stop', role='keeper', name=keeper.settings.name)
+
+
+def take_signals() -> asyncio.Event:
+    """Stop on SIGTERM and SIGINT; nothing of a keeper can be reloaded."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for one in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(one, stopped.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: logger.info('reload'))
+    return stopped
+
+
+def make_keeper(settings: Settings, store: PlatformStore) -> Keeper:
+    """Make a keeper from checked settings."""
+    own = settings.of('keeper')
     clock = LoopClock()
-    store = PlatformStore(settings.of('store')['url'])
-    keeper = Keeper(
+    return Keeper(
         KeeperSettings(
             own['name'],
             own['zone'],
+            settings.regions,
             own['address'],
             own['first_start'] == 'true',
             own['tolerated_losses'],
@@ -53,9 +76,3 @@
         TcpNetwork(),
         clock,
     )
-    logger.info('start', role='keeper', name=own['name'], zone=own['zone'])
-    await keeper.start()
-    await stopped.wait()
-    await keeper.stop()
-    await store.close()
-    logger.info('stop', role='keeper', name=own['name'])
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -9,15 +9,20 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+from loguru import logger
+
 from pollenwalk.errors import PollenwalkError, Refusal, RefusalCode
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.copies import Copies, keepers_unavailable
 from pollenwalk.process.keeper_links import KeeperLink, KeeperLinks
+from pollenwalk.process.store import Changes, StoredObject
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.program.turn_index import TurnIndex
 from pollenwalk.program.turns import (
     Chain,
     FindChain,
+    Listing,
+    ReadPrefix,
     Settlements,
     SettleTokens,
     TurnRecord,
@@ -116,6 +121,22 @@
         """Ask one keeper for a turn; None where it gives no answer."""
         return await answer_or_none(self.links.ask(link, FindChain(turn)))
 
+    async def read_prefix(self, prefix: str) -> Changes | None:
+        """List a prefix of the store by way of the first keeper that can."""
+        for link in self.links.ordered():
+            asking = self.links.ask(link, ReadPrefix(prefix))
+            listing: Listing | None = await answer_or_none(asking)
+            if listing is not None:
+                logger.info(
+                    'store_read_by_keeper',
+                    keeper=link.member.name,
+                    prefix=prefix,
+                    revision=listing.revision,
+                )
+                objects = [StoredObject(*one) for one in listing.objects]
+                return Changes(listing.revision, objects)
+        return None
+
     def settle(self, message: SettleTokens) -> None:
         """Tell all keepers what a turn has shown, together with others."""
         self.unsettled.append(message)
@@ -127,8 +148,8 @@
         await self.clock.sleep_ms(SETTLE_EVERY_MS)
         message = Settlements(self.unsettled)
         self.unsettled = []
-        async for _ in self.answers(message):
-            pass
+        asking = [self.links.ask(link, message) for link in self.links.ordered()]
+        await asyncio.gather(*map(answer_or_none, asking))
 
 
 async def answer_or_none(asking: Any) -> Any:
--- a/pollenwalk/process/keeper_links.py
+++ b/pollenwalk/process/keeper_links.py
@@ -118,7 +118,7 @@
             raise ConnectionLost(f'{link.member.name} is lost')
         try:
             return await link.peer.ask(message, ASK_TIMEOUT_MS)
-        except PollenwalkError as error:
+        except ConnectionLost as error:
             self.lose(link, error)
             raise
 
--- a/pollenwalk/process/keeper_state.py
+++ b/pollenwalk/process/keeper_state.py
@@ -113,13 +113,21 @@
         """Find a turn and those before it."""
         return self.turns.chain(turn)._replace(complete=self.complete)
 
-    def records_held_by(self, keepers: Collection[str]) -> Iterator[bytes]:
-        """Encode all accounts, and the turns that these keepers held."""
+    def account_records(self) -> Iterator[bytes]:
+        """Encode all that is known of programs' tokens."""
         for program, account in list(self.ledger.accounts.items()):
             for entry in list(account.entries.values()):
                 yield encode_datagram(as_record(program, entry, account.kept_ms))
+
+    def scarce_turns(self, alive: Collection[str], copies: int) -> Iterator[bytes]:
+        """Encode the turns of which fewer copies are left than needed.
+
+        Args:
+            alive: the keepers whose copies count.
+            copies: that are needed.
+        """
         for record in list(self.turns.records.values()):
-            if not set(keepers).isdisjoint(record.holders):
+            if len(set(record.holders).intersection(alive)) < copies:
                 yield encode_datagram(record)
 
     async def take_over(self, records: Iterable[bytes]) -> int:
--- a/pollenwalk/process/logs.py
+++ b/pollenwalk/process/logs.py
@@ -71,8 +71,9 @@
             self.dropped += 1
             return
         if self.dropped:
-            missing, self.dropped = self.dropped, 0
-            self.waiting.append(json.dumps({'event': 'dropped', 'lines': missing}))
+            gap = {'event': 'dropped', 'lines': self.dropped}
+            self.dropped = 0
+            self.waiting.append(json.dumps(gap))
         self.waiting.append(as_json_line(message.record))
         self.idle.clear()
         self.there_are_lines.set()
--- a/pollenwalk/process/members.py
+++ b/pollenwalk/process/members.py
@@ -53,10 +53,10 @@
         """Take a change of one keeper's object."""
         name = stored.key.removeprefix(KEEPERS)
         self.revision = max(self.revision, stored.version)
-        if not stored.body:
-            self.by_name.pop(name, None)
-        else:
+        if stored.body:
             self.add(name, stored.body)
+        else:
+            self.by_name.pop(name, None)
         logger.info(
             'keepers',
             changed=name,
--- a/pollenwalk/process/record_log.py
+++ b/pollenwalk/process/record_log.py
@@ -41,7 +41,7 @@
         self.folder = folder
         self.segment = 0
         self.written = 0
-        self.file = -1
+        self.handle = -1
         self.waiting: list[Waiting] = []
         self.wake = asyncio.Event()
         self.disk = ThreadPoolExecutor(1, thread_name_prefix='disk')
@@ -68,11 +68,11 @@
 
     def begin_segment(self, segment: int) -> None:
         """Create a segment so that its name survives a power loss."""
-        if self.file >= 0:
-            os.close(self.file)
+        if self.handle >= 0:
+            os.close(self.handle)
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
-        self.file = os.open(self.path(segment), flags, 0o644)
-        os.fsync(self.file)
+        self.handle = os.open(self.path(segment), flags)
+        os.fsync(self.handle)
         sync_folder(self.folder)
         self.segment = segment
         self.written = 0
@@ -95,7 +95,8 @@
         while True:
             await self.wake.wait()
             self.wake.clear()
-            batch, self.waiting = self.waiting, []
+            batch = self.waiting
+            self.waiting = []
             payload = b''.join(one.frame for one in batch)
             segment = await loop.run_in_executor(self.disk, self.write, payload)
             for one in batch:
@@ -109,8 +110,8 @@
         segment = self.segment
         view = memoryview(payload)
         while view:
-            view = view[os.write(self.file, view) :]
-        os.fdatasync(self.file)
+            view = view[os.write(self.handle, view) :]
+        os.fdatasync(self.handle)
         self.written += len(payload)
         return segment
 
@@ -122,9 +123,9 @@
     def close(self) -> None:
         """Close the file."""
         self.disk.shutdown(wait=False)
-        if self.file >= 0:
-            os.close(self.file)
-            self.file = -1
+        if self.handle >= 0:
+            os.close(self.handle)
+            self.handle = -1
 
 
 def read_frames(payload: bytes) -> Iterator[bytes]:
--- a/pollenwalk/program/ledger.py
+++ b/pollenwalk/program/ledger.py
@@ -5,6 +5,7 @@
 majorities share a keeper, so of two turns at least one sees the other.
 """
 
+import itertools
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -97,9 +98,9 @@
         budget: of the whole program.
     """
     united: dict[str, TokenEntry] = {}
-    for entries in known:
-        for entry in entries:
-            if entry.settled or entry.turn not in united:
-                united[entry.turn] = entry
-    others = sum(entry.tokens for entry in united.values() if entry.turn != turn)
+    for entry in itertools.chain.from_iterable(known):
+        if entry.settled or entry.turn not in united:
+            united[entry.turn] = entry
+    united.pop(turn, None)
+    others = sum(other.tokens for other in united.values())
     return Verdict(others, others + most <= budget)
--- a/pollenwalk/program/turn_index.py
+++ b/pollenwalk/program/turn_index.py
@@ -51,7 +51,8 @@
         now_ms = self.clock.now_ms()
         found: list[TurnRecord] = []
         missing = turn
-        while missing and (record := self.records.get(missing)) is not None:
+        while missing in self.records:
+            record = self.records[missing]
             found.append(record)
             self.used_ms[missing] = now_ms
             self.records.move_to_end(missing)
--- a/pollenwalk/program/turns.py
+++ b/pollenwalk/program/turns.py
@@ -107,11 +107,27 @@
 
 
 class PullRecords(NamedTuple):
-    """Asks for all accounts and for the turns that lost keepers held."""
+    """Asks for all accounts, and for the turns with too few copies.
+
+    Attributes:
+        lost: keepers whose copies don't count.
+    """
 
     lost: list[str]
 
 
+class FindMissing(NamedTuple):
+    """Asks which of some turns a keeper has not."""
+
+    turns: list[str]
+
+
+class Missing(NamedTuple):
+    """The turns that a keeper has not."""
+
+    turns: list[str]
+
+
 class RecordBatch(NamedTuple):
     """Some encoded records."""
 
@@ -119,6 +135,27 @@
     records: list[bytes]
 
 
+class ReadPrefix(NamedTuple):
+    """Asks a keeper to list a prefix of the store for somebody cut off."""
+
+    prefix: str
+
+
+class ListedObject(NamedTuple):
+    """One object of the store."""
+
+    key: str
+    body: bytes
+    version: int
+
+
+class Listing(NamedTuple):
+    """What a keeper has just read in the store."""
+
+    revision: int
+    objects: list[ListedObject]
+
+
 class PushRecords(NamedTuple):
     """Hands records to another keeper."""
 
--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -56,10 +56,12 @@
             return
         if recorded.cancelled():
             self.permitted.cancel()
-        elif (error := recorded.exception()) is not None:
-            self.permitted.set_exception(error)
-        else:
+            return
+        error = recorded.exception()
+        if error is None:
             self.permitted.set_result(None)
+        else:
+            self.permitted.set_exception(error)
 
     async def record(self) -> None:
         """Wait until a majority has the reservation, and judge it.
@@ -93,7 +95,9 @@
             self.take(spent, known)
             if self.enough(len(known), disks):
                 return known
-        raise keepers_unavailable(f'{len(known)} of {self.group.links.majority} know the budget')
+        raise keepers_unavailable(
+            f'{len(known)} of {self.group.links.majority} know the budget'
+        )
 
     def enough(self, voices: int, disks: int) -> bool:
         """Tell whether a majority has spoken and enough disks have it."""
@@ -155,7 +159,7 @@
                 await self.reservation.recorded
             except Refusal as refusal:
                 raise as_unknown(refusal) from refusal
-        self.made.append(event.payload)
+        self.made.extend((event.payload, b'\n'))
         self.tokens += self.call.tokens_per_event
 
     async def before_end(self) -> None:
@@ -168,7 +172,7 @@
             program=traits.program,
             previous=traits.previous,
             given=self.call.request.body,
-            made=b''.join(payload + b'\n' for payload in self.made),
+            made=b''.join(self.made),
             tokens=self.tokens,
             kept_ms=self.call.route.retention_ms,
             holders=[],
--- a/standin/platform/host.py
+++ b/standin/platform/host.py
@@ -56,8 +56,10 @@
         if not isinstance(head, h11.Request):
             return None
         parts = []
-        while isinstance(part := await self.event(), h11.Data):
+        part = await self.event()
+        while isinstance(part, h11.Data):
             parts.append(bytes(part.data))
+            part = await self.event()
         headers = {
             name.decode(): field.decode('latin-1') for name, field in head.headers
         }
@@ -87,8 +89,9 @@
 
     async def gone(self) -> None:
         """Wait until the caller has closed the connection."""
-        while await self.reader.read(READ_BYTES):
-            continue
+        left = await self.reader.read(READ_BYTES)
+        while left:
+            left = await self.reader.read(READ_BYTES)
 
 
 Script = Callable[[Line, Received], Awaitable[None]]
@@ -121,10 +124,12 @@
         self.connections += 1
         line = Line(reader, writer)
         try:
-            while (request := await line.receive()) is not None:
+            request = await line.receive()
+            while request is not None:
                 self.received.append(request)
                 await self.script(line, request)
                 line.next_request()
+                request = await line.receive()
         except (h11.RemoteProtocolError, ConnectionError):
             writer.close()
         else:
@@ -148,7 +153,7 @@
         f'X-Pollenwalk-Request-Id: {request.id}\r\n'
         f'Content-Length: {len(body)}\r\n'
     )
-    return head.encode() + more + b'\r\n' + body
+    return b''.join((head.encode(), more, b'\r\n', body))
 
 
 def not_run(request: Received) -> bytes:
@@ -165,12 +170,12 @@
         'Content-Type: text/event-stream\r\n'
         'Transfer-Encoding: chunked\r\n'
     )
-    return head.encode() + SIGNED + b'\r\n'
+    return b''.join((head.encode(), SIGNED, b'\r\n'))
 
 
 def chunk(raw: bytes) -> bytes:
     """Write one chunk; an empty one ends the body."""
-    return f'{len(raw):x}\r\n'.encode() + raw + b'\r\n'
+    return b''.join((f'{len(raw):x}\r\n'.encode(), raw, b'\r\n'))
 
 
 def event(number: int, text: str = 'x') -> bytes:
--- a/standin/platform/store.py
+++ b/standin/platform/store.py
@@ -62,7 +62,9 @@
         return Starlette(
             routes=[
                 Route('/v1/objects/{kind}', self.guarded(self.list), methods=['GET']),
-                Route('/v1/objects/{kind}', self.guarded(self.create), methods=['POST']),
+                Route(
+                    '/v1/objects/{kind}', self.guarded(self.create), methods=['POST']
+                ),
                 Route(one, self.guarded(self.read), methods=['GET']),
                 Route(one, self.guarded(self.replace), methods=['PUT']),
                 Route(one, self.guarded(self.delete), methods=['DELETE']),
--- a/test/connection/test_upstream_link.py
+++ b/test/connection/test_upstream_link.py
@@ -25,10 +25,10 @@
 # Ample for a few bytes over loopback.
 ARRIVAL_S = 0.05
 OTHER = Received('GET', '/', {'x-pollenwalk-request-id': 'another'}, b'')
-Do = Callable[[Line, Received], Awaitable[None]]
+Doing = Callable[[Line, Received], Awaitable[None]]
 
 
-def says(*parts: Callable[[Received], bytes] | bytes) -> Do:
+def says(*parts: Callable[[Received], bytes] | bytes) -> Doing:
     """Write some bytes one after the other."""
 
     async def script(line: Line, request: Received) -> None:
@@ -38,7 +38,7 @@
     return script
 
 
-def then_close(script: Do) -> Do:
+def then_close(script: Doing) -> Doing:
     """End the connection in order after a script."""
 
     async def closing(line: Line, request: Received) -> None:
@@ -49,7 +49,7 @@
     return closing
 
 
-def then_reset(script: Do) -> Do:
+def then_reset(script: Doing) -> Doing:
     """End the connection without order after a script."""
 
     async def resetting(line: Line, request: Received) -> None:
@@ -82,7 +82,7 @@
     """
 
     name: str
-    script: Do
+    script: Doing
     body: bytes | None
     reusable: bool
 
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -125,7 +125,9 @@
         self.assertNotIn((b'content-length', b'3'), head.headers)
 
     def test_proofs_that_it_did_not_run(self) -> None:
-        self.assertTrue(read_answer(503, [(b'x-pollenwalk-not-executed', b'1')]).refused)
+        self.assertTrue(
+            read_answer(503, [(b'x-pollenwalk-not-executed', b'1')]).refused
+        )
         self.assertTrue(read_answer(421, []).refused)
         self.assertFalse(read_answer(503, []).refused)
 
