Count and time what gateways and keepers do, on their metrics addresses

Counters by kind, code and outcome, histograms of whole requests, first events, reservations and copies.

--- a/pollenwalk/connection/gateway_app.py
+++ b/pollenwalk/connection/gateway_app.py
@@ -76,10 +76,16 @@
 class GatewayApp:
     """The ASGI application that callers talk to."""
 
-    def __init__(self, clock: Clock, handle: Handle) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        handle: Handle,
+        count_refusal: Callable[[Refusal], None],
+    ) -> None:
         """Hand every request to `handle`."""
         self.clock = clock
         self.handle = handle
+        self.count_refusal = count_refusal
         self.closing = False
         self.in_progress = 0
 
@@ -130,6 +136,7 @@
         try:
             await self.handle(request, reply)
         except Refusal as refusal:
+            self.count_refusal(refusal)
             await refuse(request, refusal, reply)
         except BrokenAnswer as error:
             logger.warning('cut', request=request.traits.id, reason=error.message)
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -1,5 +1,6 @@
 """The gateway: takes callers' requests and has them run by upstream hosts."""
 
+import asyncio
 import random
 import zlib
 from typing import NamedTuple
@@ -13,6 +14,7 @@
 from pollenwalk.policy.host_choice import EarliestFinish
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.following import Follower, Handlers, Head
+from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.host_book import HostBook
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_links import KeeperLinks
@@ -80,7 +82,8 @@
             settings.zone,
             settings.regions,
         )
-        self.upstreams = Upstreams(clock, self.pool, placing)
+        self.metrics = GatewayMetrics()
+        self.upstreams = Upstreams(clock, self.pool, placing, self.metrics)
         self.links = KeeperLinks(
             network,
             clock,
@@ -108,7 +111,7 @@
         relay = self.keepers.read_prefix
         configuration = Handlers(
             self.in_force.take,
-            on_loss=lambda error: store_lost('configuration', error),
+            on_loss=lambda error: self.store_lost('configuration', error),
             relay=relay,
         )
         hosts = Handlers(
@@ -120,7 +123,7 @@
         keepers = Handlers(
             self.links.members.take,
             self.links.members.mark_listed,
-            lambda error: store_lost('keepers', error),
+            lambda error: self.store_lost('keepers', error),
             relay,
         )
         self.follow(CONFIGURATION_KIND, configuration, CONFIGURATION_WAIT_MS)
@@ -152,7 +155,22 @@
     def store_failed(self, error: StoreUnavailable) -> None:
         """Note that the list of hosts may be stale."""
         self.book.store_failed(error)
-        store_lost('hosts', error)
+        self.store_lost('hosts', error)
+
+    def store_lost(self, what: str, error: StoreUnavailable) -> None:
+        """Note that the store gave no answer."""
+        self.metrics.store_lost(what)
+        logger.warning('store_unavailable', what=what, reason=error.message)
+
+    def refresh_metrics(self) -> None:
+        """Set the gauges."""
+        current = self.in_force.current
+        links = self.links.ordered()
+        self.metrics.version.set({}, current.version if current else 0)
+        self.metrics.hosts.set({}, len(self.book.states))
+        self.metrics.keepers.set({}, len(links))
+        lost = sum(link.lost_ms is not None for link in links)
+        self.metrics.keepers_lost.set({}, lost)
 
     async def stop(self) -> None:
         """End all work."""
@@ -167,6 +185,19 @@
             BrokenAnswer: its stream broke off.
         """
         call = self.accept(request)
+        outcome = 'refused'
+        try:
+            await self.run_in_time(call, reply)
+            outcome = 'answered'
+        except asyncio.CancelledError:
+            outcome = 'caller_left'
+            raise
+        finally:
+            took_ms = self.clock.now_ms() - request.arrived_ms
+            self.metrics.ended(str(call.route.kind), outcome, took_ms)
+
+    async def run_in_time(self, call: Call, reply: Reply) -> None:
+        """Run a call until the caller or the route stops waiting."""
         rest_ms = call.rest_ms(self.clock.now_ms())
         try:
             async with self.clock.timeout_ms(rest_ms):
@@ -208,7 +239,7 @@
         """Tell what a stream means to its program."""
         keeps = call.route.keeps_history
         if keeps or call.request.traits.budget is not None:
-            return ProgramTurn(self.keepers, call)
+            return ProgramTurn(self.keepers, call, self.metrics)
         return UnboundTurn(call.request.body)
 
 
@@ -239,8 +270,3 @@
         if draw < 0:
             return share.upstream
     return route.shares[-1].upstream
-
-
-def store_lost(what: str, error: StoreUnavailable) -> None:
-    """Log that the store gave no answer."""
-    logger.warning('store_unavailable', what=what, reason=error.message)
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -23,6 +23,7 @@
 from pollenwalk.process.clock import LoopClock
 from pollenwalk.process.gateway import Gateway, GatewaySettings
 from pollenwalk.process.logs import set_up_logs
+from pollenwalk.process.metrics_page import metrics_server
 from pollenwalk.process.settings import Settings, read_settings
 
 # The balancer asks once a second and takes a host out after two misses.
@@ -74,7 +75,11 @@
             self.clock,
             random.Random(),
         )
-        self.app = GatewayApp(self.clock, self.gateway.handle)
+        self.app = GatewayApp(
+            self.clock,
+            self.gateway.handle,
+            self.gateway.metrics.refused,
+        )
         self.callers = HttpServer(
             self.app,
             *split_address(own['http']),
@@ -84,6 +89,11 @@
             self.readiness_app(),
             *split_address(own['ready']),
         )
+        self.metrics = metrics_server(
+            self.gateway.metrics,
+            self.refresh_metrics,
+            own['metrics'],
+        )
         self.stopped = asyncio.Event()
 
     def readiness_app(self) -> Starlette:
@@ -95,18 +105,27 @@
 
         return Starlette(routes=[Route(READY_PATH, answer)])
 
+    def refresh_metrics(self) -> None:
+        """Set the gauges."""
+        self.gateway.refresh_metrics()
+        self.gateway.metrics.in_progress.set({}, self.app.in_progress)
+
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what has begun."""
         own = self.settings.of('gateway')
         self.take_signals()
         logger.info('start', role='gateway', name=own['name'], zone=own['zone'])
         await self.gateway.start()
-        await self.callers.start()
-        await self.readiness.start()
+        for server in self.servers():
+            await server.start()
         self.gateway.tasks.spawn(self.watch_settings(), 'watch_settings')
         await self.stopped.wait()
         await self.drain(own['grace_ms'])
 
+    def servers(self) -> tuple[HttpServer, ...]:
+        """Give the servers, the callers' first."""
+        return self.callers, self.readiness, self.metrics
+
     def take_signals(self) -> None:
         """Stop on SIGTERM and SIGINT, reload on SIGHUP."""
         loop = asyncio.get_running_loop()
@@ -124,8 +143,8 @@
         await self.clock.sleep_ms(min(BALANCER_NOTICES_MS, last_ms - begun_ms))
         while self.app.in_progress and self.clock.now_ms() < last_ms:
             await self.clock.sleep_ms(CHECK_MS)
-        await self.callers.stop()
-        await self.readiness.stop()
+        for server in self.servers():
+            await server.stop()
         await self.gateway.stop()
         await self.store.close()
         logger.info('stop', role='gateway', unfinished=self.app.in_progress)
--- /dev/null
+++ b/pollenwalk/process/gateway_metrics.py
@@ -0,0 +1,78 @@
+"""What a gateway counts and times."""
+
+from pollenwalk.errors import Refusal
+from pollenwalk.process.clock import MS_PER_SECOND
+from pollenwalk.process.metrics_page import MetricSet
+
+
+class GatewayMetrics(MetricSet):
+    """The metrics of a gateway."""
+
+    def __init__(self) -> None:
+        """Register all metrics."""
+        super().__init__()
+        self.requests_total = self.counter(
+            'gateway_requests_total',
+            'Requests by kind of route and by how they ended.',
+        )
+        self.refused_total = self.counter(
+            'gateway_refused_total',
+            'Refusals by code and by what is known of the run.',
+        )
+        self.sends_total = self.counter(
+            'gateway_sends_total',
+            'Sends to upstream hosts by what came of them.',
+        )
+        self.store_losses_total = self.counter(
+            'gateway_store_losses_total',
+            'Answers that the store did not give, by what was asked.',
+        )
+        self.request_seconds = self.histogram(
+            'gateway_request_seconds',
+            'Time of whole requests.',
+        )
+        self.first_event_seconds = self.histogram(
+            'gateway_first_event_seconds',
+            'Time until a stream began.',
+        )
+        self.reserve_seconds = self.histogram(
+            'gateway_reserve_seconds',
+            'Time until a majority of the keepers had a reservation.',
+        )
+        self.keep_seconds = self.histogram(
+            'gateway_keep_seconds',
+            'Time until enough keepers had a turn.',
+        )
+        self.in_progress = self.gauge(
+            'gateway_requests_in_progress',
+            'Requests that are not answered yet.',
+        )
+        self.version = self.gauge(
+            'gateway_configuration_version',
+            'The version in force; 0 before the first.',
+        )
+        self.hosts = self.gauge('gateway_upstream_hosts', 'Upstream hosts listed.')
+        self.keepers = self.gauge('gateway_keepers', 'Keepers listed.')
+        self.keepers_lost = self.gauge(
+            'gateway_keepers_lost',
+            'Keepers that give no answer.',
+        )
+
+    def refused(self, refusal: Refusal) -> None:
+        """Count a refusal."""
+        self.refused_total.inc(
+            {'code': str(refusal.code), 'outcome': str(refusal.outcome)},
+        )
+
+    def ended(self, kind: str, outcome: str, took_ms: float) -> None:
+        """Count and time a request."""
+        self.requests_total.inc({'kind': kind, 'outcome': outcome})
+        self.request_seconds.observe({'kind': kind}, took_ms / MS_PER_SECOND)
+
+    def sent(self, outcome: str) -> None:
+        """Count a send."""
+        self.sends_total.inc({'outcome': outcome})
+
+    def store_lost(self, what: str) -> None:
+        """Count an answer that the store did not give."""
+        self.store_losses_total.inc({'what': what})
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -15,9 +15,10 @@
 from pollenwalk.connection.peer import PeerServer
 from pollenwalk.connection.wire import Hello
 from pollenwalk.errors import Refusal, RefusalCode, StoreUnavailable
-from pollenwalk.process.clock import Clock
+from pollenwalk.process.clock import MS_PER_SECOND, Clock
 from pollenwalk.process.following import Follower, Handlers
 from pollenwalk.process.keeper_links import KeeperLinks
+from pollenwalk.process.keeper_metrics import KeeperMetrics
 from pollenwalk.process.keeper_state import KeeperState
 from pollenwalk.process.members import KEEPERS, Member
 from pollenwalk.process.store import Backoff, ObjectStore
@@ -80,6 +81,7 @@
         self.network = network
         self.clock = clock
         self.tasks = TaskSet()
+        self.metrics = KeeperMetrics()
         self.links = KeeperLinks(
             network,
             clock,
@@ -132,7 +134,20 @@
             for batch in in_batches(self.needed_by(message.lost)):
                 yield RecordBatch(self.state.complete, batch)
             return
-        yield await self.one_answer(message)
+        begun_ms = self.clock.now_ms()
+        answer = await self.one_answer(message)
+        kind = {'kind': type(message).__name__}
+        took_ms = self.clock.now_ms() - begun_ms
+        self.metrics.messages_total.inc(kind)
+        self.metrics.answer_seconds.observe(kind, took_ms / MS_PER_SECOND)
+        yield answer
+
+    def refresh_metrics(self) -> None:
+        """Set the gauges."""
+        self.metrics.turns.set({}, len(self.state.turns.records))
+        self.metrics.turn_bytes.set({}, self.state.turns.size)
+        self.metrics.accounts.set({}, len(self.state.ledger.accounts))
+        self.metrics.complete.set({}, int(self.state.complete))
 
     def needed_by(self, lost: list[str]) -> Iterator[bytes]:
         """Encode what a keeper needs that stands in for lost ones."""
--- a/pollenwalk/process/keeper_daemon.py
+++ b/pollenwalk/process/keeper_daemon.py
@@ -15,6 +15,7 @@
 from pollenwalk.process.keeper import Keeper, KeeperSettings
 from pollenwalk.process.keeper_state import KeeperState
 from pollenwalk.process.logs import set_up_logs
+from pollenwalk.process.metrics_page import metrics_server
 from pollenwalk.process.retirement import Retirement
 from pollenwalk.process.settings import Settings
 
@@ -39,15 +40,27 @@
     keeper = make_keeper(settings, store)
     logger.info('start', role='keeper', name=keeper.settings.name)
     await keeper.start()
-    keeper.tasks.spawn(Retirement(keeper, store).follow(), 'follow_retirements')
-    if not keeper.state.complete:
-        keeper.tasks.spawn(Joining(keeper).run(), 'join')
+    begin_changes(keeper, store)
+    page = metrics_server(
+        keeper.metrics,
+        keeper.refresh_metrics,
+        settings.of('keeper')['metrics'],
+    )
+    await page.start()
     await stopped.wait()
+    await page.stop()
     await keeper.stop()
     await store.close()
     logger.info('stop', role='keeper', name=keeper.settings.name)
 
 
+def begin_changes(keeper: Keeper, store: PlatformStore) -> None:
+    """Begin what changes the keepers: joining them, and leaving them."""
+    keeper.tasks.spawn(Retirement(keeper, store).follow(), 'follow_retirements')
+    if not keeper.state.complete:
+        keeper.tasks.spawn(Joining(keeper).run(), 'join')
+
+
 def take_signals() -> asyncio.Event:
     """Stop on SIGTERM and SIGINT; nothing of a keeper can be reloaded."""
     stopped = asyncio.Event()
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -73,9 +73,12 @@
             for task in asking:
                 task.cancel()
 
-    async def keep(self, record: TurnRecord) -> None:
+    async def keep(self, record: TurnRecord) -> list[str]:
         """Have a turn kept on enough disks.
 
+        Returns:
+            The keepers that were asked first.
+
         Raises:
             Refusal: too few keepers answer.
         """
@@ -84,6 +87,7 @@
         held = record._replace(holders=names)
         await Copies(self.links, held, links, self.copies).make()
         self.cache.put(held)
+        return names
 
     async def chain(self, turn: str) -> list[TurnRecord]:
         """Find a turn and all before it, the oldest first.
--- /dev/null
+++ b/pollenwalk/process/keeper_metrics.py
@@ -0,0 +1,26 @@
+"""What a keeper counts and times."""
+
+from pollenwalk.process.metrics_page import MetricSet
+
+
+class KeeperMetrics(MetricSet):
+    """The metrics of a keeper."""
+
+    def __init__(self) -> None:
+        """Register all metrics."""
+        super().__init__()
+        self.messages_total = self.counter(
+            'keeper_messages_total',
+            'Messages answered, by kind.',
+        )
+        self.answer_seconds = self.histogram(
+            'keeper_answer_seconds',
+            'Time until an answer, syncs included, by kind.',
+        )
+        self.turns = self.gauge('keeper_turns', 'Turns held.')
+        self.turn_bytes = self.gauge('keeper_turn_bytes', 'Bytes of all turns.')
+        self.accounts = self.gauge('keeper_accounts', 'Programs with spent tokens.')
+        self.complete = self.gauge(
+            'keeper_complete',
+            'Whether the keeper can answer for the past: 0 or 1.',
+        )
--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -5,7 +5,9 @@
 from loguru import logger
 
 from pollenwalk.errors import Outcome, Refusal, RefusalCode
+from pollenwalk.process.clock import MS_PER_SECOND
 from pollenwalk.process.copies import keepers_unavailable
+from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.program.ledger import judge
 from pollenwalk.program.turn_index import prompt_of
@@ -32,9 +34,15 @@
         recorded: done once a majority of the keepers have it on disk.
     """
 
-    def __init__(self, group: KeeperGroup, call: Call) -> None:
+    def __init__(
+        self,
+        group: KeeperGroup,
+        call: Call,
+        metrics: GatewayMetrics,
+    ) -> None:
         """Ask all keepers at once."""
         self.group = group
+        self.metrics = metrics
         self.call = call
         traits = call.request.traits
         self.most = traits.most_tokens
@@ -69,10 +77,13 @@
         Raises:
             Refusal: the budget is spent, or too few keepers answer.
         """
+        begun_ms = self.group.clock.now_ms()
         known = await self.ask_majority()
         if not self.is_far(known):
             # Whoever reserved at the same time is seen by the second round.
             known.extend(await self.ask_majority())
+        took_ms = self.group.clock.now_ms() - begun_ms
+        self.metrics.reserve_seconds.observe({}, took_ms / MS_PER_SECOND)
         verdict = judge(known, self.call.id, self.most, self.budget)
         logger.info(
             'budget',
@@ -124,19 +135,28 @@
 class ProgramTurn:
     """Implements `Turn` for a turn that belongs to a program."""
 
-    def __init__(self, group: KeeperGroup, call: Call) -> None:
+    def __init__(
+        self,
+        group: KeeperGroup,
+        call: Call,
+        metrics: GatewayMetrics,
+    ) -> None:
         """Prepare; nothing is reserved yet."""
         self.group = group
+        self.metrics = metrics
         self.call = call
         self.made: list[bytes] = []
         self.tokens = 0
-        self.kept = False
         self.reservation: Reservation | None = None
 
     async def prepare(self) -> bytes:
         """Reserve the tokens and put the prompt together."""
         if self.call.request.traits.budget is not None:
-            self.reservation = Reservation(self.group, self.call)
+            self.reservation = Reservation(
+                self.group,
+                self.call,
+                self.metrics,
+            )
         body = await self.prompt()
         if self.reservation is not None:
             await self.reservation.permitted
@@ -177,12 +197,20 @@
             kept_ms=self.call.route.retention_ms,
             holders=[],
         )
+        begun_ms = self.group.clock.now_ms()
         try:
-            await self.group.keep(record)
+            holders = await self.group.keep(record)
         except Refusal as refusal:
             raise as_unknown(refusal) from refusal
-        self.kept = True
-        logger.info('turn_kept', request=traits.id, previous=traits.previous)
+        took_ms = self.group.clock.now_ms() - begun_ms
+        self.metrics.keep_seconds.observe({}, took_ms / MS_PER_SECOND)
+        logger.info(
+            'turn_kept',
+            request=traits.id,
+            previous=traits.previous,
+            keepers=holders,
+            took_ms=round(took_ms),
+        )
 
     def close(self) -> None:
         """Settle what was shown."""
--- a/pollenwalk/request/sends.py
+++ b/pollenwalk/request/sends.py
@@ -20,6 +20,7 @@
 from pollenwalk.platform.headers import resume_header, sent_headers
 from pollenwalk.policy.host_choice import Work
 from pollenwalk.process.clock import Clock
+from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.host_book import HostState
 from pollenwalk.process.placing import Placing
 from pollenwalk.request.call_state import Call
@@ -41,6 +42,7 @@
     clock: Clock
     pool: LinkPool
     placing: Placing
+    metrics: GatewayMetrics
 
 
 class Sends:
@@ -167,6 +169,7 @@
             raise NotSent(f'refused with status {head.status}')
         if not head.signed or head.encoded:
             raise BrokenAnswer(f'status {head.status} without a signature')
+        self.upstreams.metrics.sent('answered')
 
     def log_send(self, state: HostState) -> None:
         """Log which host was chosen and what that rested on."""
@@ -196,6 +199,7 @@
         """Note a host that did not run the call."""
         self.tried.add(state.listed.id)
         self.upstreams.placing.bounced(state, reason)
+        self.upstreams.metrics.sent('not_run')
         logger.info(
             'not_run',
             request=self.call.id,
@@ -207,6 +211,7 @@
         """Note a host that may have run the call and gave no answer."""
         self.tried.add(state.listed.id)
         state.failed(self.upstreams.clock.now_ms())
+        self.upstreams.metrics.sent('broken')
         logger.warning(
             'broken_answer',
             request=self.call.id,
--- a/pollenwalk/request/streamed.py
+++ b/pollenwalk/request/streamed.py
@@ -5,6 +5,7 @@
 from loguru import logger
 
 from pollenwalk.errors import BrokenAnswer
+from pollenwalk.process.clock import MS_PER_SECOND
 from pollenwalk.request.call_state import Call
 from pollenwalk.request.event_stream import Event, EventSplitter
 from pollenwalk.request.exchange import Exchange
@@ -154,10 +155,14 @@
         """Show the caller that the stream begins, unless it was shown."""
         if self.reply.started:
             return
+        upstreams = self.sends.upstreams
+        took_ms = upstreams.clock.now_ms() - self.call.request.arrived_ms
+        upstreams.metrics.first_event_seconds.observe({}, took_ms / MS_PER_SECOND)
         logger.info(
             'stream_begins',
             request=self.call.id,
             host=exchange.state.listed.id,
             status=exchange.head.status,
+            after_ms=round(took_ms),
         )
         await self.reply.start(exchange.head.status, exchange.head.headers)
