--- a/pollenwalk/process/following.py
+++ b/pollenwalk/process/following.py
@@ -69,7 +69,7 @@
     """Reads everything below a prefix, then each change, for ever.
 
     Attributes:
-        revision: that the next watch starts from; 0 to list anew.
+        revision: that the next watch starts from; None to list anew.
         checked: of the store, at its last answer.
     """
 
@@ -99,7 +99,7 @@
         self.handlers = handlers
         self.head = head or Head()
         self.wait_ms = wait_ms
-        self.revision = 0
+        self.revision: int | None = None
         self.checked = 0
         self.known: set[str] = set()
 
@@ -139,12 +139,12 @@
         Raises:
             StoreUnavailable: the store gave no answer.
         """
-        if not self.revision:
+        if self.revision is None:
             return self.list_anew(await self.store.scan(self.prefix))
         try:
-            changes = await self.watch()
+            changes = await self.watch(self.revision)
         except StoreHistoryGone:
-            self.revision = 0
+            self.revision = None
             return await self.read()
         self.note(changes.revision)
         if changes.objects:
@@ -158,10 +158,10 @@
         self.checked = max(self.checked, revision)
         self.head.note(revision)
 
-    async def watch(self) -> Changes:
+    async def watch(self, revision: int) -> Changes:
         """Watch; a watch that seems to be deaf is ended and asked again."""
         watching = asyncio.ensure_future(
-            self.store.watch(self.prefix, self.revision, self.wait_ms),
+            self.store.watch(self.prefix, revision, self.wait_ms),
         )
         lagging = asyncio.ensure_future(self.lag())
         try:
@@ -174,11 +174,7 @@
         finally:
             watching.cancel()
             lagging.cancel()
-        return await self.store.watch(
-            self.prefix,
-            self.revision,
-            ASK_AGAIN_WAIT_MS,
-        )
+        return await self.store.watch(self.prefix, revision, ASK_AGAIN_WAIT_MS)
 
     async def lag(self) -> None:
         """Wait until this watch should have heard something."""
--- a/pollenwalk/process/joining.py
+++ b/pollenwalk/process/joining.py
@@ -39,7 +39,7 @@
         while not self.has_enough():
             await self.fetch_all()
             await keeper.clock.sleep_ms(FETCH_AGAIN_MS)
-        keeper.state.mark_complete()
+        keeper.state.log.mark_complete()
         logger.info('joined', fetched=sorted(self.fetched))
         await keeper.clock.sleep_ms(
             begun_ms + REPLACED_AFTER_MS - keeper.clock.now_ms(),
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -95,11 +95,12 @@
         self.retired = False
         self.store_lost = False
         self.listener: Listener | None = None
+        self.writing: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Read the disk, then serve and follow the store."""
         self.state.open(self.settings.first_start)
-        self.tasks.spawn(self.state.log.run(), 'record_log')
+        self.writing = self.tasks.spawn(self.state.log.run(), 'record_log')
         self.listener = await self.network.listen(
             self.settings.address,
             self.server.serve,
@@ -258,6 +259,7 @@
         while True:
             await self.clock.sleep_ms(EXPIRE_EVERY_MS)
             self.state.expire()
+            await self.state.compact()
 
 
 def in_batches(records: Iterable[bytes]) -> Iterator[list[bytes]]:
--- a/pollenwalk/process/keeper_daemon.py
+++ b/pollenwalk/process/keeper_daemon.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from pollenwalk.connection.http_server import HttpServer
 from pollenwalk.connection.tcp_network import TcpNetwork
 from pollenwalk.errors import UserError
 from pollenwalk.platform.objects import PlatformStore
@@ -16,6 +17,7 @@
 from pollenwalk.process.keeper_state import KeeperState
 from pollenwalk.process.logs import set_up_logs
 from pollenwalk.process.metrics_page import metrics_server
+from pollenwalk.process.record_log import RecordLog
 from pollenwalk.process.retirement import Retirement
 from pollenwalk.process.settings import Settings
 
@@ -41,19 +43,21 @@
     logger.info('start', role='keeper', name=keeper.settings.name)
     await keeper.start()
     begin_changes(keeper, store)
-    page = metrics_server(
-        keeper.metrics,
-        keeper.refresh_metrics,
-        settings.of('keeper')['metrics'],
-    )
-    await page.start()
-    await stopped.wait()
+    page = await show_metrics(keeper, settings.of('keeper')['metrics'])
+    await stopped_or_failed(stopped, keeper)
     await page.stop()
     await keeper.stop()
     await store.close()
     logger.info('stop', role='keeper', name=keeper.settings.name)
 
 
+async def show_metrics(keeper: Keeper, address: str) -> HttpServer:
+    """Serve the metrics of a keeper."""
+    page = metrics_server(keeper.metrics, keeper.refresh_metrics, address)
+    await page.start()
+    return page
+
+
 def begin_changes(keeper: Keeper, store: PlatformStore) -> None:
     """Begin what changes the keepers: joining them, and leaving them."""
     keeper.tasks.spawn(Retirement(keeper, store).follow(), 'follow_retirements')
@@ -61,6 +65,19 @@
         keeper.tasks.spawn(Joining(keeper).run(), 'join')
 
 
+async def stopped_or_failed(stopped: asyncio.Event, keeper: Keeper) -> None:
+    """Wait until the process is told to stop.
+
+    Raises:
+        OSError: the disk failed; what was not synced is not acknowledged.
+    """
+    stopping = asyncio.ensure_future(stopped.wait())
+    waiting = {stopping, keeper.writing} - {None}
+    await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+    if not stopped.is_set() and keeper.writing is not None:
+        await keeper.writing
+
+
 def take_signals() -> asyncio.Event:
     """Stop on SIGTERM and SIGINT; nothing of a keeper can be reloaded."""
     stopped = asyncio.Event()
@@ -84,7 +101,7 @@
             own['first_start'] == 'true',
             own['tolerated_losses'],
         ),
-        KeeperState(Path(own['folder']), clock),
+        KeeperState(RecordLog(Path(own['folder'])), clock),
         store,
         TcpNetwork(),
         clock,
--- a/pollenwalk/process/keeper_state.py
+++ b/pollenwalk/process/keeper_state.py
@@ -1,9 +1,7 @@
 """What one keeper holds: turns and accounts, in memory and on disk."""
 
 import asyncio
-import os
 from collections.abc import Collection, Iterable, Iterator
-from pathlib import Path
 from typing import Any
 
 from loguru import logger
@@ -11,7 +9,7 @@
 from pollenwalk.connection.wire import decode_datagram, encode_datagram
 from pollenwalk.errors import PollenwalkError
 from pollenwalk.process.clock import Clock
-from pollenwalk.process.record_log import RecordLog, write_synced
+from pollenwalk.process.record_log import RecordDisk
 from pollenwalk.program.ledger import Ledger
 from pollenwalk.program.turn_index import TurnIndex
 from pollenwalk.program.turns import (
@@ -22,25 +20,27 @@
     TurnRecord,
 )
 
-COMPLETE_MARK = 'complete'
+# A tenth of the smallest disk of the deployments (350 MB) may be over.
+COMPACT_BYTES = 32_000_000
 
 
 class KeeperState:
-    """The records of one keeper.
+    """The records of one keeper."""
 
-    Attributes:
-        complete: whether it holds all that it has ever acknowledged, or has
-            fetched from others what a lost disk held.
-    """
-
-    def __init__(self, folder: Path, clock: Clock) -> None:
-        """Keep records in `folder`."""
-        self.folder = folder
-        self.log = RecordLog(folder)
+    def __init__(self, disk: RecordDisk, clock: Clock) -> None:
+        """Keep records on `disk`."""
+        self.log = disk
         self.turns = TurnIndex(clock)
         self.ledger = Ledger(clock)
-        self.segments: dict[str, int] = {}
-        self.complete = False
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether the keeper can answer for the past.
+
+        It can where it holds all that it has ever acknowledged, or has
+        fetched from others what a lost disk held.
+        """
+        return self.log.complete
 
     def open(self, first_start: bool) -> None:
         """Read what is on the disk.
@@ -48,15 +48,12 @@
         Args:
             first_start: whether an empty disk is as it should be.
         """
-        self.folder.mkdir(parents=True, exist_ok=True)
-        known = COMPLETE_MARK in os.listdir(self.folder)
         count = 0
-        for segment, record in self.log.replay():
+        for record in self.log.open():
             count += 1
-            self.take(record, segment)
-        self.log.open()
-        if known or first_start:
-            self.mark_complete()
+            self.take(record)
+        if first_start and not self.complete:
+            self.log.mark_complete()
         logger.info(
             'records_read',
             records=count,
@@ -64,21 +61,14 @@
             complete=self.complete,
         )
 
-    def mark_complete(self) -> None:
-        """Remember across restarts that the disk is complete."""
-        self.complete = True
-        write_synced(self.folder / COMPLETE_MARK, b'1')
-
-    def take(self, record: bytes, segment: int) -> None:
+    def take(self, record: bytes) -> None:
         """Apply an encoded record that is on the disk."""
         try:
             message = decode_datagram(record)
         except PollenwalkError as error:
-            logger.error('record_unreadable', segment=segment, reason=error.message)
+            logger.error('record_unreadable', reason=error.message)
             return
         self.apply(message)
-        if isinstance(message, TurnRecord):
-            self.segments[message.turn] = segment
 
     def apply(self, message: Any) -> None:
         """Apply a record in memory."""
@@ -99,9 +89,7 @@
     async def keep(self, message: Any) -> None:
         """Apply a record and wait until it is on the disk."""
         self.apply(message)
-        segment = await self.log.append(encode_datagram(message))
-        if isinstance(message, TurnRecord):
-            self.segments[message.turn] = segment
+        await self.log.append(encode_datagram(message))
 
     async def reserve(self, message: ReserveTokens) -> list[TokenEntry]:
         """Reserve tokens; gives all that is known once it is on the disk."""
@@ -135,9 +123,7 @@
         new = [record for record in records if self.is_new(decode_datagram(record))]
         for record in new:
             self.apply(decode_datagram(record))
-        if new:
-            segments = await asyncio.gather(*map(self.log.append, new))
-            self.note_segments(new, segments)
+        await asyncio.gather(*map(self.log.append, new))
         return len(new)
 
     def is_new(self, message: Any) -> bool:
@@ -149,17 +135,19 @@
         settles = isinstance(message, SettleTokens)
         return entry is None or (settles and not entry.settled)
 
-    def note_segments(self, records: list[bytes], segments: list[int]) -> None:
-        """Remember where turns are on the disk."""
-        for record, segment in zip(records, segments, strict=True):
-            message = decode_datagram(record)
-            if isinstance(message, TurnRecord):
-                self.segments[message.turn] = segment
+    async def compact(self) -> None:
+        """Write all that is held anew once the disk holds much that is over."""
+        if self.log.written < COMPACT_BYTES:
+            return
+        await self.log.begin_anew()
+        everything = (*self.account_records(), *self.scarce_turns((), 1))
+        await asyncio.gather(*map(self.log.append, everything))
+        await self.log.drop_older()
+        logger.info('compacted', records=len(everything))
 
     def expire(self) -> None:
         """Forget what is over."""
-        for record in self.turns.expire():
-            self.segments.pop(record.turn, None)
+        self.turns.expire()
         self.ledger.expire()
 
 
--- a/pollenwalk/process/record_log.py
+++ b/pollenwalk/process/record_log.py
@@ -9,31 +9,67 @@
 import os
 import struct
 import zlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 FRAME = struct.Struct('<II')
 PREFIX = 'segment-'
 SUFFIX = '.log'
-# A segment is rewritten as a whole when it is old: small enough to do so
-# within one group commit.
-SEGMENT_BYTES = 8_000_000
+COMPLETE_MARK = 'complete'
+
+
+class RecordDisk(Protocol):
+    """Where a keeper's records survive it.
+
+    Attributes:
+        complete: whether the disk holds all that was ever acknowledged.
+        written: bytes since the records were last written anew.
+    """
+
+    complete: bool
+    written: int
+
+    def open(self) -> Iterator[bytes]:
+        """Give each record, then be ready to append."""
+
+    async def append(self, record: bytes) -> None:
+        """Write a record and wait until it is synced."""
+
+    async def run(self) -> None:
+        """Write what is appended, for ever.
+
+        Raises:
+            OSError: the disk failed.
+        """
+
+    async def begin_anew(self) -> None:
+        """Append from now on apart from all that is there."""
+
+    async def drop_older(self) -> None:
+        """Delete all that was there before the last `begin_anew`."""
+
+    def mark_complete(self) -> None:
+        """Remember across restarts that the disk is complete."""
+
+    def close(self) -> None:
+        """Stop writing."""
 
 
 class Waiting(NamedTuple):
     """A framed record and who waits for it."""
 
     frame: bytes
-    synced: asyncio.Future[int]
+    synced: asyncio.Future[None]
 
 
 class RecordLog:
-    """The log of one keeper.
+    """The log of one keeper; implements `RecordDisk`.
 
     Attributes:
         segment: number of the segment that is written.
+        complete: whether the mark of completeness is in the folder.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -42,6 +78,7 @@
         self.segment = 0
         self.written = 0
         self.handle = -1
+        self.complete = False
         self.waiting: list[Waiting] = []
         self.wake = asyncio.Event()
         self.disk = ThreadPoolExecutor(1, thread_name_prefix='disk')
@@ -56,69 +93,79 @@
         """Give the path of a segment."""
         return self.folder / f'{PREFIX}{segment:08d}{SUFFIX}'
 
-    def replay(self) -> Iterator[tuple[int, bytes]]:
-        """Give each record on disk with its segment, the oldest first."""
+    def open(self) -> Iterator[bytes]:
+        """Give each record on disk, the oldest first; begin a new segment."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.complete = COMPLETE_MARK in os.listdir(self.folder)
         for segment in self.segments():
-            for record in read_frames(self.path(segment).read_bytes()):
-                yield segment, record
+            payload = self.path(segment).read_bytes()
+            self.written += len(payload)
+            yield from read_frames(payload)
+        self.begin_segment()
 
-    def open(self) -> None:
-        """Begin a new segment."""
-        self.begin_segment(max(self.segments(), default=0) + 1)
+    def mark_complete(self) -> None:
+        """Remember across restarts that the disk is complete."""
+        self.complete = True
+        write_synced(self.folder / COMPLETE_MARK, b'1')
 
-    def begin_segment(self, segment: int) -> None:
+    def begin_segment(self) -> None:
         """Create a segment so that its name survives a power loss."""
         if self.handle >= 0:
             os.close(self.handle)
+        self.segment = max(self.segments(), default=0) + 1
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
-        self.handle = os.open(self.path(segment), flags)
+        self.handle = os.open(self.path(self.segment), flags)
         os.fsync(self.handle)
         sync_folder(self.folder)
-        self.segment = segment
+
+    async def begin_anew(self) -> None:
+        """Begin a segment behind what is being written."""
+        await self.on_disk(self.begin_segment)
         self.written = 0
 
-    async def append(self, record: bytes) -> int:
-        """Write a record and wait until it is synced.
+    async def drop_older(self) -> None:
+        """Delete all segments but the last."""
+        await self.on_disk(self.remove_older)
 
-        Returns:
-            The segment that it is in.
-        """
-        synced: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+    def remove_older(self) -> None:
+        """Delete all segments but the one that is written."""
+        for segment in self.segments():
+            if segment < self.segment:
+                self.path(segment).unlink()
+        sync_folder(self.folder)
+
+    async def on_disk(self, work: Callable[..., None], *parts: Any) -> None:
+        """Run something in the thread that alone touches the disk."""
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(self.disk, work, *parts)
+
+    async def append(self, record: bytes) -> None:
+        """Write a record and wait until it is synced."""
+        synced: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         frame = FRAME.pack(len(record), zlib.crc32(record)) + record
         self.waiting.append(Waiting(frame, synced))
         self.wake.set()
-        return await synced
+        await synced
 
     async def run(self) -> None:
         """Write and sync what waits, for ever."""
-        loop = asyncio.get_running_loop()
         while True:
             await self.wake.wait()
             self.wake.clear()
             batch = self.waiting
             self.waiting = []
-            payload = b''.join(one.frame for one in batch)
-            segment = await loop.run_in_executor(self.disk, self.write, payload)
+            await self.on_disk(self.write, b''.join(one.frame for one in batch))
             for one in batch:
                 if not one.synced.done():
-                    one.synced.set_result(segment)
+                    one.synced.set_result(None)
 
-    def write(self, payload: bytes) -> int:
-        """Write bytes and sync them; gives their segment."""
-        if self.written > SEGMENT_BYTES:
-            self.begin_segment(self.segment + 1)
-        segment = self.segment
+    def write(self, payload: bytes) -> None:
+        """Write bytes and sync them."""
         view = memoryview(payload)
         while view:
             view = view[os.write(self.handle, view) :]
         os.fdatasync(self.handle)
         self.written += len(payload)
-        return segment
-
-    def remove(self, segment: int) -> None:
-        """Delete a segment whose records are all elsewhere or over."""
-        self.path(segment).unlink(missing_ok=True)
-        sync_folder(self.folder)
 
     def close(self) -> None:
         """Close the file."""
