Explain a request from the logs; count a majority over the list that was asked

And a turn was sent although it was known that no majority could be reached. Change: the majority is that of the keepers asked; no early permission without a reachable majority; one line at each request's end. Test: test_a_keeper_listed_meanwhile_changes_nothing fails without it.

--- a/pollenwalk/commands/main.py
+++ b/pollenwalk/commands/main.py
@@ -9,6 +9,7 @@
     daemons,
     demo,
     experiment,
+    explain,
     resources,
     standin,
     status,
@@ -20,7 +21,16 @@
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
-MODULES = (daemons, resources, status, demo, standin, testing, experiment)
+MODULES = (
+    daemons,
+    resources,
+    status,
+    explain,
+    demo,
+    standin,
+    testing,
+    experiment,
+)
 EPILOG = """\
 exit codes:
   0  done
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -195,6 +195,13 @@
         finally:
             took_ms = self.clock.now_ms() - request.arrived_ms
             self.metrics.ended(str(call.route.kind), outcome, took_ms)
+            logger.info(
+                'ended',
+                request=call.id,
+                route=call.route.name,
+                outcome=outcome,
+                took_ms=round(took_ms),
+            )
 
     async def run_in_time(self, call: Call, reply: Reply) -> None:
         """Run a call until the caller or the route stops waiting."""
--- a/pollenwalk/process/host_book.py
+++ b/pollenwalk/process/host_book.py
@@ -36,7 +36,7 @@
         listed: as the host registered itself.
         in_flight: calls of this gateway there.
         others: calls of others there, at the last report.
-        reported_ms: time of that report.
+        reported_ms: time of that report; None before the first.
         failures: in a row.
         passed_over_until_ms: while it is suspected.
         gone_at_ms: when an entry that went is to be taken as gone.
@@ -48,7 +48,7 @@
         self.in_flight = 0
         self.others = 0
         self.waiting = 0
-        self.reported_ms = 0.0
+        self.reported_ms: float | None = None
         self.failures = 0
         self.passed_over_until_ms = 0.0
         self.gone_at_ms: float | None = None
@@ -62,10 +62,16 @@
 
     def load(self, now_ms: float) -> float:
         """Estimate the calls at the host."""
-        age_ms = now_ms - self.reported_ms
+        age_ms = self.report_age_ms(now_ms)
+        if age_ms is None:
+            return self.in_flight
         trust = max(0.0, 1 - age_ms / (2 * REPORT_TRUST_MS))
         return self.in_flight + self.others * trust
 
+    def report_age_ms(self, now_ms: float) -> float | None:
+        """Give the age of the last report; None before the first."""
+        return None if self.reported_ms is None else now_ms - self.reported_ms
+
     def failed(self, now_ms: float) -> None:
         """Pass the host over for a while."""
         self.failures += 1
--- a/pollenwalk/process/keeper_links.py
+++ b/pollenwalk/process/keeper_links.py
@@ -98,15 +98,24 @@
         """Give how many keepers decide on budgets."""
         return len(self.members.by_name) // 2 + 1
 
+    def lost_since(self) -> list[float]:
+        """Give since when each lost keeper is lost."""
+        lost = (link.lost_ms for link in self.ordered())
+        return [since_ms for since_ms in lost if since_ms is not None]
+
+    @property
+    def can_decide(self) -> bool:
+        """Tell whether a majority of the keepers answers."""
+        answering = len(self.members.by_name) - len(self.lost_since())
+        return answering >= self.majority
+
     @property
     def undecided_ms(self) -> float:
         """Give for how long no majority has answered; 0 while one does."""
-        links = self.ordered()
-        lost = sorted(one.lost_ms for one in links if one.lost_ms is not None)
-        if len(links) - len(lost) >= self.majority or not lost:
+        if self.can_decide:
             return 0
-        last_needed_ms = lost[-1]
-        return self.clock.now_ms() - last_needed_ms
+        since_ms = max(self.lost_since(), default=self.clock.now_ms())
+        return self.clock.now_ms() - since_ms
 
     async def ask(self, link: KeeperLink, message: Any) -> Any:
         """Ask one keeper.
--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -101,25 +101,22 @@
         """Ask all keepers; give what a majority of complete ones know."""
         known: list[list[TokenEntry]] = []
         disks = 0
+        # The list of keepers may change before they have answered.
+        majority = self.group.links.majority
         async for spent in self.group.answers(self.message):
             disks += 1
             self.take(spent, known)
-            if self.enough(len(known), disks):
+            if len(known) >= majority and disks >= self.group.copies:
                 return known
-        raise keepers_unavailable(
-            f'{len(known)} of {self.group.links.majority} know the budget'
-        )
-
-    def enough(self, voices: int, disks: int) -> bool:
-        """Tell whether a majority has spoken and enough disks have it."""
-        return voices >= self.group.links.majority and disks >= self.group.copies
+        raise keepers_unavailable(f'{len(known)} of {majority} know the budget')
 
     def take(self, spent: Spent, known: list[list[TokenEntry]]) -> None:
         """Take one keeper's word; it may be enough to begin."""
         if not spent.complete:
             return
         known.append(spent.entries)
-        if not self.permitted.done() and self.is_far(known):
+        early = self.group.links.can_decide and self.is_far(known)
+        if early and not self.permitted.done():
             self.permitted.set_result(None)
 
     def is_far(self, known: list[list[TokenEntry]]) -> bool:
--- a/pollenwalk/request/sends.py
+++ b/pollenwalk/request/sends.py
@@ -179,7 +179,7 @@
             request=self.call.id,
             host=state.listed.id,
             load=round(state.load(now_ms), 1),
-            load_age_ms=round(now_ms - state.reported_ms),
+            load_age_ms=state.report_age_ms(now_ms),
             run=self.runs + 1,
             version=self.call.version,
         )
--- /dev/null
+++ b/test/connection/test_gateway_app.py
@@ -0,0 +1,136 @@
+"""What callers see of the gateway, byte for byte."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import testtools
+
+from pollenwalk.connection.gateway_app import GatewayApp, Handle
+from pollenwalk.connection.http_server import HttpServer, free_port
+from pollenwalk.errors import BrokenAnswer, Outcome, Refusal, RefusalCode
+from pollenwalk.process.clock import LoopClock
+from pollenwalk.request.reply import Reply
+from pollenwalk.request.traits import Request
+from test.helper import on_loop
+
+REQUEST = (
+    b'POST /p/%41?x=%20&y HTTP/1.1\r\nHost: a.example\r\n'
+    b'X-Pollenwalk-Request-Id: r1\r\nConnection: keep-alive, X-Hop\r\n'
+    b'X-Hop: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n'
+)
+LEFT_S = 0.5
+
+
+@asynccontextmanager
+async def serving(handle: Handle) -> AsyncIterator[tuple[GatewayApp, int]]:
+    """Serve the application."""
+    app = GatewayApp(LoopClock(), handle, lambda _: None)
+    port = free_port()
+    server = HttpServer(app, '127.0.0.1', port)
+    await server.start()
+    try:
+        yield app, port
+    finally:
+        await server.stop()
+
+
+async def talk(port: int, raw: bytes) -> bytes:
+    """Send bytes and read until the gateway closes."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(raw)
+    async with asyncio.timeout(5):
+        found = await reader.read()
+    writer.close()
+    return found
+
+
+class GatewayAppTest(testtools.TestCase):
+    """Requests in, answers out."""
+
+    @on_loop
+    async def test_a_request_arrives_unchanged(self) -> None:
+        seen: list[Request] = []
+
+        async def handle(request: Request, reply: Reply) -> None:
+            seen.append(request)
+            await reply.whole(200, [(b'x-own', b'1')], b'hello')
+
+        async with serving(handle) as (app, port):
+            app.closing = True
+            answer = await talk(port, REQUEST)
+        request = seen[0]
+        self.assertEqual(b'/p/%41?x=%20&y', request.target)
+        self.assertEqual(b'abcde', request.body)
+        self.assertEqual('r1', request.traits.id)
+        self.assertNotIn(b'x-hop', dict(request.headers))
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200 '))
+        self.assertIn(b'connection: close', answer.lower())
+        self.assertTrue(answer.endswith(b'\r\n\r\nhello'))
+
+    @on_loop
+    async def test_statuses_keep_their_promise(self) -> None:
+        cases = (
+            (Refusal(RefusalCode.NO_UPSTREAM, '', retry_after_ms=250), 503),
+            (Refusal(RefusalCode.UPSTREAM_FAILED, '', Outcome.UNKNOWN), 502),
+            (Refusal(RefusalCode.DEADLINE, '', Outcome.UNKNOWN), 504),
+            (Refusal(RefusalCode.BUDGET_EXHAUSTED, ''), 402),
+            (Refusal(RefusalCode.BUDGET_EXHAUSTED, '', Outcome.UNKNOWN), 502),
+            (Refusal(RefusalCode.UNKNOWN_ROUTE, ''), 404),
+            (Refusal(RefusalCode.UNKNOWN_TURN, ''), 404),
+            (Refusal(RefusalCode.KEEPERS_UNAVAILABLE, ''), 503),
+            (Refusal(RefusalCode.KEEPERS_UNAVAILABLE, '', Outcome.UNKNOWN), 502),
+        )
+        for refusal, status in cases:
+
+            async def handle(_: Request, reply: Reply) -> None:
+                raise refusal  # noqa: B023
+
+            async with serving(handle) as (app, port):
+                app.closing = True
+                answer = await talk(port, REQUEST)
+            self.assertTrue(answer.startswith(f'HTTP/1.1 {status} '.encode()), refusal)
+            self.assertEqual(
+                refusal.retry_after_ms is not None,
+                b'retry-after: 0.250' in answer,
+            )
+
+    @on_loop
+    async def test_a_broken_stream_has_no_end(self) -> None:
+        async def handle(_: Request, reply: Reply) -> None:
+            await reply.start(200, [])
+            await reply.write(b'part')
+            raise BrokenAnswer('cut')
+
+        async with serving(handle) as (_, port):
+            answer = await talk(port, REQUEST)
+        self.assertIn(b'part', answer)
+        self.assertFalse(answer.endswith(b'0\r\n\r\n'))
+
+    @on_loop
+    async def test_a_defect_promises_nothing(self) -> None:
+        async def handle(_: Request, reply: Reply) -> None:
+            raise ValueError('defect')
+
+        async with serving(handle) as (app, port):
+            app.closing = True
+            answer = await talk(port, REQUEST)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 502 '))
+
+    @on_loop
+    async def test_a_caller_that_leaves_ends_the_work(self) -> None:
+        ended = asyncio.Event()
+
+        async def handle(_: Request, reply: Reply) -> None:
+            try:
+                await asyncio.Event().wait()
+            finally:
+                ended.set()
+
+        async with serving(handle) as (_, port):
+            _reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(REQUEST)
+            await asyncio.sleep(0.05)
+            writer.close()
+            async with asyncio.timeout(LEFT_S):
+                await ended.wait()
--- /dev/null
+++ b/test/process/test_following.py
@@ -0,0 +1,105 @@
+"""Following the store when its watches fail in silence."""
+
+import asyncio
+
+import testtools
+
+from pollenwalk.errors import StoreHistoryGone
+from pollenwalk.process.following import Follower, Handlers, Head
+from pollenwalk.process.store import LONG_WAIT_MS, Changes, StoredObject
+from standin.store import Faults, MemoryStore
+from test.helper import make_clock, virtual
+
+
+class DeafStore(MemoryStore):
+    """A store whose watches hear nothing, or whose history is gone."""
+
+    deaf = False
+    forgetful = False
+
+    async def watch(
+        self,
+        prefix: str,
+        revision: int,
+        wait_ms: int = LONG_WAIT_MS,
+    ) -> Changes:
+        """Wait without hearing; short watches are not deaf."""
+        if self.forgetful and revision < self.revision:
+            raise StoreHistoryGone('compacted')
+        if self.deaf and wait_ms > 1000:
+            await self.clock.sleep_ms(wait_ms)
+            return Changes(self.revision, [])
+        return await super().watch(prefix, revision, wait_ms)
+
+
+class FollowingTest(testtools.TestCase):
+    """What a follower hands over."""
+
+    def follower(self, store: MemoryStore, **options: object) -> Follower:
+        """Follow `a/` and remember what is there."""
+        self.seen: dict[str, bytes] = {}
+        handlers = Handlers(self.take, relay=self.relay)
+        return Follower(store, store.clock, 'a/', handlers, **options)
+
+    def take(self, stored: StoredObject) -> None:
+        """Remember an object, or forget it."""
+        if stored.body:
+            self.seen[stored.key] = stored.body
+        else:
+            self.seen.pop(stored.key, None)
+
+    async def relay(self, prefix: str) -> Changes | None:
+        """Know one object that the store doesn't tell of."""
+        return Changes(99, [StoredObject('a/relayed', b'r', 99)])
+
+    @virtual
+    async def test_a_change_missed_by_a_deaf_watch(self) -> None:
+        store = DeafStore(make_clock())
+        running = asyncio.ensure_future(self.follower(store, wait_ms=1500).run())
+        await store.clock.sleep_ms(100)
+        store.deaf = True
+        await store.put('a/x', b'1', None)
+        store.deaf = False
+        await store.clock.sleep_ms(1600)
+        self.assertEqual({'a/x': b'1'}, self.seen)
+        running.cancel()
+
+    @virtual
+    async def test_another_watch_shows_that_this_one_is_deaf(self) -> None:
+        store = DeafStore(make_clock())
+        head = Head()
+        running = asyncio.ensure_future(self.follower(store, head=head).run())
+        await store.clock.sleep_ms(100)
+        store.deaf = True
+        running.cancel()
+        running = asyncio.ensure_future(self.follower(store, head=head).run())
+        await store.clock.sleep_ms(100)
+        await store.put('a/x', b'1', None)
+        head.note(store.revision)
+        await store.clock.sleep_ms(500)
+        self.assertEqual({'a/x': b'1'}, self.seen)
+        running.cancel()
+
+    @virtual
+    async def test_deletions_while_history_was_lost(self) -> None:
+        store = DeafStore(make_clock())
+        await store.put('a/x', b'1', None)
+        await store.put('a/y', b'1', None)
+        running = asyncio.ensure_future(self.follower(store, wait_ms=1000).run())
+        await store.clock.sleep_ms(100)
+        store.forgetful = True
+        await store.delete('a/x')
+        await store.clock.sleep_ms(1500)
+        self.assertEqual({'a/y': b'1'}, self.seen)
+        running.cancel()
+
+    @virtual
+    async def test_turned_away(self) -> None:
+        store = DeafStore(make_clock())
+        await store.put('a/x', b'1', None)
+        running = asyncio.ensure_future(self.follower(store, wait_ms=1000).run())
+        await store.clock.sleep_ms(100)
+        store.faults = Faults(down=True)
+        await store.clock.sleep_ms(2000)
+        self.assertEqual({'a/relayed': b'r'}, self.seen)
+        running.cancel()
--- /dev/null
+++ b/test/process/test_host_book.py
@@ -0,0 +1,114 @@
+"""Which upstream hosts a gateway believes to be alive."""
+
+import json
+
+import testtools
+
+from pollenwalk.errors import StoreUnavailable
+from pollenwalk.process.clock import Clock
+from pollenwalk.process.host_book import (
+    LAST_SUSPICION_MS,
+    LISTED_AGAIN_MS,
+    STORE_UNSETTLED_MS,
+    HostBook,
+)
+from pollenwalk.process.store import StoredObject
+from test.helper import make_clock, virtual
+
+LOST = StoreUnavailable('down')
+
+
+def entry(name: str, version: int, **changes: object) -> StoredObject:
+    """Make a host's entry."""
+    fields = {
+        'service': 'up',
+        'address': '10.0.0.1:80',
+        'zone': 'z',
+        'slots': 8,
+        'state': 'ready',
+        **changes,
+    }
+    return StoredObject(f'servers/{name}', json.dumps(fields).encode(), version)
+
+
+def gone(name: str, version: int) -> StoredObject:
+    """Make the deletion of a host's entry."""
+    return StoredObject(f'servers/{name}', b'', version)
+
+
+class HostBookTest(testtools.TestCase):
+    """Entries that come, change, lapse and go."""
+
+    def book(self, clock: Clock) -> HostBook:
+        """Make a book of two hosts."""
+        book = HostBook(clock)
+        book.take(entry('i-1', 1))
+        book.take(entry('i-2', 2))
+        return book
+
+    def usable(self, book: HostBook) -> list[str]:
+        """Name the hosts that take new calls."""
+        return [state.listed.id for state in book.usable('up')]
+
+    @virtual
+    async def test_leaving_hosts_take_no_new_calls(self) -> None:
+        book = self.book(make_clock())
+        book.take(entry('i-1', 3, state='draining'))
+        self.assertEqual(['i-2'], self.usable(book))
+
+    @virtual
+    async def test_gone_at_once_while_the_store_is_well(self) -> None:
+        book = self.book(make_clock())
+        book.take(gone('i-1', 3))
+        self.assertEqual(['i-2'], self.usable(book))
+
+    @virtual
+    async def test_an_entry_that_lapsed_is_kept_for_a_while(self) -> None:
+        clock = make_clock()
+        book = self.book(clock)
+        book.store_failed(LOST)
+        book.store_answered()
+        book.take(gone('i-1', 3))
+        book.take(gone('i-2', 4))
+        await clock.sleep_ms(LISTED_AGAIN_MS - 100)
+        book.take(entry('i-2', 5))
+        self.assertEqual(['i-1', 'i-2'], self.usable(book))
+        await clock.sleep_ms(200)
+        self.assertEqual(['i-2'], self.usable(book))
+
+    @virtual
+    async def test_the_store_settles(self) -> None:
+        clock = make_clock()
+        book = self.book(clock)
+        book.store_failed(LOST)
+        book.store_answered()
+        await clock.sleep_ms(STORE_UNSETTLED_MS + 1)
+        book.take(gone('i-1', 3))
+        self.assertEqual(['i-2'], self.usable(book))
+
+    @virtual
+    async def test_an_unreadable_entry_changes_nothing(self) -> None:
+        book = self.book(make_clock())
+        book.take(StoredObject('servers/i-1', b'nonsense', 3))
+        book.take(entry('i-3', 4, slots='eight'))
+        self.assertEqual(['i-1', 'i-2'], self.usable(book))
+
+    @virtual
+    async def test_a_new_start_under_the_same_id_knows_nothing(self) -> None:
+        book = self.book(make_clock())
+        book.states['i-1'].failed(0)
+        book.take(entry('i-1', 3, born=7))
+        self.assertEqual(0, book.states['i-1'].failures)
+
+    @virtual
+    async def test_suspicion_grows_and_ends(self) -> None:
+        clock = make_clock()
+        state = self.book(clock).states['i-1']
+        for _ in range(20):
+            state.failed(clock.now_ms())
+        self.assertEqual(
+            LAST_SUSPICION_MS,
+            state.passed_over_until_ms - clock.now_ms(),
+        )
+        state.worked()
+        self.assertEqual(0, state.passed_over_until_ms)
--- a/test/process/test_record_log.py
+++ b/test/process/test_record_log.py
@@ -48,10 +48,10 @@
         log.close()
         path = log.path(log.segment)
         whole = path.read_bytes()
-        for cut in range(len(whole)):
-            found = list(read_frames(whole[:cut]))
-            self.assertEqual([b'one', b'two'][: len(found)], found)
-            self.assertTrue(len(found) < 2)
+        first = FRAME.size + len(b'one')
+        for cut, _ in enumerate(whole):
+            expected = [b'one'] if cut >= first else []
+            self.assertEqual(expected, list(read_frames(whole[:cut])))
 
     @on_loop
     async def test_a_torn_segment_does_not_hide_the_next(self) -> None:
--- a/test/program/test_ledger.py
+++ b/test/program/test_ledger.py
@@ -32,7 +32,7 @@
         self.assertEqual([4, MOST], [one.tokens for one in known])
 
     @virtual
-    async def test_a_late_reservation_does_not_undo_a_settlement(self) -> None:
+    async def test_a_late_reservation_undoes_nothing(self) -> None:
         ledger = Ledger(make_clock())
         ledger.settle(SettleTokens('p', 't1', 4, 0))
         known = ledger.reserve(ReserveTokens('p', 't1', MOST, 0))
--- a/test/request/test_forwarding.py
+++ b/test/request/test_forwarding.py
@@ -307,7 +307,7 @@
         self.assertEqual('2', resumed.headers['last-event-id'])
 
     @on_loop
-    async def test_a_cut_stream_that_may_not_be_resumed_stays_cut(self) -> None:
+    async def test_a_cut_stream_that_stays_cut(self) -> None:
         hosts = Hosts(streams_two, streams)
         reply, error = await run(hosts, STREAM)
         self.assertIsInstance(error, BrokenAnswer)
--- /dev/null
+++ b/test/request/test_program_turn.py
@@ -0,0 +1,148 @@
+"""A turn's reservation while keepers come and go."""
+
+from typing import Any
+
+import testtools
+
+from pollenwalk.errors import Outcome, Refusal, RefusalCode
+from pollenwalk.process.gateway_metrics import GatewayMetrics
+from pollenwalk.process.keeper_group import KeeperGroup
+from pollenwalk.process.members import Member
+from pollenwalk.request.call_state import Call
+from pollenwalk.request.event_stream import Event
+from pollenwalk.request.program_turn import ProgramTurn, Reservation
+from pollenwalk.request.traits import Request, Traits
+from test.helper import virtual
+from test.process.test_keepers import World, record
+from test.request.test_forwarding import STREAM
+
+KEPT = STREAM._replace(keeps_history=True)
+MOST = 28
+
+
+def make_call(turn: str, budget: int, previous: str = '') -> Call:
+    """Make a turn of a program."""
+    traits = Traits(
+        turn,
+        2000,
+        program='p',
+        budget=budget,
+        most_tokens=MOST,
+        previous=previous,
+    )
+    request = Request(b'POST', b'/p/1', '/p/1', 'h', [], turn.encode(), traits, 0)
+    return Call(request, KEPT, 'up', 1, 2000, 14)
+
+
+class TurnTest(testtools.TestCase):
+    """Prompts, budgets and records of turns."""
+
+    async def group(self, world: World) -> KeeperGroup:
+        """Start three keepers and a gateway's side of them."""
+        await world.three()
+        group = world.group()
+        await world.wait(500)
+        return group
+
+    def turn(self, group: KeeperGroup, call: Call) -> ProgramTurn:
+        """Make a turn."""
+        return ProgramTurn(group, call, GatewayMetrics())
+
+    @virtual
+    async def test_the_prompt_is_the_whole_chain(self) -> None:
+        world = World()
+        group = await self.group(world)
+        first = self.turn(group, make_call('t1', 1000))
+        self.assertEqual(b't1', await first.prepare())
+        for number in (1, 2):
+            await first.before_event(Event(b'', str(number), b'out'))
+        await first.before_end()
+        first.close()
+        second = self.turn(group, make_call('t2', 1000, 't1'))
+        self.assertEqual(b't1out\nout\nt2', await second.prepare())
+        second.close()
+
+    @virtual
+    async def test_a_spent_budget_is_refused_before_the_run(self) -> None:
+        world = World()
+        group = await self.group(world)
+        first = self.turn(group, make_call('t1', 2 * MOST - 1))
+        await first.prepare()
+        second = self.turn(group, make_call('t2', 2 * MOST - 1))
+        error = await self.refusal(second)
+        self.assertEqual(RefusalCode.BUDGET_EXHAUSTED, error.code)
+        self.assertEqual(Outcome.NOT_RUN, error.outcome)
+        second.close()
+        first.close()
+
+    @virtual
+    async def test_what_was_not_shown_is_given_back(self) -> None:
+        world = World()
+        group = await self.group(world)
+        first = self.turn(group, make_call('t1', 2 * MOST - 1))
+        await first.prepare()
+        await first.before_event(Event(b'', '1', b'out'))
+        first.close()
+        await world.wait(200)
+        second = self.turn(group, make_call('t2', 2 * MOST - 1))
+        await second.prepare()
+        second.close()
+
+    @virtual
+    async def test_a_keeper_listed_meanwhile_changes_nothing(self) -> None:
+        """Found in an incident: the majority grew while one was awaited."""
+        world = World()
+        group = await self.group(world)
+        await world.kill('b')
+        reservation = Reservation(group, make_call('t1', 10_000), GatewayMetrics())
+        await world.wait(1)
+        members = group.links.members.by_name
+        members['d'] = Member('d', 'd:1', 'd')
+        await reservation.recorded
+
+    @virtual
+    async def test_no_majority(self) -> None:
+        world = World()
+        group = await self.group(world)
+        await world.kill('b')
+        await world.kill('c')
+        turn = self.turn(group, make_call('t1', 1000))
+        error = await self.refusal(turn)
+        self.assertEqual(RefusalCode.KEEPERS_UNAVAILABLE, error.code)
+        self.assertEqual(Outcome.NOT_RUN, error.outcome)
+        turn.close()
+
+    @virtual
+    async def test_a_turn_that_cannot_be_kept_has_run(self) -> None:
+        world = World()
+        group = await self.group(world)
+        turn = self.turn(group, make_call('t1', 1000))
+        await turn.prepare()
+        await turn.before_event(Event(b'', '1', b'out'))
+        await world.kill('b')
+        await world.kill('c')
+        error: Any = None
+        try:
+            await turn.before_end()
+        except Refusal as refusal:
+            error = refusal
+        self.assertEqual(Outcome.UNKNOWN, error.outcome)
+        turn.close()
+
+    @virtual
+    async def test_a_forged_previous_turn(self) -> None:
+        world = World()
+        group = await self.group(world)
+        await group.keep(record('real'))
+        turn = self.turn(group, make_call('t1', 1000, 'forged'))
+        error = await self.refusal(turn)
+        self.assertEqual(RefusalCode.UNKNOWN_TURN, error.code)
+        turn.close()
+
+    async def refusal(self, turn: ProgramTurn) -> Refusal:
+        """Prepare a turn that must be refused."""
+        try:
+            await turn.prepare()
+        except Refusal as refusal:
+            return refusal
+        raise AssertionError('not refused')
