--- a/pollenwalk/connection/gateway_app.py
+++ b/pollenwalk/connection/gateway_app.py
@@ -19,6 +19,7 @@
 Handle = Callable[[Request, Reply], Awaitable[None]]
 STATUSES = {
     RefusalCode.MALFORMED: HTTPStatus.BAD_REQUEST,
+    RefusalCode.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     RefusalCode.UNKNOWN_ROUTE: HTTPStatus.NOT_FOUND,
     RefusalCode.UNKNOWN_TURN: HTTPStatus.NOT_FOUND,
     RefusalCode.BUDGET_EXHAUSTED: HTTPStatus.PAYMENT_REQUIRED,
@@ -81,11 +82,20 @@
         clock: Clock,
         handle: Handle,
         count_refusal: Callable[[Refusal], None],
+        max_body_bytes: Callable[[], int],
     ) -> None:
-        """Hand every request to `handle`."""
+        """Hand every request to `handle`.
+
+        Args:
+            clock: tells when a request arrived.
+            handle: answers a request.
+            count_refusal: is told of each refusal.
+            max_body_bytes: the largest body that is read now.
+        """
         self.clock = clock
         self.handle = handle
         self.count_refusal = count_refusal
+        self.max_body_bytes = max_body_bytes
         self.closing = False
         self.in_progress = 0
 
@@ -112,11 +122,16 @@
     ) -> None:
         """Read the request, then answer it unless its caller leaves."""
         arrived_ms = self.clock.now_ms()
-        body = await read_body(receive)
+        reply = AsgiReply(send, lambda: self.closing)
+        try:
+            body = await read_body(receive, self.max_body_bytes())
+        except Refusal as refusal:
+            self.count_refusal(refusal)
+            await refuse(read_request(scope, b'', arrived_ms), refusal, reply)
+            return
         if body is None:
             return
         request = read_request(scope, body, arrived_ms)
-        reply = AsgiReply(send, lambda: self.closing)
         answering = asyncio.ensure_future(self.answer(request, reply))
         leaving = asyncio.ensure_future(left(receive))
         try:
@@ -147,14 +162,22 @@
             await refuse(request, failed, reply)
 
 
-async def read_body(receive: Receive) -> bytes | None:
-    """Read a whole body; None if the caller left."""
+async def read_body(receive: Receive, max_bytes: int) -> bytes | None:
+    """Read a whole body; None if the caller left.
+
+    Raises:
+        Refusal: it is larger than allowed.
+    """
     parts: list[bytes] = []
+    size = 0
     while True:
         message = await receive()
         if message['type'] == 'http.disconnect':
             return None
         parts.append(message.get('body', b''))
+        size += len(parts[-1])
+        if size > max_bytes:
+            raise Refusal(RefusalCode.TOO_LARGE, f'the body exceeds {max_bytes} bytes')
         if not message.get('more_body'):
             return b''.join(parts)
 
--- a/pollenwalk/platform/documents.py
+++ b/pollenwalk/platform/documents.py
@@ -74,9 +74,9 @@
 
 
 class WireLimits(TypedDict):
-    """The limits of callers' connections."""
+    """What callers are held to."""
 
-    idle_timeout_ms: float
+    max_body_bytes: int
 
 
 class WireConfiguration(TypedDict):
@@ -137,7 +137,7 @@
         wire['version'],
         index_routes([decode_route(key, one) for one in wire['routes']]),
         {one['name']: decode_upstream(one) for one in wire['services']},
-        CallerLimits(wire['limits']['idle_timeout_ms']),
+        CallerLimits(wire['limits']['max_body_bytes']),
     )
 
 
--- a/pollenwalk/process/daemon.py
+++ b/pollenwalk/process/daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import signal
 import sys
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -27,6 +26,7 @@
 from pollenwalk.process.metrics import EntryMetrics
 from pollenwalk.process.settings import Settings
 from pollenwalk.process.sidecar import Sidecar, SidecarSettings
+from pollenwalk.process.signals import stop_on_signals
 from pollenwalk.process.traces import Tracer, make_tracer
 
 Stop = Callable[[], Awaitable[None]]
@@ -59,10 +59,7 @@
     start: Callable[..., Awaitable[Stop]],
 ) -> None:
     """Run a daemon until it is told to stop."""
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for one in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(one, stopped.set)
+    stopped = stop_on_signals()
     stop = await start(settings, tracer)
     await stopped.wait()
     logger.info('stopping')
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -34,6 +34,9 @@
 
 # Retry-After before the configuration is known: a start takes about a second.
 STARTING_RETRY_MS = 500
+# Read of a body before the configuration is known; the request is refused
+# all the same, and an early answer must not meet a body that still comes.
+STARTING_BODY_BYTES = 4_194_304
 # Half the time within which a configuration has to be in force, so that a
 # watch that is deaf or cut is asked again early enough. Its answers also show
 # the other watches how far the store is.
@@ -106,6 +109,11 @@
         decided = self.links.undecided_ms < UNDECIDED_MS
         return known and decided and not self.stopping
 
+    def max_body_bytes(self) -> int:
+        """Give the largest body that a caller may send now."""
+        current = self.in_force.current
+        return current.limits.max_body_bytes if current else STARTING_BODY_BYTES
+
     async def start(self) -> None:
         """Follow the store."""
         relay = self.keepers.read_prefix
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import signal
 import sys
 from http import HTTPStatus
 from pathlib import Path
@@ -20,11 +19,12 @@
 from pollenwalk.errors import UserError
 from pollenwalk.platform.names import READY_PATH
 from pollenwalk.platform.objects import PlatformStore
-from pollenwalk.process.clock import LoopClock
+from pollenwalk.process.clock import MS_PER_SECOND, LoopClock
 from pollenwalk.process.gateway import Gateway, GatewaySettings
 from pollenwalk.process.logs import set_up_logs
 from pollenwalk.process.metrics_page import metrics_server
 from pollenwalk.process.settings import Settings, read_settings
+from pollenwalk.process.signals import stop_on_signals
 
 # The balancer asks once a second and takes a host out after two misses.
 BALANCER_NOTICES_MS = 2500.0
@@ -79,6 +79,7 @@
             self.clock,
             self.gateway.handle,
             self.gateway.metrics.refused,
+            self.gateway.max_body_bytes,
         )
         self.callers = HttpServer(
             self.app,
@@ -94,7 +95,6 @@
             self.refresh_metrics,
             own['metrics'],
         )
-        self.stopped = asyncio.Event()
 
     def readiness_app(self) -> Starlette:
         """Make the application that the balancer asks."""
@@ -113,26 +113,19 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what has begun."""
         own = self.settings.of('gateway')
-        self.take_signals()
+        stopped = stop_on_signals(self.reload)
         logger.info('start', role='gateway', name=own['name'], zone=own['zone'])
         await self.gateway.start()
         for server in self.servers():
             await server.start()
         self.gateway.tasks.spawn(self.watch_settings(), 'watch_settings')
-        await self.stopped.wait()
-        await self.drain(own['grace_ms'])
+        await stopped.wait()
+        await self.drain(own['grace_s'] * MS_PER_SECOND)
 
     def servers(self) -> tuple[HttpServer, ...]:
         """Give the servers, the callers' first."""
         return self.callers, self.readiness, self.metrics
 
-    def take_signals(self) -> None:
-        """Stop on SIGTERM and SIGINT, reload on SIGHUP."""
-        loop = asyncio.get_running_loop()
-        for one in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(one, self.stopped.set)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
-
     async def drain(self, grace_ms: float) -> None:
         """Take no new callers and finish the requests in progress."""
         begun_ms = self.clock.now_ms()
--- a/pollenwalk/process/keeper_daemon.py
+++ b/pollenwalk/process/keeper_daemon.py
@@ -1,7 +1,6 @@
 """Runs one keeper as a process of its own, until SIGTERM."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
@@ -20,6 +19,7 @@
 from pollenwalk.process.record_log import RecordLog
 from pollenwalk.process.retirement import Retirement
 from pollenwalk.process.settings import Settings
+from pollenwalk.process.signals import stop_on_signals
 
 
 def run_keeper(settings: Settings) -> None:
@@ -37,7 +37,8 @@
 
 async def serve(settings: Settings) -> None:
     """Serve until SIGTERM."""
-    stopped = take_signals()
+    # Nothing of a keeper can be changed while it runs.
+    stopped = stop_on_signals(lambda: logger.info('reload'))
     store = PlatformStore(settings.of('store')['url'])
     keeper = make_keeper(settings, store)
     logger.info('start', role='keeper', name=keeper.settings.name)
@@ -78,16 +79,6 @@
         await keeper.writing
 
 
-def take_signals() -> asyncio.Event:
-    """Stop on SIGTERM and SIGINT; nothing of a keeper can be reloaded."""
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for one in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(one, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: logger.info('reload'))
-    return stopped
-
-
 def make_keeper(settings: Settings, store: PlatformStore) -> Keeper:
     """Make a keeper from checked settings."""
     own = settings.of('keeper')
--- a/pollenwalk/process/settings.py
+++ b/pollenwalk/process/settings.py
@@ -65,7 +65,7 @@
         'http': ADDRESS,
         'ready': ADDRESS,
         'metrics': ADDRESS,
-        'grace_ms': read_number(0, 600_000),
+        'grace_s': read_number(0, 600),
         'tolerated_losses': read_int(0, 16),
     },
     'keeper': {
--- a/pollenwalk/version/routes.py
+++ b/pollenwalk/version/routes.py
@@ -96,9 +96,9 @@
 
 
 class CallerLimits(NamedTuple):
-    """What a caller's connection is held to."""
+    """What callers are held to."""
 
-    idle_timeout_ms: float
+    max_body_bytes: int
 
 
 class Configuration(NamedTuple):
--- a/standin/serve.py
+++ b/standin/serve.py
@@ -1,14 +1,13 @@
 """Stand-ins as processes of their own."""
 
 import argparse
-import asyncio
-import signal
 
 from starlette.applications import Starlette
 
 from pollenwalk.connection.addresses import split_address
 from pollenwalk.connection.http_server import HttpServer
 from pollenwalk.process.clock import LoopClock
+from pollenwalk.process.signals import stop_on_signals
 from standin.engine import EngineApi, EngineShape, ModelEngine
 from standin.ledger import Ledger
 from standin.service import PlainService, ServiceApi, ServiceShape
@@ -28,10 +27,7 @@
 
 async def serve_standin(app: Starlette, address: str) -> None:
     """Serve one stand-in until SIGTERM or SIGINT."""
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for one in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(one, stopped.set)
+    stopped = stop_on_signals()
     host, port = split_address(address)
     server = HttpServer(app, host, port)
     await server.start()
--- a/test/connection/test_gateway_app.py
+++ b/test/connection/test_gateway_app.py
@@ -20,12 +20,13 @@
     b'X-Hop: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n'
 )
 LEFT_S = 0.5
+MOST_BYTES = 100
 
 
 @asynccontextmanager
 async def serving(handle: Handle) -> AsyncIterator[tuple[GatewayApp, int]]:
     """Serve the application."""
-    app = GatewayApp(LoopClock(), handle, lambda _: None)
+    app = GatewayApp(LoopClock(), handle, lambda _: None, lambda: MOST_BYTES)
     port = free_port()
     server = HttpServer(app, '127.0.0.1', port)
     await server.start()
@@ -95,6 +96,18 @@
                 b'retry-after: 0.250' in answer,
             )
 
+    @on_loop
+    async def test_a_body_that_is_too_large(self) -> None:
+        async def handle(_: Request, reply: Reply) -> None:
+            raise AssertionError('handled')
+
+        body = b'x' * (MOST_BYTES + 1)
+        head = f'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n\r\n'
+        async with serving(handle) as (app, port):
+            app.closing = True
+            answer = await talk(port, head.encode() + body)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 413 '))
+
     @on_loop
     async def test_a_broken_stream_has_no_end(self) -> None:
         async def handle(_: Request, reply: Reply) -> None:
--- a/test/platform/test_documents.py
+++ b/test/platform/test_documents.py
@@ -58,7 +58,7 @@
         },
         {'name': 'wuno', 'max_conns': 100},
     ],
-    'limits': {'idle_timeout_ms': 15000},
+    'limits': {'max_body_bytes': 4194304},
 }
 
 
