--- a/pollenwalk/commands/resources.py
+++ b/pollenwalk/commands/resources.py
@@ -13,7 +13,7 @@
 from pollenwalk.errors import UserError
 from pollenwalk.process.clock import LoopClock
 from pollenwalk.process.operator import Operator
-from pollenwalk.process.settings import default_text, read_settings
+from pollenwalk.process.settings import ROLES, default_text, read_settings
 from pollenwalk.version.fields import InvalidFile
 from pollenwalk.version.resources import (
     Kind,
@@ -42,7 +42,7 @@
     check.add_argument('--settings', type=Path, metavar='FILE')
     check.add_argument(
         '--role',
-        choices=('entry', 'sidecar', 'load', 'operator'),
+        choices=tuple(ROLES),
         default='entry',
         help='whose settings they are (default entry)',
     )
--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -1,6 +1,8 @@
 """A turn of a program: its prompt, its budget and its record."""
 
 import asyncio
+from collections.abc import Awaitable
+from typing import Any
 
 from loguru import logger
 
@@ -21,9 +23,10 @@
 from pollenwalk.request.call_state import Call
 from pollenwalk.request.event_stream import Event
 
-# Turns of one program that may be reserved at the same moment without seeing
-# each other. Farther from its budget than that, one keeper's word is enough.
-UNSEEN_TURNS = 8
+# Of n turns reserved at the same moment, one sees at least half of the others.
+# With this many turns of room, and one turn beyond the budget allowed, eleven
+# at once stay within it; programs start ten sub-agents at the most.
+UNSEEN_TURNS = 4
 
 
 class Reservation:
@@ -32,6 +35,7 @@
     Attributes:
         permitted: done once the turn may run.
         recorded: done once a majority of the keepers have it on disk.
+        far: whether one keeper's word was enough to begin.
     """
 
     def __init__(
@@ -45,6 +49,7 @@
         self.metrics = metrics
         self.call = call
         traits = call.request.traits
+        self.far = False
         self.most = traits.most_tokens
         self.budget = traits.budget or 0
         self.message = ReserveTokens(
@@ -115,8 +120,10 @@
         if not spent.complete:
             return
         known.append(spent.entries)
-        early = self.group.links.can_decide and self.is_far(known)
-        if early and not self.permitted.done():
+        if self.permitted.done() or not self.group.links.can_decide:
+            return
+        if self.is_far(known):
+            self.far = True
             self.permitted.set_result(None)
 
     def is_far(self, known: list[list[TokenEntry]]) -> bool:
@@ -168,21 +175,38 @@
         return prompt_of(chain, request.body)
 
     async def before_event(self, event: Event) -> None:
-        """Show tokens only once they are surely counted."""
+        """Show tokens only once they are counted.
+
+        Far from the budget one keeper's disk is enough to begin; the others
+        have it long before the stream ends, which waits for them.
+        """
         if event.payload is None:
             return
-        if self.reservation is not None:
-            try:
-                await self.reservation.recorded
-            except Refusal as refusal:
-                raise as_unknown(refusal) from refusal
+        if self.reservation is not None and not self.reservation.far:
+            await self.surely(self.reservation.recorded)
         self.made.extend((event.payload, b'\n'))
         self.tokens += self.call.tokens_per_event
 
     async def before_end(self) -> None:
-        """Have the turn kept before its end is shown."""
-        if not self.call.route.keeps_history:
-            return
+        """Have the turn counted and kept before its end is shown."""
+        if self.reservation is not None:
+            await self.surely(self.reservation.recorded)
+        if self.call.route.keeps_history:
+            await self.keep()
+
+    async def surely(self, work: Awaitable[Any]) -> Any:
+        """Wait for what a turn that has begun to run depends on.
+
+        Raises:
+            Refusal: it was not done; the turn has run.
+        """
+        try:
+            return await work
+        except Refusal as refusal:
+            raise as_unknown(refusal) from refusal
+
+    async def keep(self) -> None:
+        """Have the turn kept by enough keepers."""
         traits = self.call.request.traits
         record = TurnRecord(
             turn=traits.id,
@@ -195,10 +219,7 @@
             holders=[],
         )
         begun_ms = self.group.clock.now_ms()
-        try:
-            holders = await self.group.keep(record)
-        except Refusal as refusal:
-            raise as_unknown(refusal) from refusal
+        holders = await self.surely(self.group.keep(record))
         took_ms = self.group.clock.now_ms() - begun_ms
         self.metrics.keep_seconds.observe({}, took_ms / MS_PER_SECOND)
         logger.info(
--- a/test/process/test_traces.py
+++ b/test/process/test_traces.py
@@ -54,9 +54,10 @@
     def test_json_lines(self) -> None:
         target = io.StringIO()
         with redirect_stderr(target):
-            set_up_logs('INFO')
+            writer = set_up_logs('INFO')
             logger.info('entry_ready', incarnation='abc')
             logger.debug('hidden')
+            writer.drain(5)
         logger.remove()
         lines = [json.loads(line) for line in target.getvalue().splitlines()]
         self.assertEqual(['entry_ready'], [line['event'] for line in lines])
--- a/test/request/test_program_turn.py
+++ b/test/request/test_program_turn.py
@@ -88,6 +88,53 @@
         await second.prepare()
         second.close()
 
+    @virtual
+    async def test_far_from_the_budget_one_disk_is_enough(self) -> None:
+        world = World()
+        group = await self.group(world)
+        turn = self.turn(group, make_call('t1', 10_000))
+        before_ms = world.clock.now_ms()
+        world.fabric.slow_ms['gateway', 'b'] = 1000
+        world.fabric.slow_ms['gateway', 'c'] = 1000
+        await turn.prepare()
+        await turn.before_event(Event(b'', '1', b'out'))
+        self.assertTrue(world.clock.now_ms() - before_ms < 100)
+        turn.close()
+
+    @virtual
+    async def test_near_the_budget_tokens_wait_for_a_majority(self) -> None:
+        world = World()
+        group = await self.group(world)
+        turn = self.turn(group, make_call('t1', MOST))
+        world.fabric.slow_ms['gateway', 'b'] = 200
+        world.fabric.slow_ms['gateway', 'c'] = 200
+        before_ms = world.clock.now_ms()
+        await turn.prepare()
+        await turn.before_event(Event(b'', '1', b'out'))
+        self.assertTrue(world.clock.now_ms() - before_ms > 200)
+        turn.close()
+
+    @virtual
+    async def test_the_end_waits_for_a_majority(self) -> None:
+        world = World()
+        group = await self.group(world)
+        turn = self.turn(group, make_call('t1', 10_000))
+        await turn.prepare()
+        world.fabric.cut('gateway', 'b')
+        world.fabric.cut('gateway', 'c')
+        second = self.turn(group, make_call('t2', 10_000))
+        await second.prepare()
+        await second.before_event(Event(b'', '1', b'out'))
+        error: Any = None
+        try:
+            await second.before_end()
+        except Refusal as refusal:
+            error = refusal
+        self.assertEqual(RefusalCode.KEEPERS_UNAVAILABLE, error.code)
+        self.assertEqual(Outcome.UNKNOWN, error.outcome)
+        turn.close()
+        second.close()
+
     @virtual
     async def test_a_keeper_listed_meanwhile_changes_nothing(self) -> None:
         """Found in an incident: the majority grew while one was awaited."""
