--- a/pollenwalk/process/following.py
+++ b/pollenwalk/process/following.py
@@ -20,8 +20,8 @@
     StoredObject,
 )
 
-# A change is told within milliseconds by a watch that is not deaf.
-DEAF_AFTER_MS = 300.0
+# A change is told within milliseconds by a watch that works.
+STALLED_AFTER_MS = 300.0
 ASK_AGAIN_WAIT_MS = 10
 
 
@@ -159,7 +159,7 @@
         self.head.note(revision)
 
     async def watch(self, revision: int) -> Changes:
-        """Watch; a watch that seems to be deaf is ended and asked again."""
+        """Watch; a watch that seems to have stalled is made again."""
         watching = asyncio.ensure_future(
             self.store.watch(self.prefix, revision, self.wait_ms),
         )
@@ -179,7 +179,7 @@
     async def lag(self) -> None:
         """Wait until this watch should have heard something."""
         await self.head.beyond(self.checked)
-        await self.clock.sleep_ms(DEAF_AFTER_MS)
+        await self.clock.sleep_ms(STALLED_AFTER_MS)
 
     def list_anew(self, listing: Changes) -> list[StoredObject]:
         """Add a deletion for each object that is no longer listed."""
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -38,7 +38,7 @@
 # all the same, and an early answer must not meet a body that still comes.
 STARTING_BODY_BYTES = 4_194_304
 # Half the time within which a configuration has to be in force, so that a
-# watch that is deaf or cut is asked again early enough. Its answers also show
+# watch that has stalled or was cut is made again early enough. It also shows
 # the other watches how far the store is.
 CONFIGURATION_WAIT_MS = 1500
 # A gateway that reaches no majority of the keepers for so long lets callers
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -1,4 +1,4 @@
-"""The keepers as a gateway uses them: enough copies, enough voices.
+"""The keepers as a gateway uses them: enough copies, a quorum for budgets.
 
 With f keepers that may be lost at once, a record counts when f + 1 disks
 have it; it does not exist when all keepers but f say so; and a majority of
--- a/pollenwalk/process/retirement.py
+++ b/pollenwalk/process/retirement.py
@@ -28,7 +28,7 @@
 )
 
 # The shortest time for which emptying is asked is several seconds; a watch
-# that is deaf must be noticed well before.
+# that has stalled must be noticed well before.
 REQUEST_WAIT_MS = 2500
 TRY_AGAIN_MS = 200.0
 
--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -35,7 +35,7 @@
     Attributes:
         permitted: done once the turn may run.
         recorded: done once a majority of the keepers have it on disk.
-        far: whether one keeper's word was enough to begin.
+        in_headroom: whether one keeper's word was enough to begin.
     """
 
     def __init__(
@@ -49,7 +49,7 @@
         self.metrics = metrics
         self.call = call
         traits = call.request.traits
-        self.far = False
+        self.in_headroom = False
         self.most = traits.most_tokens
         self.budget = traits.budget or 0
         self.message = ReserveTokens(
@@ -84,7 +84,7 @@
         """
         begun_ms = self.group.clock.now_ms()
         known = await self.ask_majority()
-        if not self.is_far(known):
+        if not self.has_headroom(known):
             # Whoever reserved at the same time is seen by the second round.
             known.extend(await self.ask_majority())
         took_ms = self.group.clock.now_ms() - begun_ms
@@ -122,11 +122,11 @@
         known.append(spent.entries)
         if self.permitted.done() or not self.group.links.can_decide:
             return
-        if self.is_far(known):
-            self.far = True
+        if self.has_headroom(known):
+            self.in_headroom = True
             self.permitted.set_result(None)
 
-    def is_far(self, known: list[list[TokenEntry]]) -> bool:
+    def has_headroom(self, known: list[list[TokenEntry]]) -> bool:
         """Tell whether the budget bears even turns that are not seen yet."""
         margin = self.most * UNSEEN_TURNS
         return judge(known, self.call.id, self.most + margin, self.budget).fits
@@ -182,19 +182,19 @@
         """
         if event.payload is None:
             return
-        if self.reservation is not None and not self.reservation.far:
-            await self.surely(self.reservation.recorded)
+        if self.reservation is not None and not self.reservation.in_headroom:
+            await self.require(self.reservation.recorded)
         self.made.extend((event.payload, b'\n'))
         self.tokens += self.call.tokens_per_event
 
     async def before_end(self) -> None:
         """Have the turn counted and kept before its end is shown."""
         if self.reservation is not None:
-            await self.surely(self.reservation.recorded)
+            await self.require(self.reservation.recorded)
         if self.call.route.keeps_history:
             await self.keep()
 
-    async def surely(self, work: Awaitable[Any]) -> Any:
+    async def require(self, work: Awaitable[Any]) -> Any:
         """Wait for what a turn that has begun to run depends on.
 
         Raises:
@@ -219,7 +219,7 @@
             holders=[],
         )
         begun_ms = self.group.clock.now_ms()
-        holders = await self.surely(self.group.keep(record))
+        holders = await self.require(self.group.keep(record))
         took_ms = self.group.clock.now_ms() - begun_ms
         self.metrics.keep_seconds.observe({}, took_ms / MS_PER_SECOND)
         logger.info(
--- a/test/process/test_following.py
+++ b/test/process/test_following.py
@@ -11,10 +11,10 @@
 from test.helper import make_clock, virtual
 
 
-class DeafStore(MemoryStore):
-    """A store whose watches hear nothing, or whose history is gone."""
+class StalledStore(MemoryStore):
+    """A store whose watches stall, or whose history is gone."""
 
-    deaf = False
+    stalled = False
     forgetful = False
 
     async def watch(
@@ -23,10 +23,10 @@
         revision: int,
         wait_ms: int = LONG_WAIT_MS,
     ) -> Changes:
-        """Wait without hearing; short watches are not deaf."""
+        """Wait without an answer; short watches are not stalled."""
         if self.forgetful and revision < self.revision:
             raise StoreHistoryGone('compacted')
-        if self.deaf and wait_ms > 1000:
+        if self.stalled and wait_ms > 1000:
             await self.clock.sleep_ms(wait_ms)
             return Changes(self.revision, [])
         return await super().watch(prefix, revision, wait_ms)
@@ -53,27 +53,26 @@
         return Changes(99, [StoredObject('a/relayed', b'r', 99)])
 
     @virtual
-    async def test_a_change_missed_by_a_deaf_watch(self) -> None:
-        store = DeafStore(make_clock())
+    async def test_a_change_missed_by_a_stalled_watch(self) -> None:
+        store = StalledStore(make_clock())
+        store.stalled = True
         running = asyncio.ensure_future(self.follower(store, wait_ms=1500).run())
         await store.clock.sleep_ms(100)
-        store.deaf = True
         await store.put('a/x', b'1', None)
-        store.deaf = False
-        await store.clock.sleep_ms(1600)
+        store.stalled = False
+        await store.clock.sleep_ms(1300)
+        self.assertEqual({}, self.seen)
+        await store.clock.sleep_ms(300)
         self.assertEqual({'a/x': b'1'}, self.seen)
         running.cancel()
 
     @virtual
-    async def test_another_watch_shows_that_this_one_is_deaf(self) -> None:
-        store = DeafStore(make_clock())
+    async def test_another_watch_shows_that_this_one_stalls(self) -> None:
+        store = StalledStore(make_clock())
+        store.stalled = True
         head = Head()
         running = asyncio.ensure_future(self.follower(store, head=head).run())
         await store.clock.sleep_ms(100)
-        store.deaf = True
-        running.cancel()
-        running = asyncio.ensure_future(self.follower(store, head=head).run())
-        await store.clock.sleep_ms(100)
         await store.put('a/x', b'1', None)
         head.note(store.revision)
         await store.clock.sleep_ms(500)
@@ -82,7 +81,7 @@
 
     @virtual
     async def test_deletions_while_history_was_lost(self) -> None:
-        store = DeafStore(make_clock())
+        store = StalledStore(make_clock())
         await store.put('a/x', b'1', None)
         await store.put('a/y', b'1', None)
         running = asyncio.ensure_future(self.follower(store, wait_ms=1000).run())
@@ -95,7 +94,7 @@
 
     @virtual
     async def test_turned_away(self) -> None:
-        store = DeafStore(make_clock())
+        store = StalledStore(make_clock())
         await store.put('a/x', b'1', None)
         running = asyncio.ensure_future(self.follower(store, wait_ms=1000).run())
         await store.clock.sleep_ms(100)
