Bound the suspicion of a host that fails for hours; one HTTP session, no dead state

Found in reading the change again. Cause: the pause doubled with each failure in a row as an exact power, so after some thousand failures of a host that stays listed the arithmetic overflowed and requests were answered 502. Test: test_a_host_that_fails_for_hours raised OverflowError before. Besides, with the same behaviour: the platform's store client uses the session that the other clients use; a batch taken over is decoded once; three fields that nobody read are gone.

--- a/pollenwalk/connection/http_client.py
+++ b/pollenwalk/connection/http_client.py
@@ -16,13 +16,16 @@
     def open_session(self) -> aiohttp.ClientSession:
         """Give the session, making it at first use."""
         if self.session is None:
-            connector = aiohttp.TCPConnector(
-                limit=0,
-                force_close=not self.keeps_connections,
-            )
-            self.session = aiohttp.ClientSession(connector=connector)
+            self.session = aiohttp.ClientSession(connector=self.make_connector())
         return self.session
 
+    def make_connector(self) -> aiohttp.TCPConnector:
+        """Make what opens the connections."""
+        return aiohttp.TCPConnector(
+            limit=0,
+            force_close=not self.keeps_connections,
+        )
+
     async def close(self) -> None:
         """Close all connections."""
         if self.session is not None:
--- a/pollenwalk/connection/link_pool.py
+++ b/pollenwalk/connection/link_pool.py
@@ -20,7 +20,6 @@
         """Start with none."""
         self.clock = clock
         self.idle: dict[str, list[UpstreamLink]] = {}
-        self.opened = 0
 
     async def take(self, host: UpstreamHost) -> UpstreamLink:
         """Give an idle connection, or a new one.
@@ -35,7 +34,6 @@
             if link.reusable and now_ms < link.idle_since_ms + keep_ms(link):
                 return link
             link.abort()
-        self.opened += 1
         return await open_link(host.address, CONNECT_TIMEOUT_S)
 
     def give_back(self, host: UpstreamHost, link: UpstreamLink) -> None:
--- a/pollenwalk/platform/objects.py
+++ b/pollenwalk/platform/objects.py
@@ -12,6 +12,7 @@
 import aiohttp
 import msgspec
 
+from pollenwalk.connection.http_client import HttpClient
 from pollenwalk.connection.keepalive import probe_peer
 from pollenwalk.errors import StoreConflict, StoreHistoryGone, StoreUnavailable
 from pollenwalk.process.store import ABSENT, LONG_WAIT_MS, Changes, StoredObject
@@ -73,25 +74,12 @@
     body: bytes
 
 
-class PlatformStore:
+class PlatformStore(HttpClient):
     """A client of the store; implements `ObjectStore`."""
 
-    def __init__(self, url: str) -> None:
-        """Talk to the store at `url`; connections open at first use."""
-        self.url = url
-        self.session: aiohttp.ClientSession | None = None
-
-    def open_session(self) -> aiohttp.ClientSession:
-        """Give the session, making it at first use."""
-        if self.session is None:
-            connector = aiohttp.TCPConnector(limit=0, socket_factory=make_socket)
-            self.session = aiohttp.ClientSession(connector=connector)
-        return self.session
-
-    async def close(self) -> None:
-        """Close all connections."""
-        if self.session is not None:
-            await self.session.close()
+    def make_connector(self) -> aiohttp.TCPConnector:
+        """Make what opens connections that notice a silent store."""
+        return aiohttp.TCPConnector(limit=0, socket_factory=make_socket)
 
     async def request(
         self,
--- a/pollenwalk/process/host_book.py
+++ b/pollenwalk/process/host_book.py
@@ -25,6 +25,8 @@
 # row up to the second figure: a crashed process is back within seconds.
 FIRST_SUSPICION_MS = 300.0
 LAST_SUSPICION_MS = 4000.0
+# More than lie between the two.
+MOST_DOUBLINGS = 4
 # Reported load of other gateways is trusted for about one service time.
 REPORT_TRUST_MS = 400.0
 
@@ -47,7 +49,6 @@
         self.listed = listed
         self.in_flight = 0
         self.others = 0
-        self.waiting = 0
         self.reported_ms: float | None = None
         self.failures = 0
         self.passed_over_until_ms = 0.0
@@ -57,7 +58,6 @@
         """Take a load that the host told with an answer."""
         running, waiting, _ = load
         self.others = max(running + waiting - self.in_flight, 0)
-        self.waiting = waiting
         self.reported_ms = now_ms
 
     def load(self, now_ms: float) -> float:
@@ -75,7 +75,8 @@
     def failed(self, now_ms: float) -> None:
         """Pass the host over for a while."""
         self.failures += 1
-        pause_ms = FIRST_SUSPICION_MS * 2 ** (self.failures - 1)
+        doublings = min(self.failures - 1, MOST_DOUBLINGS)
+        pause_ms = FIRST_SUSPICION_MS * 2**doublings
         self.passed_over_until_ms = now_ms + min(pause_ms, LAST_SUSPICION_MS)
 
     def worked(self) -> None:
--- a/pollenwalk/process/keeper_state.py
+++ b/pollenwalk/process/keeper_state.py
@@ -120,9 +120,12 @@
 
     async def take_over(self, records: Iterable[bytes]) -> int:
         """Keep another keeper's records; gives how many were new."""
-        new = [record for record in records if self.is_new(decode_datagram(record))]
-        for record in new:
-            self.apply(decode_datagram(record))
+        new: list[bytes] = []
+        for record in records:
+            message = decode_datagram(record)
+            if self.is_new(message):
+                self.apply(message)
+                new.append(record)
         await asyncio.gather(*map(self.log.append, new))
         return len(new)
 
--- a/pollenwalk/process/members.py
+++ b/pollenwalk/process/members.py
@@ -40,19 +40,16 @@
 
     Attributes:
         listed: whether the store has been read.
-        revision: of the newest change.
     """
 
     def __init__(self) -> None:
         """Start with none known."""
         self.by_name: dict[str, Member] = {}
         self.listed = False
-        self.revision = 0
 
     def take(self, stored: StoredObject) -> None:
         """Take a change of one keeper's object."""
         name = stored.key.removeprefix(KEEPERS)
-        self.revision = max(self.revision, stored.version)
         if stored.body:
             self.add(name, stored.body)
         else:
--- a/test/process/test_host_book.py
+++ b/test/process/test_host_book.py
@@ -112,3 +112,14 @@
         )
         state.worked()
         self.assertEqual(0, state.passed_over_until_ms)
+
+    @virtual
+    async def test_a_host_that_fails_for_hours(self) -> None:
+        clock = make_clock()
+        state = self.book(clock).states['i-1']
+        for _ in range(5000):
+            state.failed(clock.now_ms())
+        self.assertEqual(
+            LAST_SUSPICION_MS,
+            state.passed_over_until_ms - clock.now_ms(),
+        )
