Begin lone turns after one round, and crowds only with room for the unseen

Cause: a turn near its budget asked the keepers twice, 125 ms in the region with one of three keepers; and the room of four turns that let others begin on one keeper's word was argued for majorities but used on single words.

Change: after a majority's answers a turn begins if it leaves free as much as is unsettled; on fewer answers only a turn that sees no other begins. A turn whose recording fails is cut at its next event, and a budget that is spent by what was shown is refused without the second round.

Shown: the searched orders stay within one turn; a lone turn asks once.

--- a/pollenwalk/program/ledger.py
+++ b/pollenwalk/program/ledger.py
@@ -76,10 +76,12 @@
 
     Attributes:
         others: tokens of all other turns of the program.
+        unsettled: the part of them that counts at its most.
         fits: whether the turn fits into the budget at its most.
     """
 
     others: int
+    unsettled: int
     fits: bool
 
 
@@ -103,4 +105,59 @@
             united[entry.turn] = entry
     united.pop(turn, None)
     others = sum(other.tokens for other in united.values())
-    return Verdict(others, others + most <= budget)
+    unsettled = sum(other.tokens for other in united.values() if not other.settled)
+    return Verdict(others, unsettled, others + most <= budget)
+
+
+class Heard(NamedTuple):
+    """How many keepers have answered.
+
+    Attributes:
+        answers: of complete keepers, at least one.
+        keepers: all of them.
+    """
+
+    answers: int
+    keepers: int
+
+    @property
+    def decides(self) -> bool:
+        """Tell whether it is a majority."""
+        return self.answers > self.keepers // 2
+
+    @property
+    def apart(self) -> int:
+        """Give how many turns can have heard as many and not of each other."""
+        return self.keepers // self.answers
+
+    @property
+    def beside_majority(self) -> int:
+        """Give how many of these turns a majority can know nothing of."""
+        minority = (self.keepers - 1) // 2
+        return minority // self.answers
+
+
+def fits_unseen(verdict: Verdict, most: int, budget: int, heard: Heard) -> bool:
+    """Tell whether a turn may begin, whatever it can't have seen yet.
+
+    Turns reserved at the same moment may have reached the keepers in different
+    orders. With a majority's answers, of any two turns at least one sees the
+    other; leaving as much free as is still unsettled makes up for those that
+    saw this turn first. With fewer answers only a turn that sees no other
+    begins, and only if at most one such turn can be hidden from a majority.
+    So a program never gets more than the most of one turn beyond its budget.
+
+    Args:
+        verdict: what the answers come to.
+        most: the tokens that the turn itself may generate.
+        budget: of the whole program.
+        heard: how many keepers have answered.
+    """
+    if heard.decides:
+        unseen = verdict.unsettled
+    elif verdict.unsettled or heard.beside_majority > 1:
+        return False
+    else:
+        # One of them may go beyond the budget.
+        unseen = max(heard.apart - 2, 0) * most
+    return verdict.others + most + unseen <= budget
--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -11,7 +11,7 @@
 from pollenwalk.process.copies import keepers_unavailable
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.keeper_group import KeeperGroup
-from pollenwalk.program.ledger import judge
+from pollenwalk.program.ledger import Heard, fits_unseen, judge
 from pollenwalk.program.turn_index import prompt_of
 from pollenwalk.program.turns import (
     ReserveTokens,
@@ -23,11 +23,6 @@
 from pollenwalk.request.call_state import Call
 from pollenwalk.request.event_stream import Event
 
-# Of n turns reserved at the same moment, one sees at least half of the others.
-# With this many turns of room, and one turn beyond the budget allowed, eleven
-# at once stay within it; programs start ten sub-agents at the most.
-UNSEEN_TURNS = 4
-
 
 class Reservation:
     """Tokens set aside for one turn.
@@ -35,7 +30,7 @@
     Attributes:
         permitted: done once the turn may run.
         recorded: done once a majority of the keepers have it on disk.
-        in_headroom: whether one keeper's word was enough to begin.
+        early: whether less than a majority's word was enough to begin.
     """
 
     def __init__(
@@ -49,7 +44,7 @@
         self.metrics = metrics
         self.call = call
         traits = call.request.traits
-        self.in_headroom = False
+        self.early = False
         self.most = traits.most_tokens
         self.budget = traits.budget or 0
         self.message = ReserveTokens(
@@ -84,7 +79,7 @@
         """
         begun_ms = self.group.clock.now_ms()
         known = await self.ask_majority()
-        if not self.has_headroom(known):
+        if not (self.has_headroom(known) or self.is_spent(known)):
             # Whoever reserved at the same time is seen by the second round.
             known.extend(await self.ask_majority())
         took_ms = self.group.clock.now_ms() - begun_ms
@@ -123,13 +118,25 @@
         if self.permitted.done() or not self.group.links.can_decide:
             return
         if self.has_headroom(known):
-            self.in_headroom = True
+            self.early = True
             self.permitted.set_result(None)
 
     def has_headroom(self, known: list[list[TokenEntry]]) -> bool:
         """Tell whether the budget bears even turns that are not seen yet."""
-        margin = self.most * UNSEEN_TURNS
-        return judge(known, self.call.id, self.most + margin, self.budget).fits
+        verdict = judge(known, self.call.id, self.most, self.budget)
+        heard = Heard(len(known), len(self.group.links.members.by_name))
+        return fits_unseen(verdict, self.most, self.budget, heard)
+
+    def is_spent(self, known: list[list[TokenEntry]]) -> bool:
+        """Tell whether what was shown leaves no room, whatever else ends."""
+        verdict = judge(known, self.call.id, self.most, self.budget)
+        shown = verdict.others - verdict.unsettled
+        return shown + self.most > self.budget
+
+    @property
+    def holds_events(self) -> bool:
+        """Tell whether events wait for the recording, or for its failure."""
+        return self.recorded.done() or not self.early
 
     def close(self) -> None:
         """Stop waiting."""
@@ -182,7 +189,7 @@
         """
         if event.payload is None:
             return
-        if self.reservation is not None and not self.reservation.in_headroom:
+        if self.reservation is not None and self.reservation.holds_events:
             await self.require(self.reservation.recorded)
         self.made.extend((event.payload, b'\n'))
         self.tokens += self.call.tokens_per_event
--- /dev/null
+++ b/test/program/test_budget_rounds.py
@@ -0,0 +1,191 @@
+"""Turns reserved at the same moment, in the worst orders that a search finds.
+
+A small model of what a gateway does: it asks all keepers, judges after each
+answer whether the turn may begin, and asks once more where a majority was
+not enough. The real judgement decides.
+"""
+
+import itertools
+import random
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+import testtools
+
+from pollenwalk.program.ledger import Heard, Verdict, fits_unseen, judge
+from pollenwalk.program.turns import TokenEntry
+
+Step = tuple[int, int]
+Rule = Callable[[Verdict, int, int, Heard], bool]
+ROUNDS = 2
+# Steps that the search tries from each order that it draws.
+CLIMB = 150
+
+
+class Game(NamedTuple):
+    """Turns of one program that begin at the same moment.
+
+    Attributes:
+        keepers: how many there are.
+        most: tokens of each turn.
+        budget: of the program.
+        rule: tells whether a turn may begin in its first round.
+    """
+
+    keepers: int
+    most: list[int]
+    budget: int
+    rule: Rule = fits_unseen
+
+
+class ModelTurn:
+    """One turn and what its gateway knows."""
+
+    def __init__(self, game: Game, number: int) -> None:
+        """Start with nothing asked."""
+        self.game = game
+        self.number = number
+        self.heard: dict[int, list[TokenEntry]] = {}
+        self.earlier: list[list[TokenEntry]] = []
+        self.runs = False
+        self.over = False
+
+    def hear(self, keeper: int, entries: list[TokenEntry]) -> None:
+        """Take one keeper's answer; the same one twice only in two rounds."""
+        if self.runs or self.over or keeper in self.heard:
+            return
+        self.heard[keeper] = entries
+        if self.earlier:
+            self.judge_second_round()
+        else:
+            self.judge_first_round()
+
+    @property
+    def decided(self) -> bool:
+        """Tell whether a majority has answered in this round."""
+        return len(self.heard) > self.game.keepers // 2
+
+    def judge_first_round(self) -> None:
+        """Begin with room to spare, or ask again."""
+        game = self.game
+        most = game.most[self.number]
+        known = list(self.heard.values())
+        verdict = judge(known, str(self.number), most, game.budget)
+        heard = Heard(len(known), game.keepers)
+        if game.rule(verdict, most, game.budget, heard):
+            self.runs = True
+        elif self.decided:
+            self.earlier = known
+            self.heard = {}
+
+    def judge_second_round(self) -> None:
+        """Begin if the turn fits, or never."""
+        if not self.decided:
+            return
+        known = [*self.earlier, *self.heard.values()]
+        most = self.game.most[self.number]
+        self.runs = judge(known, str(self.number), most, self.game.budget).fits
+        self.over = not self.runs
+
+
+def running(game: Game, order: list[Step]) -> int:
+    """Play an order of answers; give the tokens of the turns that run."""
+    turns = [ModelTurn(game, number) for number in range(len(game.most))]
+    held: list[list[TokenEntry]] = [[] for _ in range(game.keepers)]
+    for number, keeper in order:
+        entry = TokenEntry(str(number), game.most[number], False)
+        if entry not in held[keeper]:
+            held[keeper].append(entry)
+        turns[number].hear(keeper, list(held[keeper]))
+    return sum(game.most[turn.number] for turn in turns if turn.runs)
+
+
+def steps(game: Game) -> list[Step]:
+    """Give every answer of two rounds."""
+    pairs = itertools.product(range(len(game.most)), range(game.keepers))
+    return list(pairs) * ROUNDS
+
+
+def neighbours(order: list[Step], dice: random.Random) -> Iterator[list[Step]]:
+    """Move one answer elsewhere."""
+    while True:
+        other = list(order)
+        moved = other.pop(dice.randrange(len(other)))
+        other.insert(dice.randrange(len(order)), moved)
+        yield other
+
+
+def worst(game: Game, dice: random.Random) -> int:
+    """Search for an order in which much runs; give the tokens."""
+    order = steps(game)
+    dice.shuffle(order)
+    most = running(game, order)
+    for _ in range(CLIMB):
+        other = next(neighbours(order, dice))
+        found = running(game, other)
+        if found >= most:
+            most = found
+            order = other
+    return most
+
+
+def games(dice: random.Random, count: int, rule: Rule) -> Iterator[Game]:
+    """Draw sizes, turns and budgets."""
+    for _ in range(count):
+        most = [dice.randint(1, 3) for _ in range(dice.randint(2, 11))]
+        if dice.random() < 0.5:
+            most = [1 for _ in most]
+        budget = dice.randint(1, sum(most))
+        yield Game(dice.choice((2, 3, 3, 5, 8)), most, budget, rule)
+
+
+def four_turns_of_room(verdict: Verdict, most: int, budget: int, _: Heard) -> bool:
+    """Begin as the rule before this one allowed."""
+    return verdict.others + 5 * most <= budget
+
+
+def no_room(verdict: Verdict, _most: int, _budget: int, _heard: Heard) -> bool:
+    """Begin whenever the turn itself fits."""
+    return verdict.fits
+
+
+class BudgetRoundsTest(testtools.TestCase):
+    """No order brings a program more than one turn beyond its budget."""
+
+    def excess(self, seed: int, count: int, rule: Rule) -> int:
+        """Give by how much the worst order found goes beyond what is allowed."""
+        dice = random.Random(seed)
+        return max(
+            worst(game, dice) - game.budget - max(game.most)
+            for game in games(dice, count, rule)
+        )
+
+    def test_searched_orders_stay_within_the_bound(self) -> None:
+        for seed in (1, 2, 3):
+            self.assertTrue(self.excess(seed, 25, fits_unseen) <= 0, seed)
+
+    def test_four_turns_of_room_are_not_enough(self) -> None:
+        """The rule before: the search finds orders that it lets through."""
+        self.assertTrue(self.excess(1, 60, four_turns_of_room) > 0)
+
+    def test_no_room_at_all_is_noticed(self) -> None:
+        self.assertTrue(self.excess(1, 25, no_room) > 0)
+
+    def test_every_order_of_two_turns_at_two_keepers(self) -> None:
+        for budget in (1, 2):
+            game = Game(2, [1, 1], budget)
+            orders = set(itertools.permutations(steps(game)))
+            self.assertTrue(max(running(game, list(one)) for one in orders) <= 2)
+
+    def test_a_lone_turn_needs_no_second_round(self) -> None:
+        alone = Verdict(0, 0, True)
+        for heard in (Heard(2, 3), Heard(5, 8), Heard(4, 8)):
+            self.assertTrue(fits_unseen(alone, 10, 10, heard), heard)
+        self.assertFalse(fits_unseen(alone, 10, 19, Heard(1, 3)))
+        self.assertTrue(fits_unseen(alone, 10, 20, Heard(1, 3)))
+
+    def test_a_turn_beside_others_needs_a_majority(self) -> None:
+        beside = Verdict(10, 10, True)
+        self.assertFalse(fits_unseen(beside, 10, 1000, Heard(1, 3)))
+        self.assertFalse(fits_unseen(beside, 10, 29, Heard(2, 3)))
+        self.assertTrue(fits_unseen(beside, 10, 30, Heard(2, 3)))
--- a/test/request/test_program_turn.py
+++ b/test/request/test_program_turn.py
@@ -8,6 +8,7 @@
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.members import Member
+from pollenwalk.program.turns import SettleTokens
 from pollenwalk.request.call_state import Call
 from pollenwalk.request.event_stream import Event
 from pollenwalk.request.program_turn import ProgramTurn, Reservation
@@ -101,6 +102,21 @@
         self.assertTrue(world.clock.now_ms() - before_ms < 100)
         turn.close()
 
+    @virtual
+    async def test_beside_another_turn_a_majority_is_asked(self) -> None:
+        world = World()
+        group = await self.group(world)
+        first = self.turn(group, make_call('t1', 10_000))
+        await first.prepare()
+        world.fabric.slow_ms['gateway', 'b'] = 200
+        world.fabric.slow_ms['gateway', 'c'] = 200
+        second = self.turn(group, make_call('t2', 10_000))
+        before_ms = world.clock.now_ms()
+        await second.prepare()
+        self.assertTrue(world.clock.now_ms() - before_ms >= 200)
+        first.close()
+        second.close()
+
     @virtual
     async def test_near_the_budget_tokens_wait_for_a_majority(self) -> None:
         world = World()
@@ -114,12 +130,46 @@
         self.assertTrue(world.clock.now_ms() - before_ms > 200)
         turn.close()
 
+    @virtual
+    async def test_a_lone_turn_near_its_budget_asks_once(self) -> None:
+        world = World()
+        group = await self.group(world)
+        turn = self.turn(group, make_call('t1', MOST))
+        world.fabric.slow_ms['gateway', 'b'] = 200
+        world.fabric.slow_ms['gateway', 'c'] = 200
+        before_ms = world.clock.now_ms()
+        await turn.prepare()
+        took_ms = world.clock.now_ms() - before_ms
+        self.assertTrue(400 <= took_ms < 600, took_ms)
+        turn.close()
+
+    @virtual
+    async def test_a_turn_found_beyond_its_budget_is_cut(self) -> None:
+        """One keeper missed what the two others know."""
+        world = World()
+        group = await self.group(world)
+        for number in range(5):
+            spent = SettleTokens('p', f'old{number}', MOST, 1000)
+            for name in ('b', 'c'):
+                await world.keepers[name].state.keep(spent)
+        world.fabric.slow_ms['gateway', 'b'] = 200
+        world.fabric.slow_ms['gateway', 'c'] = 200
+        turn = self.turn(group, make_call('t1', 5 * MOST))
+        await turn.prepare()
+        await turn.before_event(Event(b'', '1', b'out'))
+        await world.wait(500)
+        with testtools.ExpectedException(Refusal):
+            await turn.before_event(Event(b'', '2', b'out'))
+        turn.close()
+
     @virtual
     async def test_the_end_waits_for_a_majority(self) -> None:
         world = World()
         group = await self.group(world)
         turn = self.turn(group, make_call('t1', 10_000))
         await turn.prepare()
+        turn.close()
+        await world.wait(200)
         world.fabric.cut('gateway', 'b')
         world.fabric.cut('gateway', 'c')
         second = self.turn(group, make_call('t2', 10_000))
@@ -132,7 +182,6 @@
             error = refusal
         self.assertEqual(RefusalCode.KEEPERS_UNAVAILABLE, error.code)
         self.assertEqual(Outcome.UNKNOWN, error.outcome)
-        turn.close()
         second.close()
 
     @virtual
