Ask the store less often; take the bounds from the platform's settings

Each poll of the configuration showed that the store had moved on, which heartbeats do all the time, so every 1.5 s each gateway asked twice for hosts and twice for keepers.

Change: a watch is simply short enough for what depends on it (half the time within which a configuration must be in force, 0.6 of the time that a leaving host serves on), so a stalled one is made again in time; the shared revision and the second question are gone. Both bounds come from the settings. A silent store is now noticed by the watch itself.

--- a/pollenwalk/process/following.py
+++ b/pollenwalk/process/following.py
@@ -1,12 +1,11 @@
 """Following what is below a prefix of the store.
 
 A watch is not enough: it may hear nothing while changes are made, or be cut
-without a word. So an answer without changes never moves the revision that
-the next watch starts from, and a watch that stays quiet although the store's
-revision has grown is asked again.
+without a word. So each watch is short enough for what depends on it, and an
+answer without changes never moves the revision that the next one starts from:
+that one is answered at once if the last has missed anything.
 """
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -20,31 +19,6 @@
     StoredObject,
 )
 
-# A change is told within milliseconds by a watch that works.
-STALLED_AFTER_MS = 300.0
-ASK_AGAIN_WAIT_MS = 10
-
-
-class Head:
-    """The newest revision of the store that this process has seen."""
-
-    def __init__(self) -> None:
-        """Start before the first revision."""
-        self.revision = 0
-        self.grown = asyncio.Event()
-
-    def note(self, revision: int) -> None:
-        """Take a revision from any answer."""
-        if revision > self.revision:
-            self.revision = revision
-            self.grown.set()
-            self.grown = asyncio.Event()
-
-    async def beyond(self, revision: int) -> None:
-        """Wait until the store has gone beyond a revision."""
-        while self.revision <= revision:
-            await self.grown.wait()
-
 
 class Handlers(NamedTuple):
     """Who hears of what is followed.
@@ -79,8 +53,7 @@
         clock: Clock,
         prefix: str,
         handlers: Handlers,
-        head: Head | None = None,
-        wait_ms: int = LONG_WAIT_MS,
+        wait_ms: float = LONG_WAIT_MS,
     ) -> None:
         """Prepare to follow.
 
@@ -89,16 +62,14 @@
             clock: paces the tries while the store is silent.
             prefix: what to follow.
             handlers: who hears of it.
-            head: shared with other followers, which show by their answers
-                that there is something to hear.
-            wait_ms: how long a watch may stay quiet.
+            wait_ms: how long a watch may stay quiet, and so the longest
+                until a change is heard of while the store answers.
         """
         self.store = store
         self.clock = clock
         self.prefix = prefix
         self.handlers = handlers
-        self.head = head or Head()
-        self.wait_ms = wait_ms
+        self.wait_ms = int(wait_ms)
         self.revision: int | None = None
         self.checked = 0
         self.known: set[str] = set()
@@ -142,49 +113,25 @@
         if self.revision is None:
             return self.list_anew(await self.store.scan(self.prefix))
         try:
-            changes = await self.watch(self.revision)
+            changes = await self.store.watch(
+                self.prefix,
+                self.revision,
+                self.wait_ms,
+            )
         except StoreHistoryGone:
             self.revision = None
             return await self.read()
-        self.note(changes.revision)
+        self.checked = max(self.checked, changes.revision)
         if changes.objects:
             self.revision = max(self.revision, changes.revision)
         for stored in changes.objects:
             self.note_object(stored)
         return changes.objects
 
-    def note(self, revision: int) -> None:
-        """Note how far the store is."""
-        self.checked = max(self.checked, revision)
-        self.head.note(revision)
-
-    async def watch(self, revision: int) -> Changes:
-        """Watch; a watch that seems to have stalled is made again."""
-        watching = asyncio.ensure_future(
-            self.store.watch(self.prefix, revision, self.wait_ms),
-        )
-        lagging = asyncio.ensure_future(self.lag())
-        try:
-            await asyncio.wait(
-                (watching, lagging),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            if watching.done():
-                return watching.result()
-        finally:
-            watching.cancel()
-            lagging.cancel()
-        return await self.store.watch(self.prefix, revision, ASK_AGAIN_WAIT_MS)
-
-    async def lag(self) -> None:
-        """Wait until this watch should have heard something."""
-        await self.head.beyond(self.checked)
-        await self.clock.sleep_ms(STALLED_AFTER_MS)
-
     def list_anew(self, listing: Changes) -> list[StoredObject]:
         """Add a deletion for each object that is no longer listed."""
         self.revision = listing.revision
-        self.note(listing.revision)
+        self.checked = max(self.checked, listing.revision)
         listed = {stored.key for stored in listing.objects}
         gone = [
             StoredObject(key, b'', listing.revision)
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -13,14 +13,14 @@
 from pollenwalk.platform.documents import CONFIGURATION_KIND, HOSTS_KIND
 from pollenwalk.policy.host_choice import EarliestFinish
 from pollenwalk.process.clock import Clock
-from pollenwalk.process.following import Follower, Handlers, Head
+from pollenwalk.process.following import Follower, Handlers
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.host_book import HostBook
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_links import KeeperLinks
 from pollenwalk.process.members import KEEPERS
 from pollenwalk.process.placing import Placing
-from pollenwalk.process.store import LONG_WAIT_MS, ObjectStore
+from pollenwalk.process.store import ObjectStore
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.request.call_state import Call, end_of_wait
 from pollenwalk.request.plain import run_plain
@@ -37,10 +37,12 @@
 # Read of a body before the configuration is known; the request is refused
 # all the same, and an early answer must not meet a body that still comes.
 STARTING_BODY_BYTES = 4_194_304
-# Half the time within which a configuration has to be in force, so that a
-# watch that has stalled or was cut is made again early enough. It also shows
-# the other watches how far the store is.
-CONFIGURATION_WAIT_MS = 1500
+# Watches of the configuration last this share of the time within which it has
+# to be in force, so that one that has heard nothing is made again early enough.
+CONFIGURATION_SHARE = 0.5
+# Hosts that leave must be noticed before they stop; the rest of the time is
+# for a slow store.
+MEMBERS_SHARE = 0.6
 # A gateway that reaches no majority of the keepers for so long lets callers
 # go to others; shorter than a balancer's second look.
 UNDECIDED_MS = 500.0
@@ -49,12 +51,24 @@
 
 
 class GatewaySettings(NamedTuple):
-    """What a gateway is told at its start."""
+    """What a gateway is told at its start.
+
+    Attributes:
+        name: its own, the same after a restart.
+        zone: its availability zone.
+        regions: the region of each zone.
+        tolerated_losses: keepers whose loss at once must lose nothing.
+        change_delay_ms: the longest until a configuration is in force.
+        leave_notice_ms: how long a host serves after it has said that it
+            leaves.
+    """
 
     name: str
     zone: str
     regions: dict[str, str]
     tolerated_losses: int
+    change_delay_ms: float
+    leave_notice_ms: float
 
 
 class Gateway:
@@ -73,7 +87,6 @@
         self.store = store
         self.clock = clock
         self.tasks = TaskSet()
-        self.head = Head()
         self.in_force = InForce()
         self.book = HostBook(clock)
         self.pool = LinkPool(clock)
@@ -119,30 +132,33 @@
         relay = self.keepers.read_prefix
         configuration = Handlers(
             self.in_force.take,
-            on_loss=lambda error: self.store_lost('configuration', error),
-            relay=relay,
+            self.book.store_answered,
+            lambda error: self.store_failed('configuration', error),
+            relay,
         )
         hosts = Handlers(
             self.book.take,
-            self.store_answered,
-            self.store_failed,
+            self.hosts_listed,
+            lambda error: self.store_failed('hosts', error),
             relay,
         )
         keepers = Handlers(
             self.links.members.take,
             self.links.members.mark_listed,
-            lambda error: self.store_lost('keepers', error),
+            lambda error: self.store_failed('keepers', error),
             relay,
         )
-        self.follow(CONFIGURATION_KIND, configuration, CONFIGURATION_WAIT_MS)
-        self.follow(HOSTS_KIND, hosts)
-        self.follow(KEEPERS, keepers)
+        wait_ms = self.settings.change_delay_ms * CONFIGURATION_SHARE
+        members_wait_ms = self.settings.leave_notice_ms * MEMBERS_SHARE
+        self.follow(CONFIGURATION_KIND, configuration, wait_ms)
+        self.follow(HOSTS_KIND, hosts, members_wait_ms)
+        self.follow(KEEPERS, keepers, members_wait_ms)
 
     def follow(
         self,
         prefix: str,
         handlers: Handlers,
-        wait_ms: int = LONG_WAIT_MS,
+        wait_ms: float,
     ) -> None:
         """Follow one kind of objects for as long as the process lives."""
         follower = Follower(
@@ -150,23 +166,19 @@
             self.clock,
             prefix,
             handlers,
-            self.head,
             wait_ms,
         )
         self.tasks.spawn(follower.run(), f'follow {prefix}')
 
-    def store_answered(self) -> None:
+    def hosts_listed(self) -> None:
         """Note that the list of hosts is fresh."""
+        self.book.listed = True
         self.book.store_answered()
         self.pool.drop(set(self.book.states))
 
-    def store_failed(self, error: StoreUnavailable) -> None:
-        """Note that the list of hosts may be stale."""
-        self.book.store_failed(error)
-        self.store_lost('hosts', error)
-
-    def store_lost(self, what: str, error: StoreUnavailable) -> None:
-        """Note that the store gave no answer."""
+    def store_failed(self, what: str, error: StoreUnavailable) -> None:
+        """Note that the store gave no answer, so that lists may be stale."""
+        self.book.store_failed()
         self.metrics.store_lost(what)
         logger.warning('store_unavailable', what=what, reason=error.message)
 
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -69,6 +69,8 @@
                 own['zone'],
                 settings.regions,
                 own['tolerated_losses'],
+                own['change_delay_ms'],
+                own['leave_notice_ms'],
             ),
             self.store,
             TcpNetwork(),
--- a/pollenwalk/process/host_book.py
+++ b/pollenwalk/process/host_book.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from pollenwalk.connection.hosts import UpstreamHost
-from pollenwalk.errors import MalformedObject, StoreUnavailable
+from pollenwalk.errors import MalformedObject
 from pollenwalk.platform.documents import HOSTS_KIND, decode_host
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.store import StoredObject
@@ -150,13 +150,12 @@
 
     def store_answered(self) -> None:
         """Note an answer of the store."""
-        self.listed = True
         if self.store_lost_ms is None:
             return
         self.store_lost_ms = None
         self.store_back_ms = self.clock.now_ms()
 
-    def store_failed(self, _: StoreUnavailable) -> None:
+    def store_failed(self) -> None:
         """Note that the store gave no answer."""
         if self.store_lost_ms is None:
             self.store_lost_ms = self.clock.now_ms()
--- a/pollenwalk/process/settings.py
+++ b/pollenwalk/process/settings.py
@@ -66,6 +66,8 @@
         'ready': ADDRESS,
         'metrics': ADDRESS,
         'grace_s': read_number(0, 600),
+        'change_delay_ms': read_number(100, 600_000),
+        'leave_notice_ms': read_number(100, 600_000),
         'tolerated_losses': read_int(0, 16),
     },
     'keeper': {
