Send callers that find no other gateway back later

Cause: while too few keepers answer, a refusal said to come back in 50 ms, for another gateway may reach them.

Change: a program that is refused a second time within 3 s is told 900 ms.

Keeping a turn on one disk meanwhile was ruled out, for that disk may be the one that is lost.

--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -15,6 +15,7 @@
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.copies import Copies, keepers_unavailable
 from pollenwalk.process.keeper_links import KeeperLink, KeeperLinks
+from pollenwalk.process.returns import Returns
 from pollenwalk.process.store import Changes, StoredObject
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.program.turn_index import TurnIndex
@@ -51,6 +52,7 @@
         self.tasks = tasks
         self.tolerated_losses = tolerated_losses
         self.cache = TurnIndex(clock, CACHE_BYTES)
+        self.returns = Returns(clock)
         self.unsettled: list[SettleTokens] = []
 
     @property
--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -31,6 +31,8 @@
         permitted: done once the turn may run.
         recorded: done once a majority of the keepers have it on disk.
         early: whether less than a majority's word was enough to begin.
+        others: tokens of the program's other turns, as known when this one
+            was permitted.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         self.call = call
         traits = call.request.traits
         self.early = False
+        self.others = 0
         self.most = traits.most_tokens
         self.budget = traits.budget or 0
         self.message = ReserveTokens(
@@ -94,6 +97,7 @@
             most=self.most,
             fits=verdict.fits,
         )
+        self.others = verdict.others
         if not verdict.fits:
             raise Refusal(RefusalCode.BUDGET_EXHAUSTED, 'the budget is spent')
 
@@ -119,6 +123,7 @@
             return
         if self.has_headroom(known):
             self.early = True
+            self.others = judge(known, self.call.id, self.most, self.budget).others
             self.permitted.set_result(None)
 
     def has_headroom(self, known: list[list[TokenEntry]]) -> bool:
@@ -159,9 +164,18 @@
         self.made: list[bytes] = []
         self.tokens = 0
         self.reservation: Reservation | None = None
+        self.begins_program = False
 
     async def prepare(self) -> bytes:
         """Reserve the tokens and put the prompt together."""
+        try:
+            return await self.permitted_prompt()
+        except Refusal as refusal:
+            program = self.call.request.traits.program
+            raise self.group.returns.advise(refusal, program) from refusal
+
+    async def permitted_prompt(self) -> bytes:
+        """Reserve the tokens while the prompt is put together."""
         if self.call.request.traits.budget is not None:
             self.reservation = Reservation(
                 self.group,
@@ -171,6 +185,7 @@
         body = await self.prompt()
         if self.reservation is not None:
             await self.reservation.permitted
+            self.begins_program = not self.reservation.others
         return body
 
     async def prompt(self) -> bytes:
--- a/test/request/test_program_turn.py
+++ b/test/request/test_program_turn.py
@@ -1,5 +1,6 @@
 """A turn's reservation while keepers come and go."""
 
+import asyncio
 from typing import Any
 
 import testtools
@@ -184,6 +185,36 @@
         self.assertEqual(Outcome.UNKNOWN, error.outcome)
         second.close()
 
+    @virtual
+    async def test_callers_outlast_a_restart(self) -> None:
+        """Whoever comes back as told is served when a keeper is back."""
+        world = World()
+        group = await self.group(world)
+        for name in ('b', 'c'):
+            await world.kill(name)
+        restarted = asyncio.ensure_future(self.restart(world, 'b', 2500))
+        refusals = 0
+        while await self.is_refused(world, self.turn(group, make_call('t', 10_000))):
+            refusals += 1
+        self.assertTrue(restarted.done())
+        self.assertTrue(refusals <= 5, refusals)
+
+    async def restart(self, world: World, name: str, after_ms: float) -> None:
+        """Start a keeper again, later."""
+        await world.wait(after_ms)
+        await world.keeper(name)
+
+    async def is_refused(self, world: World, turn: ProgramTurn) -> bool:
+        """Try a turn; after a refusal wait as long as it says."""
+        try:
+            await turn.prepare()
+        except Refusal as refusal:
+            await world.wait(refusal.retry_after_ms or 0)
+            return True
+        finally:
+            turn.close()
+        return False
+
     @virtual
     async def test_a_keeper_listed_meanwhile_changes_nothing(self) -> None:
         """Found in an incident: the majority grew while one was awaited."""
