Turn new programs back while the hosts are too busy for them

Change: a program of which nothing has run is refused before its first call if the wait at the best host exceeds its route's target, divided by its rank; it is told to come back after a quarter to a third of its time. Run times are learnt from calls that did not wait.

--- a/pollenwalk/policy/door.py
+++ b/pollenwalk/policy/door.py
@@ -4,6 +4,7 @@
 before any work is done for it; one that has begun is finished.
 """
 
+import random
 from collections.abc import Sequence
 
 from pollenwalk.policy.placement import HostView
@@ -12,6 +13,13 @@
 LEAST_PER_SLOT = 0.25
 MORE_PER_LEVEL = 0.125
 MIDDLE_LEVEL = 5
+# The wait that a program of the most urgent class accepts for its first call,
+# as a share of the time within which that call should begin to be answered.
+WAIT_SHARE = 1.0
+# Returns are spread over this part of a caller's time: late enough for room,
+# early enough to be served.
+FIRST_RETURN_SHARE = 0.25
+LAST_RETURN_SHARE = 0.32
 
 
 def has_room(hosts: Sequence[HostView], level: int) -> bool:
@@ -30,3 +38,27 @@
     waiting = sum(max(host.ahead - host.slots, 0) for host in hosts)
     wished = WAITING_PER_SLOT + MORE_PER_LEVEL * (MIDDLE_LEVEL - level)
     return waiting < max(wished, LEAST_PER_SLOT) * slots
+
+
+def may_begin(wait_ms: float, target_ms: float, priority: int) -> bool:
+    """Tell whether a program may begin at a gateway that places calls itself.
+
+    Answers bursts a little beyond what the hosts can run: where all programs
+    are let in, each of their calls waits and all of them end late.
+
+    Args:
+        wait_ms: expected before a slot is free at the best host.
+        target_ms: within which the first call should be answered.
+        priority: of the route, 0 the most urgent, which waits the longest.
+    """
+    return wait_ms <= target_ms * WAIT_SHARE / (1 + priority)
+
+
+def return_after_ms(rest_ms: float, dice: random.Random) -> float:
+    """Tell a caller that was turned back when to come again.
+
+    Args:
+        rest_ms: the time that the caller has left.
+        dice: spreads the callers.
+    """
+    return rest_ms * dice.uniform(FIRST_RETURN_SHARE, LAST_RETURN_SHARE)
--- a/pollenwalk/policy/host_choice.py
+++ b/pollenwalk/policy/host_choice.py
@@ -82,15 +82,25 @@
         return self.dice.choice(near_best)
 
 
-def finish_ms(candidate: Candidate, work: Work) -> float:
-    """Estimate way, wait, reading and running at a host."""
-    way_ms = NEAR_WAY_MS if candidate.same_region else FAR_WAY_MS
+def way_ms(candidate: Candidate) -> float:
+    """Give the way to a host and back, beyond what the nearest one has."""
     if candidate.same_zone:
-        way_ms = 0
+        return 0
+    return NEAR_WAY_MS if candidate.same_region else FAR_WAY_MS
+
+
+def wait_ms(candidate: Candidate, work: Work) -> float:
+    """Estimate the wait for a slot at a host."""
     slots = max(candidate.slots, 1)
-    share = candidate.load / slots
     queued = max(candidate.load + 1 - slots, 0)
-    wait_ms = queued * work.run_ms / slots
-    unread = max(work.prompt_tokens - candidate.cached_tokens, 0)
+    return queued * work.run_ms / slots
+
+
+def finish_ms(candidate: Candidate, work: Work) -> float:
+    """Estimate way, wait, reading and running at a host."""
+    share = candidate.load / max(candidate.slots, 1)
     crowding_ms = work.run_ms * CROWDING * min(share, 1)
-    return way_ms + wait_ms + crowding_ms + unread * work.read_ms_per_token
+    unread = max(work.prompt_tokens - candidate.cached_tokens, 0)
+    reading_ms = unread * work.read_ms_per_token
+    waits_ms = way_ms(candidate) + wait_ms(candidate, work)
+    return waits_ms + crowding_ms + reading_ms
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -99,7 +99,7 @@
             settings.regions,
         )
         self.metrics = GatewayMetrics()
-        self.upstreams = Upstreams(clock, self.pool, placing, self.metrics)
+        self.upstreams = Upstreams(clock, self.pool, placing, self.metrics, dice)
         self.links = KeeperLinks(
             network,
             clock,
--- a/pollenwalk/process/placing.py
+++ b/pollenwalk/process/placing.py
@@ -1,6 +1,12 @@
 """Choosing an upstream host with what this gateway believes of all of them."""
 
-from pollenwalk.policy.host_choice import Candidate, HostChoice, Work
+from pollenwalk.policy.host_choice import (
+    Candidate,
+    HostChoice,
+    Work,
+    wait_ms,
+    way_ms,
+)
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.host_book import SMOOTHING, HostBook, HostState
 from pollenwalk.request.call_state import Call
@@ -40,6 +46,16 @@
         chosen = self.choice.choose(candidates, work)
         return None if chosen is None else states[chosen.host]
 
+    def least_wait_ms(self, call: Call, work: Work) -> float:
+        """Estimate the wait at the best host; 0 where there is none."""
+        now_ms = self.clock.now_ms()
+        states = self.book.usable(call.upstream)
+        candidates = (self.candidate(state, now_ms) for state in states)
+        waits = (
+            way_ms(one) + wait_ms(one, work) for one in candidates if not one.suspected
+        )
+        return min(waits, default=0)
+
     def candidate(self, state: HostState, now_ms: float) -> Candidate:
         """Describe a host to the policy."""
         listed = state.listed
@@ -64,7 +80,7 @@
         return self.run_times.get(call.route.name, UNKNOWN_RUN_MS)
 
     def ran(self, call: Call, run_ms: float) -> None:
-        """Learn from a call that was answered whole."""
+        """Learn from a call that was answered whole and did not wait."""
         known = self.run_ms(call)
         learnt = known + (run_ms - known) * SMOOTHING
         self.run_times[call.route.name] = learnt
--- a/pollenwalk/request/plain.py
+++ b/pollenwalk/request/plain.py
@@ -14,7 +14,6 @@
         Refusal: there is no complete answer.
     """
     sends = Sends(upstreams, call, call.request.body)
-    begun_ms = upstreams.clock.now_ms()
     while True:
         exchange = await sends.begin()
         body = await body_or_none(sends, exchange)
@@ -26,7 +25,7 @@
                 'the upstream host broke off its answer',
                 Outcome.UNKNOWN,
             )
-    upstreams.placing.ran(call, upstreams.clock.now_ms() - begun_ms)
+    sends.note_run()
     await reply.whole(exchange.head.status, exchange.head.headers, body)
 
 
--- a/pollenwalk/request/sends.py
+++ b/pollenwalk/request/sends.py
@@ -5,6 +5,7 @@
 the route allows one more attempt.
 """
 
+import random
 from typing import NamedTuple
 
 from loguru import logger
@@ -18,6 +19,7 @@
     RefusalCode,
 )
 from pollenwalk.platform.headers import resume_header, sent_headers
+from pollenwalk.policy.door import may_begin, return_after_ms
 from pollenwalk.policy.host_choice import Work
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.gateway_metrics import GatewayMetrics
@@ -43,6 +45,7 @@
     pool: LinkPool
     placing: Placing
     metrics: GatewayMetrics
+    dice: random.Random
 
 
 class Sends:
@@ -50,6 +53,8 @@
 
     Attributes:
         runs: hosts that have run the call, or may have.
+        sent_ms: time of the last send.
+        waited: whether it met a host that had no free slot.
         tried: hosts that are not asked again.
     """
 
@@ -60,8 +65,46 @@
         self.body = body
         self.work = Work(upstreams.placing.run_ms(call))
         self.runs = 0
+        self.sent_ms = 0.0
+        self.waited = False
         self.tried: set[str] = set()
 
+    def check_door(self) -> None:
+        """Turn a program back before any work is done for it.
+
+        Raises:
+            Refusal: the hosts are too busy for one more program.
+        """
+        call = self.call
+        placing = self.upstreams.placing
+        wait_ms = placing.least_wait_ms(call, self.work)
+        if may_begin(wait_ms, call.route.target_ms, call.route.priority):
+            return
+        rest_ms = call.rest_ms(self.upstreams.clock.now_ms())
+        retry_after_ms = return_after_ms(rest_ms, self.upstreams.dice)
+        logger.info(
+            'turned_back',
+            request=call.id,
+            program=call.request.traits.program,
+            wait_ms=round(wait_ms),
+            run_ms=round(self.work.run_ms),
+            priority=call.route.priority,
+            retry_after_ms=round(retry_after_ms),
+        )
+        self.upstreams.metrics.sent('turned_back')
+        raise Refusal(
+            RefusalCode.OVERLOADED,
+            f'{call.upstream}: too busy for one more program',
+            retry_after_ms=round(retry_after_ms),
+        )
+
+    def note_run(self) -> None:
+        """Learn how long a call that was answered whole has run."""
+        if self.waited:
+            return
+        run_ms = self.upstreams.clock.now_ms() - self.sent_ms
+        self.upstreams.placing.ran(self.call, run_ms)
+
     def may_run(self) -> bool:
         """Tell whether one more host may run the call."""
         if not self.runs:
@@ -133,6 +176,8 @@
             NotSent: the host did not run the call.
             BrokenAnswer: the host may have run the call.
         """
+        self.sent_ms = self.upstreams.clock.now_ms()
+        self.waited = state.load(self.sent_ms) >= state.listed.slots
         state.in_flight += 1
         try:
             link = await self.upstreams.pool.take(state.listed)
--- a/pollenwalk/request/streamed.py
+++ b/pollenwalk/request/streamed.py
@@ -14,7 +14,13 @@
 
 
 class Turn(Protocol):
-    """What a stream means to the program that it belongs to."""
+    """What a stream means to the program that it belongs to.
+
+    Attributes:
+        begins_program: whether nothing was done for the program before.
+    """
+
+    begins_program: bool
 
     async def prepare(self) -> bytes:
         """Give the body to send, once the turn may run.
@@ -43,6 +49,7 @@
     def __init__(self, body: bytes) -> None:
         """Send the caller's body as it is."""
         self.body = body
+        self.begins_program = False
 
     async def prepare(self) -> bytes:
         """Give the caller's body."""
@@ -73,6 +80,8 @@
     try:
         body = await turn.prepare()
         sends = Sends(upstreams, call, body)
+        if turn.begins_program:
+            sends.check_door()
         await StreamRun(sends, call, turn, reply).run()
     finally:
         turn.close()
@@ -95,14 +104,12 @@
 
     async def run(self) -> None:
         """Pass the stream on, from several hosts if it may be resumed."""
-        begun_ms = self.sends.upstreams.clock.now_ms()
         exchange = await self.sends.begin()
         while not await self.passed_on(exchange):
             exchange = await self.sends.begin(self.last_event)
             self.check_resumed(exchange)
         if exchange.succeeded:
-            now_ms = self.sends.upstreams.clock.now_ms()
-            self.sends.upstreams.placing.ran(self.call, now_ms - begun_ms)
+            self.sends.note_run()
 
     def check_resumed(self, exchange: Exchange) -> None:
         """Refuse to join a failure to a stream that has begun."""
--- a/test/request/test_forwarding.py
+++ b/test/request/test_forwarding.py
@@ -165,7 +165,13 @@
             state.note_load((number * 4, 0, 4), clock.now_ms())
         choice = EarliestFinish(random.Random(1))
         placing = Placing(clock, book, choice, 'here', {'here': 'east'})
-        return Upstreams(clock, LinkPool(clock), placing, GatewayMetrics())
+        return Upstreams(
+            clock,
+            LinkPool(clock),
+            placing,
+            GatewayMetrics(),
+            random.Random(1),
+        )
 
     def ran(self) -> list[int]:
         """Count the requests that reached each host."""
