Check the deploy file and the settings that it gives

The platform fills in our templates; until now only a test did the same, with code of its own. check-deployment does it with an example of a host's settings, and the test uses it. Run on the example settings of two sites, front and storage: valid.

--- a/pollenwalk/commands/main.py
+++ b/pollenwalk/commands/main.py
@@ -8,6 +8,7 @@
 from pollenwalk.commands import (
     daemons,
     demo,
+    deployment,
     experiment,
     explain,
     resources,
@@ -24,6 +25,7 @@
 MODULES = (
     daemons,
     resources,
+    deployment,
     status,
     explain,
     demo,
--- a/test/platform/test_templates.py
+++ b/test/platform/test_templates.py
@@ -1,22 +1,27 @@
 """The deploy file's templates, filled in as the platform would."""
 
-import re
+import tempfile
 import tomllib
 from pathlib import Path
 
 import testtools
 
+from pollenwalk.commands.main import EXIT_USAGE, main
+from pollenwalk.platform.templates import fill_in
 from pollenwalk.process.settings import parse_settings
 
 DEPLOY = Path(__file__).resolve().parents[2] / 'deploy'
 ZONES = {'rimouski': 'east', 'gatineau': 'west'}
 VALUES = {
     'node_name': 'front-1',
+    'machine_class': 'front',
     'zone': 'rimouski',
+    'zones.rimouski': 'east',
+    'zones.gatineau': 'west',
     'ip': '10.1.0.38',
     'listen.front': '10.1.0.38:8149',
     'listen.ready': '10.1.0.38:8141',
-    'port_range.0': '7380',
+    'port_range': '7380,7395',
     'data_dir': '/data/keeper',
     'bootstrap': 'true',
     'bounds.grace_s': '8',
@@ -27,25 +32,6 @@
 }
 
 
-SECTION = re.compile(r'\{\{#([\w.]+)\}\}\n(.*?)\{\{/\1\}\}\n', re.DOTALL)
-
-
-def fill_in(template: str, values: dict[str, str] = VALUES) -> str:
-    """Fill in a template: the sections, then the values."""
-
-    def section(found: re.Match[str]) -> str:  # noqa: WPS430
-        name, body = found.groups()
-        if name == 'zones':
-            return ''.join(
-                body.replace('{{@}}', zone).replace('{{.}}', region)
-                for zone, region in ZONES.items()
-            )
-        return body.replace('{{.}}', values[name]) if name in values else ''
-
-    text = SECTION.sub(section, template)
-    return re.sub(r'\{\{([\w.]+)\}\}', lambda name: values[name.group(1)], text)
-
-
 class TemplatesTest(testtools.TestCase):
     """What a process would read at its start."""
 
@@ -53,7 +39,7 @@
         deploy = tomllib.loads((DEPLOY / 'system.toml').read_text())
         for role, entry in deploy['roles'].items():
             template = (DEPLOY.parent / entry['template']).read_text()
-            settings = parse_settings(fill_in(template), role, role)
+            settings = parse_settings(fill_in(template, VALUES), role, role)
             own = settings.of(role)
             self.assertEqual('front-1', own['name'])
             self.assertEqual(2, own['tolerated_losses'])
@@ -63,13 +49,15 @@
 
     def test_the_grace_period_may_be_a_fraction(self) -> None:
         template = (DEPLOY / 'gateway.ini').read_text()
-        text = fill_in(template.replace('{{bounds.grace_s}}', '8.5'))
+        text = fill_in(template, {**VALUES, 'bounds.grace_s': '8.5'})
         settings = parse_settings(text, 'gateway', 'gateway')
         self.assertEqual(8.5, settings.of('gateway')['grace_s'])
 
     def test_bounds_of_the_platform_go_before_ours(self) -> None:
         template = (DEPLOY / 'gateway.ini').read_text()
-        own = parse_settings(fill_in(template), 'gateway', 'gateway').of('gateway')
+        own = parse_settings(fill_in(template, VALUES), 'gateway', 'gateway').of(
+            'gateway'
+        )
         self.assertEqual((4000, 5000), (own['change_delay_ms'], own['leave_notice_ms']))
 
     def test_bounds_that_the_platform_lacks_are_ours(self) -> None:
@@ -78,3 +66,39 @@
         text = fill_in(template, given)
         own = parse_settings(text, 'gateway', 'gateway').of('gateway')
         self.assertEqual((3000, 3000), (own['change_delay_ms'], own['leave_notice_ms']))
+
+
+class CheckDeploymentTest(testtools.TestCase):
+    """The command that checks a deployment before it is made."""
+
+    def folder(self) -> Path:
+        """Make a folder for one test."""
+        made = tempfile.TemporaryDirectory()
+        self.addCleanup(made.cleanup)
+        return Path(made.name)
+
+    def check(self, changes: dict[str, str]) -> int:
+        """Check our deploy file with a host's settings; give the exit code."""
+        path = self.folder() / 'host.conf'
+        fields = {**VALUES, **changes}
+        path.write_text(''.join(f'{key}={text}\n' for key, text in fields.items()))
+        deploy = str(DEPLOY / 'system.toml')
+        return main(['check-deployment', deploy, '--host-settings', str(path)])
+
+    def test_ours_holds_on_each_class_of_hosts(self) -> None:
+        self.assertEqual(0, self.check({}))
+        self.assertEqual(0, self.check({'machine_class': 'storage'}))
+
+    def test_settings_that_would_not_start(self) -> None:
+        self.assertEqual(EXIT_USAGE, self.check({'listen.front': ''}))
+        self.assertEqual(EXIT_USAGE, self.check({'zone': 'nowhere'}))
+
+    def test_a_class_without_a_role(self) -> None:
+        self.assertEqual(EXIT_USAGE, self.check({'machine_class': 'sidecar'}))
+
+    def test_a_role_that_does_not_exist(self) -> None:
+        path = self.folder() / 'system.toml'
+        path.write_text('[roles.router]\nrun = "x"\non = "front"\ntemplate = "t"\n')
+        self.assertEqual(EXIT_USAGE, main(['check-deployment', str(path)]))
+        path.write_text('[roles.gateway]\nrun = "x"\n')
+        self.assertEqual(EXIT_USAGE, main(['check-deployment', str(path)]))
