Wait for keepers rather than cut an answer that has run

Change: a turn that has begun to run asks again until its caller's time is over; tokens still wait for the reservation, and the end for the copies. Refusals before the run are as early as they were. Tests: an end that waits 1.5 s for keepers behind a cut is shown when they are back; before, it was cut. The test that expected the cut now holds the turn to the caller's time, whose end says that the turn may have run.

Ruled out: a second round of the budget (the turns had room), a stalled process (asks of other gateways failed at the same moments).

--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -23,6 +23,10 @@
 from pollenwalk.request.call_state import Call
 from pollenwalk.request.event_stream import Event
 
+# Pause before keepers that gave no answer are asked again: half of the pause
+# after which a lost one is probed.
+ASK_AGAIN_MS = 100.0
+
 
 class Reservation:
     """Tokens set aside for one turn.
@@ -63,17 +67,38 @@
 
     def pass_on(self, recorded: asyncio.Future[None]) -> None:
         """End whoever waits for the permission as the recording ended."""
+        # Also looked at where nobody waits for it any more.
+        error = None if recorded.cancelled() else recorded.exception()
         if self.permitted.done():
             return
         if recorded.cancelled():
             self.permitted.cancel()
-            return
-        error = recorded.exception()
-        if error is None:
+        elif error is None:
             self.permitted.set_result(None)
         else:
             self.permitted.set_exception(error)
 
+    async def record_late(self) -> None:
+        """Wait for the recording of a turn that has begun to run.
+
+        Its answer is there or soon will be, so it is better late than cut:
+        the reservation is asked for again until the caller's time is over.
+
+        Raises:
+            Refusal: the budget is spent.
+        """
+        while True:
+            try:
+                await asyncio.shield(self.recorded)
+            except Refusal as refusal:
+                if refusal.code != RefusalCode.KEEPERS_UNAVAILABLE:
+                    raise
+            else:
+                return
+            await self.group.clock.sleep_ms(ASK_AGAIN_MS)
+            self.recorded = asyncio.ensure_future(self.record())
+            self.recorded.add_done_callback(self.pass_on)
+
     async def record(self) -> None:
         """Wait until a majority has the reservation, and judge it.
 
@@ -205,14 +230,14 @@
         if event.payload is None:
             return
         if self.reservation is not None and self.reservation.holds_events:
-            await self.require(self.reservation.recorded)
+            await self.require(self.reservation.record_late())
         self.made.extend((event.payload, b'\n'))
         self.tokens += self.call.tokens_per_event
 
     async def before_end(self) -> None:
         """Have the turn counted and kept before its end is shown."""
         if self.reservation is not None:
-            await self.require(self.reservation.recorded)
+            await self.require(self.reservation.record_late())
         if self.call.route.keeps_history:
             await self.keep()
 
@@ -241,7 +266,7 @@
             holders=[],
         )
         begun_ms = self.group.clock.now_ms()
-        holders = await self.require(self.group.keep(record))
+        holders = await self.require(self.keep_late(record))
         took_ms = self.group.clock.now_ms() - begun_ms
         self.metrics.keep_seconds.observe({}, took_ms / MS_PER_SECOND)
         logger.info(
@@ -252,6 +277,19 @@
             took_ms=round(took_ms),
         )
 
+    async def keep_late(self, record: TurnRecord) -> list[str]:
+        """Have a turn kept, however long the keepers take.
+
+        Copies that were made before count: a record never changes.
+        """
+        while True:
+            try:
+                return await self.group.keep(record)
+            except Refusal as refusal:
+                if refusal.code != RefusalCode.KEEPERS_UNAVAILABLE:
+                    raise
+            await self.group.clock.sleep_ms(ASK_AGAIN_MS)
+
     def close(self) -> None:
         """Settle what was shown."""
         if self.reservation is None:
