Break the import circles between the parts of homes, entries and sidecars

What the parts need of the whole is a protocol of its own (home_work, entry_work, SidecarWork), and the trace header has a module that both users import. No behaviour changes.

--- a/pollenwalk/connection/http_api.py
+++ b/pollenwalk/connection/http_api.py
@@ -30,7 +30,7 @@
 )
 from pollenwalk.process.entry import Entry
 from pollenwalk.process.metrics import EntryMetrics
-from pollenwalk.process.traces import HEADER as TRACE_HEADER
+from pollenwalk.process.trace_header import HEADER as TRACE_HEADER
 from pollenwalk.program.view import problem
 from pollenwalk.version.resources import ProgramSpec
 
--- a/pollenwalk/process/beginnings.py
+++ b/pollenwalk/process/beginnings.py
@@ -1,11 +1,12 @@
 """Beginning programs: keys, ids, and the limits of callers and parents."""
 
 import asyncio
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from pollenwalk.connection.wire import BeginProgram
 from pollenwalk.errors import Refusal, RefusalCode
 from pollenwalk.policy.door import has_room
+from pollenwalk.process.home_work import HomeWork
 from pollenwalk.process.ids import new_program_id
 from pollenwalk.process.recorder import store_unavailable
 from pollenwalk.program.budget import Budget
@@ -14,9 +15,6 @@
 from pollenwalk.program.records import Begun, Claimed, Record
 from pollenwalk.version.resources import ProgramSpec
 
-if TYPE_CHECKING:
-    from pollenwalk.process.home import Home
-
 BEGIN_WAIT_MS = 2000
 RETRY_AFTER_MS = 1000
 DOOR_RETRY_MS = (500, 2000)
@@ -33,7 +31,7 @@
 class Beginnings:
     """Programs that begin at one home, and keys that it settles."""
 
-    def __init__(self, home: 'Home') -> None:
+    def __init__(self, home: HomeWork) -> None:
         """Begin programs at `home`."""
         self.home = home
         self.parts = home.parts
--- a/pollenwalk/process/entry.py
+++ b/pollenwalk/process/entry.py
@@ -123,6 +123,10 @@
         self.home_tasks = TaskSet()
         self.incarnate()
 
+    async def take_over(self, dead: str) -> bool:
+        """Take a dead entry over; a silent store puts it off."""
+        return await self.neighbours.take_over(dead)
+
     @property
     def location(self) -> Location:
         """Give where this entry is."""
--- a/pollenwalk/process/entry_service.py
+++ b/pollenwalk/process/entry_service.py
@@ -1,7 +1,7 @@
 """What an entry answers to other entries."""
 
 from collections.abc import AsyncIterator
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from pollenwalk.connection.wire import (
     Beat,
@@ -28,18 +28,16 @@
     RefusalCode,
 )
 from pollenwalk.process.directory import EntryRecord
+from pollenwalk.process.entry_work import EntryWork
 from pollenwalk.process.ids import home_of
 
-if TYPE_CHECKING:
-    from pollenwalk.process.entry import Entry
-
 HANDOVER_TIMEOUT_MS = 8000
 
 
 class EntryService:
     """Answers peers for one incarnation of an entry."""
 
-    def __init__(self, entry: 'Entry') -> None:
+    def __init__(self, entry: EntryWork) -> None:
         """Answer for `entry`."""
         self.entry = entry
         self.home = entry.home
@@ -111,9 +109,7 @@
         Raises:
             Refusal: it can't be done now; the other entry should ask again.
         """
-        if self.entry.stopping or not await self.entry.neighbours.take_over(
-            message.incarnation
-        ):
+        if self.entry.stopping or not await self.entry.take_over(message.incarnation):
             raise Refusal(
                 RefusalCode.STORE_UNAVAILABLE,
                 'the takeover is put off',
--- a/pollenwalk/process/home.py
+++ b/pollenwalk/process/home.py
@@ -4,7 +4,7 @@
 and keeps its history and answers.
 """
 
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Coroutine, Iterator
 from typing import Any
 
 from pollenwalk.connection.wire import (
@@ -75,6 +75,14 @@
         self.tasks.spawn(self.parts.recorder.send_settled(self.parts.peers), 'settle')
         self.upkeep.start()
 
+    def release(self, program: Program) -> Coroutine[Any, Any, None]:
+        """Ask every sidecar that holds a program's memory to return it."""
+        return self.upkeep.release(program)
+
+    def drop_claims(self) -> None:
+        """Forget keys whose retention has passed."""
+        self.beginnings.drop_claims()
+
     def find(self, program_id: str) -> LiveProgram:
         """Give a program of this home.
 
--- a/pollenwalk/process/metrics.py
+++ b/pollenwalk/process/metrics.py
@@ -3,14 +3,11 @@
 import contextlib
 import time
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
 
 from aioprometheus import Counter, Gauge, Registry, Summary, render
 
 from pollenwalk.errors import Refusal
-
-if TYPE_CHECKING:
-    from pollenwalk.process.entry import Entry
+from pollenwalk.process.entry_work import EntryWork
 
 
 class EntryMetrics:
@@ -72,7 +69,7 @@
         yield
         self.call_seconds.observe({}, time.perf_counter() - begun)
 
-    def render(self, entry: 'Entry') -> tuple[bytes, str]:
+    def render(self, entry: EntryWork) -> tuple[bytes, str]:
         """Read the gauges off an entry and give the text of all metrics."""
         self.programs.set({}, len(entry.home.book.programs))
         self.pending.set({}, len(entry.journal.pending))
--- a/pollenwalk/process/neighbours.py
+++ b/pollenwalk/process/neighbours.py
@@ -1,18 +1,14 @@
 """Looking after the other entries: heartbeats, witnesses, takeovers."""
 
-from typing import TYPE_CHECKING
-
 from loguru import logger
 
 from pollenwalk.connection.wire import Beat
 from pollenwalk.errors import Fenced, PollenwalkError, StoreUnavailable
 from pollenwalk.process.directory import EntryRecord
+from pollenwalk.process.entry_work import EntryWork
 from pollenwalk.process.liveness import LOOK_MS
 from pollenwalk.process.segments import WitnessRef
 
-if TYPE_CHECKING:
-    from pollenwalk.process.entry import Entry
-
 FORGET_SILENT_MS = 60_000
 PROBES = 2
 PROBE_MS = 1000
@@ -21,7 +17,7 @@
 class Neighbours:
     """What one entry does about the others."""
 
-    def __init__(self, entry: 'Entry') -> None:
+    def __init__(self, entry: EntryWork) -> None:
         """Act for `entry`, whichever incarnation it has."""
         self.entry = entry
         self.taking_over: dict[str, None] = {}
--- a/pollenwalk/process/recovery.py
+++ b/pollenwalk/process/recovery.py
@@ -1,7 +1,6 @@
 """Finding out what became of a dead home's non-idempotent calls."""
 
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
 
 from pollenwalk.connection.wire import Answer, CallProgram
 from pollenwalk.errors import (
@@ -11,6 +10,7 @@
     RefusalBody,
     RefusalCode,
 )
+from pollenwalk.process.home_work import HomeWork
 from pollenwalk.program.history import plain_entries
 from pollenwalk.program.live import LiveProgram
 from pollenwalk.program.program import Program
@@ -18,16 +18,13 @@
 from pollenwalk.request.call import LiveCall
 from pollenwalk.request.dispatch import Resolver
 
-if TYPE_CHECKING:
-    from pollenwalk.process.home import Home
-
 RECOVERY_MS = 30_000
 
 
 class Recovery:
     """Settles the intents of programs that a home has adopted."""
 
-    def __init__(self, home: 'Home') -> None:
+    def __init__(self, home: HomeWork) -> None:
         """Recover the programs of `home`."""
         self.home = home
         self.parts = home.parts
@@ -46,7 +43,7 @@
                 )
             if program.ended:
                 self.home.tasks.spawn(
-                    self.home.upkeep.release(program),
+                    self.home.release(program),
                     'release',
                 )
 
--- a/pollenwalk/process/sidecar_service.py
+++ b/pollenwalk/process/sidecar_service.py
@@ -1,7 +1,7 @@
 """What a sidecar answers to entries and operators."""
 
 from collections.abc import AsyncIterator, Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from pollenwalk.connection.wire import (
     Answer,
@@ -20,17 +20,32 @@
 )
 from pollenwalk.errors import Outcome, Refusal, RefusalCode
 from pollenwalk.process.sidecar_calls import Sessions
-
-if TYPE_CHECKING:
-    from pollenwalk.process.sidecar import Sidecar
+from pollenwalk.process.upstream_calls import UpstreamCalls
 
 RETRY_AFTER_MS = 1000
 
 
+class SidecarWork(Protocol):
+    """A sidecar, as the answers to its peers see it.
+
+    Attributes:
+        boot: of this start.
+        leaving: whether it takes no new calls.
+        work: its calls.
+    """
+
+    boot: str
+    leaving: bool
+    work: UpstreamCalls
+
+    def send_report(self) -> None:
+        """Send one report to each entry."""
+
+
 class SidecarService:
     """Answers peers for one start of a sidecar."""
 
-    def __init__(self, sidecar: 'Sidecar') -> None:
+    def __init__(self, sidecar: SidecarWork) -> None:
         """Answer for `sidecar`."""
         self.sidecar = sidecar
         self.work = sidecar.work
--- a/pollenwalk/process/spans.py
+++ b/pollenwalk/process/spans.py
@@ -17,7 +17,7 @@
     TraceContextTextMapPropagator,
 )
 
-from pollenwalk.process.traces import HEADER
+from pollenwalk.process.trace_header import HEADER
 
 HEADER_FORM = re.compile('00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}')
 
--- a/pollenwalk/process/traces.py
+++ b/pollenwalk/process/traces.py
@@ -8,8 +8,6 @@
 from collections.abc import Iterator
 from typing import Protocol
 
-HEADER = 'traceparent'
-
 
 class SpanSource(Protocol):
     """Starts spans."""
--- a/pollenwalk/process/upkeep.py
+++ b/pollenwalk/process/upkeep.py
@@ -1,19 +1,15 @@
 """What a home does regularly: leases, idle programs, and retention."""
 
-from typing import TYPE_CHECKING
-
 from loguru import logger
 
 from pollenwalk.connection.wire import Release, Renew
 from pollenwalk.errors import ConnectionLost, PollenwalkError, Refusal
+from pollenwalk.process.home_work import HomeWork
 from pollenwalk.program.live import LiveProgram
 from pollenwalk.program.program import Program
 from pollenwalk.program.records import Dropped
 from pollenwalk.version.resources import ProgramSpec
 
-if TYPE_CHECKING:
-    from pollenwalk.process.home import Home
-
 RENEW_MS = 5000
 RELEASE_TIMEOUT_MS = 2000
 RELEASE_ATTEMPTS = 5
@@ -25,7 +21,7 @@
 class Upkeep:
     """Keeps the programs of one home in order."""
 
-    def __init__(self, home: 'Home') -> None:
+    def __init__(self, home: HomeWork) -> None:
         """Look after `home`."""
         self.home = home
         self.parts = home.parts
@@ -91,7 +87,7 @@
         """End idle programs and drop ended ones after their retention."""
         while True:
             await self.parts.clock.sleep_ms(SWEEP_MS)
-            self.home.beginnings.drop_claims()
+            self.home.drop_claims()
             for program in list(self.home.book.programs.values()):
                 await self.sweep_one(program)
 
