--- a/test/request/test_program_turn.py
+++ b/test/request/test_program_turn.py
@@ -12,7 +12,8 @@
 from pollenwalk.program.turns import SettleTokens
 from pollenwalk.request.call_state import Call
 from pollenwalk.request.event_stream import Event
-from pollenwalk.request.program_turn import ProgramTurn, Reservation
+from pollenwalk.request.program_turn import ProgramTurn
+from pollenwalk.request.reservation import Reservation
 from pollenwalk.request.traits import Request, Traits
 from test.helper import virtual
 from test.process.test_keepers import World, record
