Serve repeated logic by one piece each

- Writes to the store that go on until it answers stood twice in the keeper: Keeper.insist.
Waiting for silent keepers stood twice in a turn: KeeperGroup.insist.
- A reservation judged the same answers up to three times for each of them, and awaited a recording that had succeeded before each event: judged once, and only a recording that is awaited or has failed holds events.
- begins_program was stored beside what it follows from.

--- a/pollenwalk/commands/deployment.py
+++ b/pollenwalk/commands/deployment.py
@@ -9,6 +9,7 @@
 from pollenwalk.platform.deploy_file import DeployedRole, read_deploy_file
 from pollenwalk.platform.templates import HOST_CLASS, Fields, fill_in, read_fields
 from pollenwalk.process.settings import ROLES, parse_settings
+from pollenwalk.version.fields import read_text
 
 
 def add_parser(subparsers: Any) -> None:
@@ -56,10 +57,7 @@
     if role.name not in ROLES:
         known = ', '.join(ROLES)
         raise UserError(f'{deploy}: unknown role {role.name!r}; known: {known}')
-    try:
-        return role.template.read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        raise UserError(f'{deploy}: [roles.{role.name}]: {error}') from error
+    return read_text(role.template)
 
 
 def check_host(
--- a/pollenwalk/commands/resources.py
+++ b/pollenwalk/commands/resources.py
@@ -14,7 +14,7 @@
 from pollenwalk.process.clock import LoopClock
 from pollenwalk.process.operator import Operator
 from pollenwalk.process.settings import ROLES, default_text, read_settings
-from pollenwalk.version.fields import InvalidFile
+from pollenwalk.version.fields import InvalidFile, read_text
 from pollenwalk.version.resources import (
     Kind,
     Resource,
@@ -99,10 +99,7 @@
 
 def read_file(path: Path) -> Iterator[Declared]:
     """Read one resource file."""
-    try:
-        text = path.read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        raise UserError(f'{path}: {error}') from error
+    text = read_text(path)
     parser = configparser.ConfigParser(
         interpolation=None,
         default_section='',
--- a/pollenwalk/platform/deploy_file.py
+++ b/pollenwalk/platform/deploy_file.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from pollenwalk.errors import UserError
+from pollenwalk.version.fields import read_text
 
 
 class DeployedRole(NamedTuple):
@@ -28,8 +29,8 @@
         UserError: it can't be read, or a role lacks something.
     """
     try:
-        deploy = tomllib.loads(path.read_text(encoding='utf-8'))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        deploy = tomllib.loads(read_text(path))
+    except tomllib.TOMLDecodeError as error:
         raise UserError(f'{path}: {error}') from error
     project = path.resolve().parent.parent
     roles = deploy.get('roles')
--- a/pollenwalk/platform/templates.py
+++ b/pollenwalk/platform/templates.py
@@ -1,7 +1,7 @@
 """The platform's templates and the fields that it fills them in with.
 
 The platform makes each process's settings from a template of ours and from a
-file of its own, of which `check` is given an example.
+file of its own, of which `check-deployment` is given an example.
 """
 
 import re
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from pollenwalk.errors import UserError
+from pollenwalk.version.fields import read_text
 
 # A section is there once for each entry of a table, or once for a value.
 SECTION = re.compile(r'\{\{#([\w.]+)\}\}\n(.*?)\{\{/\1\}\}\n', re.DOTALL)
@@ -25,12 +26,8 @@
     Raises:
         UserError: it can't be read, or a line is none of these.
     """
-    try:
-        lines = path.read_text(encoding='utf-8').splitlines()
-    except (OSError, UnicodeDecodeError) as error:
-        raise UserError(f'{path}: {error}') from error
     fields = {}
-    for number, line in enumerate(lines, 1):
+    for number, line in enumerate(read_text(path).splitlines(), 1):
         name, equals, field = line.partition('=')
         if not equals and line.strip():
             raise UserError(f'{path}:{number}: {line!r} is not name=value')
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Iterable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Iterator
 from itertools import chain
 from typing import Any, NamedTuple
 
@@ -244,10 +244,14 @@
 
     async def remove(self, member: Member) -> None:
         """Take a keeper off the list, however long the store is away."""
+        await self.insist(lambda: self.store.delete(member.key))
+
+    async def insist(self, write: Callable[[], Awaitable[object]]) -> None:
+        """Write to the store until it answers."""
         backoff = Backoff(self.clock)
         while True:
             try:
-                await self.store.delete(member.key)
+                await write()
             except StoreUnavailable as error:
                 store_lost(error)
                 await backoff.pause()
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -6,8 +6,8 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
-from typing import Any
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, TypeVar
 
 from loguru import logger
 
@@ -34,6 +34,11 @@
 # Settlements wait so long for company: much less than the second for which
 # a finished turn may still count at its most.
 SETTLE_EVERY_MS = 30.0
+# Pause before keepers that gave no answer are asked again: half of the pause
+# after which a lost one is probed.
+ASK_AGAIN_MS = 100.0
+
+Result = TypeVar('Result')
 
 
 class KeeperGroup:
@@ -91,6 +96,22 @@
         self.cache.put(held)
         return names
 
+    async def insist(self, work: Callable[[], Awaitable[Result]]) -> Result:
+        """Do again what keepers that gave no answer had to confirm.
+
+        Ends when the caller's time is over, by cancellation.
+
+        Raises:
+            Refusal: for another reason than silent keepers.
+        """
+        while True:
+            try:
+                return await work()
+            except Refusal as refusal:
+                if refusal.code != RefusalCode.KEEPERS_UNAVAILABLE:
+                    raise
+            await self.clock.sleep_ms(ASK_AGAIN_MS)
+
     async def chain(self, turn: str) -> list[TurnRecord]:
         """Find a turn and all before it, the oldest first.
 
--- a/pollenwalk/process/retirement.py
+++ b/pollenwalk/process/retirement.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from pollenwalk.connection.wire import encode_datagram
-from pollenwalk.errors import MalformedObject, PollenwalkError, StoreUnavailable
+from pollenwalk.errors import MalformedObject, PollenwalkError
 from pollenwalk.platform.documents import (
     RETIREMENTS_KIND,
     decode_retirement,
@@ -19,7 +19,7 @@
 from pollenwalk.process.following import Follower, Handlers
 from pollenwalk.process.keeper import Keeper, in_batches, store_lost
 from pollenwalk.process.members import Member
-from pollenwalk.process.store import Backoff, ObjectStore, StoredObject
+from pollenwalk.process.store import ObjectStore, StoredObject
 from pollenwalk.program.turns import (
     FindMissing,
     Missing,
@@ -88,15 +88,8 @@
 
     async def report(self, done: bool) -> None:
         """Write the status, however long the store is away."""
-        backoff = Backoff(self.keeper.clock)
-        while True:
-            try:
-                await self.store.report(self.key, retirement_status(done))
-            except StoreUnavailable as error:
-                store_lost(error)
-                await backoff.pause()
-                continue
-            return
+        status = retirement_status(done)
+        await self.keeper.insist(lambda: self.store.report(self.key, status))
 
     async def emptied(self) -> bool:
         """Copy what others lack; False where it could not all be done."""
--- a/pollenwalk/process/settings.py
+++ b/pollenwalk/process/settings.py
@@ -5,7 +5,6 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from pollenwalk.errors import UserError
 from pollenwalk.version.fields import (
     ADDRESS,
     ADDRESSES,
@@ -22,6 +21,7 @@
     read_fields,
     read_int,
     read_number,
+    read_text,
 )
 
 DEFAULTS = 'default.ini'
@@ -130,11 +130,7 @@
         InvalidFile: with every error of the file.
         UserError: the file can't be read.
     """
-    try:
-        text = path.read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        raise UserError(f'{path}: {error}') from error
-    return parse_settings(text, str(path), role)
+    return parse_settings(read_text(path), str(path), role)
 
 
 def parse_settings(text: str, source: str, role: str) -> Settings:
--- a/pollenwalk/program/ledger.py
+++ b/pollenwalk/program/ledger.py
@@ -84,6 +84,11 @@
     unsettled: int
     fits: bool
 
+    @property
+    def shown(self) -> int:
+        """Give the tokens of other turns that are over."""
+        return self.others - self.unsettled
+
 
 def judge(
     known: Iterable[Iterable[TokenEntry]],
--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from pollenwalk.errors import Outcome, Refusal, RefusalCode
+from pollenwalk.errors import Outcome, Refusal
 from pollenwalk.process.clock import MS_PER_SECOND
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.keeper_group import KeeperGroup
@@ -13,7 +13,7 @@
 from pollenwalk.program.turns import SettleTokens, TurnRecord
 from pollenwalk.request.call_state import Call
 from pollenwalk.request.event_stream import Event
-from pollenwalk.request.reservation import ASK_AGAIN_MS, Reservation
+from pollenwalk.request.reservation import Reservation
 
 
 class ProgramTurn:
@@ -32,7 +32,11 @@
         self.made: list[bytes] = []
         self.tokens = 0
         self.reservation: Reservation | None = None
-        self.begins_program = False
+
+    @property
+    def begins_program(self) -> bool:
+        """Tell whether nothing was done for the program before."""
+        return self.reservation is not None and not self.reservation.others
 
     async def prepare(self) -> bytes:
         """Reserve the tokens and put the prompt together."""
@@ -53,7 +57,6 @@
         body = await self.prompt()
         if self.reservation is not None:
             await self.reservation.permitted
-            self.begins_program = not self.reservation.others
         return body
 
     async def prompt(self) -> bytes:
@@ -109,7 +112,9 @@
             holders=[],
         )
         begun_ms = self.group.clock.now_ms()
-        holders = await self.require(self.keep_late(record))
+        # Copies that were made before count: a record never changes.
+        keeping = self.group.insist(lambda: self.group.keep(record))
+        holders = await self.require(keeping)
         took_ms = self.group.clock.now_ms() - begun_ms
         self.metrics.keep_seconds.observe({}, took_ms / MS_PER_SECOND)
         logger.info(
@@ -120,19 +125,6 @@
             took_ms=round(took_ms),
         )
 
-    async def keep_late(self, record: TurnRecord) -> list[str]:
-        """Have a turn kept, however long the keepers take.
-
-        Copies that were made before count: a record never changes.
-        """
-        while True:
-            try:
-                return await self.group.keep(record)
-            except Refusal as refusal:
-                if refusal.code != RefusalCode.KEEPERS_UNAVAILABLE:
-                    raise
-            await self.group.clock.sleep_ms(ASK_AGAIN_MS)
-
     def close(self) -> None:
         """Settle what was shown."""
         if self.reservation is None:
--- a/pollenwalk/request/reservation.py
+++ b/pollenwalk/request/reservation.py
@@ -9,14 +9,10 @@
 from pollenwalk.process.copies import keepers_unavailable
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.keeper_group import KeeperGroup
-from pollenwalk.program.ledger import Heard, fits_unseen, judge
+from pollenwalk.program.ledger import Heard, Verdict, fits_unseen, judge
 from pollenwalk.program.turns import ReserveTokens, Spent, TokenEntry
 from pollenwalk.request.call_state import Call
 
-# Pause before keepers that gave no answer are asked again: half of the pause
-# after which a lost one is probed.
-ASK_AGAIN_MS = 100.0
-
 
 class Reservation:
     """Tokens set aside for one turn.
@@ -52,6 +48,10 @@
         )
         loop = asyncio.get_running_loop()
         self.permitted: asyncio.Future[None] = loop.create_future()
+        self.begin()
+
+    def begin(self) -> None:
+        """Have the reservation recorded."""
         self.recorded = asyncio.ensure_future(self.record())
         self.recorded.add_done_callback(self.pass_on)
 
@@ -77,17 +77,23 @@
         Raises:
             Refusal: the budget is spent.
         """
-        while True:
-            try:
-                await asyncio.shield(self.recorded)
-            except Refusal as refusal:
-                if refusal.code != RefusalCode.KEEPERS_UNAVAILABLE:
-                    raise
-            else:
-                return
-            await self.group.clock.sleep_ms(ASK_AGAIN_MS)
-            self.recorded = asyncio.ensure_future(self.record())
-            self.recorded.add_done_callback(self.pass_on)
+        await self.group.insist(self.recorded_again)
+
+    async def recorded_again(self) -> None:
+        """Wait for the recording; where keepers were silent, begin a new one."""
+        try:
+            await asyncio.shield(self.recorded)
+        except Refusal as refusal:
+            if refusal.code == RefusalCode.KEEPERS_UNAVAILABLE:
+                self.begin()
+            raise
+
+    @property
+    def failed(self) -> bool:
+        """Tell whether the recording has ended without a success."""
+        if not self.recorded.done():
+            return False
+        return self.recorded.cancelled() or self.recorded.exception() is not None
 
     async def record(self) -> None:
         """Wait until a majority has the reservation, and judge it.
@@ -97,12 +103,14 @@
         """
         begun_ms = self.group.clock.now_ms()
         known = await self.ask_majority()
-        if not (self.has_headroom(known) or self.is_spent(known)):
+        verdict = self.judged(known)
+        spent = verdict.shown + self.most > self.budget
+        if not (spent or self.has_headroom(verdict, len(known))):
             # Whoever reserved at the same time is seen by the second round.
             known.extend(await self.ask_majority())
+            verdict = self.judged(known)
         took_ms = self.group.clock.now_ms() - begun_ms
         self.metrics.reserve_seconds.observe({}, took_ms / MS_PER_SECOND)
-        verdict = judge(known, self.call.id, self.most, self.budget)
         logger.info(
             'budget',
             request=self.call.id,
@@ -136,27 +144,25 @@
         known.append(spent.entries)
         if self.permitted.done() or not self.group.links.can_decide:
             return
-        if self.has_headroom(known):
+        verdict = self.judged(known)
+        if self.has_headroom(verdict, len(known)):
             self.early = True
-            self.others = judge(known, self.call.id, self.most, self.budget).others
+            self.others = verdict.others
             self.permitted.set_result(None)
 
-    def has_headroom(self, known: list[list[TokenEntry]]) -> bool:
+    def judged(self, known: list[list[TokenEntry]]) -> Verdict:
+        """Hold the turn against the budget by what keepers know."""
+        return judge(known, self.call.id, self.most, self.budget)
+
+    def has_headroom(self, verdict: Verdict, answers: int) -> bool:
         """Tell whether the budget bears even turns that are not seen yet."""
-        verdict = judge(known, self.call.id, self.most, self.budget)
-        heard = Heard(len(known), len(self.group.links.members.by_name))
+        heard = Heard(answers, len(self.group.links.members.by_name))
         return fits_unseen(verdict, self.most, self.budget, heard)
 
-    def is_spent(self, known: list[list[TokenEntry]]) -> bool:
-        """Tell whether what was shown leaves no room, whatever else ends."""
-        verdict = judge(known, self.call.id, self.most, self.budget)
-        shown = verdict.others - verdict.unsettled
-        return shown + self.most > self.budget
-
     @property
     def holds_events(self) -> bool:
         """Tell whether events wait for the recording, or for its failure."""
-        return self.recorded.done() or not self.early
+        return self.failed or not (self.recorded.done() or self.early)
 
     def close(self) -> None:
         """Stop waiting."""
--- a/pollenwalk/request/streamed.py
+++ b/pollenwalk/request/streamed.py
@@ -14,13 +14,11 @@
 
 
 class Turn(Protocol):
-    """What a stream means to the program that it belongs to.
+    """What a stream means to the program that it belongs to."""
 
-    Attributes:
-        begins_program: whether nothing was done for the program before.
-    """
-
-    begins_program: bool
+    @property
+    def begins_program(self) -> bool:
+        """Tell whether nothing was done for the program before."""
 
     async def prepare(self) -> bytes:
         """Give the body to send, once the turn may run.
--- a/pollenwalk/version/fields.py
+++ b/pollenwalk/version/fields.py
@@ -6,6 +6,7 @@
 
 import ipaddress
 from collections.abc import Callable, Iterable, Iterator, Mapping
+from pathlib import Path
 from typing import Any, NamedTuple
 from urllib.parse import urlsplit
 
@@ -46,6 +47,18 @@
         self.problems = problems
 
 
+def read_text(path: Path) -> str:
+    """Read a file that a user has written.
+
+    Raises:
+        UserError: it can't be read.
+    """
+    try:
+        return path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise UserError(f'{path}: {error}') from error
+
+
 def read_int(low: int, high: int) -> Field:
     """Make a field that holds a whole number within bounds."""
 
--- a/test/process/test_keepers.py
+++ b/test/process/test_keepers.py
@@ -104,6 +104,13 @@
         tasks.spawn(follower.run(), 'follow')
         return KeeperGroup(links, clock, tasks, 1)
 
+    async def three_and_group(self, zone: str = 'a') -> KeeperGroup:
+        """Start three keepers and a gateway that has found them."""
+        await self.three()
+        group = self.group('gateway', zone)
+        await self.wait(500)
+        return group
+
     def holders(self, turn: str) -> set[str]:
         """Name the keepers on whose disks a turn is."""
         return {
@@ -131,9 +138,7 @@
     @virtual
     async def test_two_near_disks(self) -> None:
         world = World()
-        await world.three()
-        group = world.group()
-        await world.wait(500)
+        group = await world.three_and_group()
         before_ms = world.clock.now_ms()
         await group.keep(record('t1'))
         self.assertTrue(world.clock.now_ms() - before_ms < 10)
@@ -142,9 +147,7 @@
     @virtual
     async def test_a_dead_keeper_is_passed_over(self) -> None:
         world = World()
-        await world.three()
-        group = world.group()
-        await world.wait(500)
+        group = await world.three_and_group()
         await world.kill('b')
         await group.keep(record('t1'))
         self.assertEqual({'a', 'c'}, world.holders('t1'))
@@ -152,9 +155,7 @@
     @virtual
     async def test_a_silent_keeper_is_passed_over(self) -> None:
         world = World()
-        await world.three()
-        group = world.group()
-        await world.wait(500)
+        group = await world.three_and_group()
         await group.keep(record('t0'))
         world.fabric.cut('gateway', 'b')
         before_ms = world.clock.now_ms()
@@ -166,9 +167,7 @@
     @virtual
     async def test_too_few_keepers(self) -> None:
         world = World()
-        await world.three()
-        group = world.group()
-        await world.wait(500)
+        group = await world.three_and_group()
         await world.kill('b')
         await world.kill('c')
         with testtools.ExpectedException(Refusal):
@@ -177,9 +176,7 @@
     @virtual
     async def test_a_lost_keeper_is_regained(self) -> None:
         world = World()
-        await world.three()
-        group = world.group()
-        await world.wait(500)
+        group = await world.three_and_group()
         await world.kill('b')
         await world.kill('c')
         with testtools.ExpectedException(Refusal):
@@ -210,9 +207,7 @@
     @virtual
     async def test_after_all_were_killed(self) -> None:
         world = World()
-        await world.three()
-        group = world.group()
-        await world.wait(500)
+        group = await world.three_and_group()
         await group.keep(record('t1'))
         await forget(group)
         for name in 'abc':
@@ -226,9 +221,7 @@
     @virtual
     async def test_unknown_only_with_certainty(self) -> None:
         world = World()
-        await world.three()
-        group = world.group()
-        await world.wait(500)
+        group = await world.three_and_group()
         codes = []
         for victim in ('none', 'c', 'b'):
             if victim != 'none':
@@ -249,9 +242,7 @@
     @virtual
     async def test_an_empty_disk_never_says_no(self) -> None:
         world = World()
-        await world.three()
-        group = world.group('gateway', 'c')
-        await world.wait(500)
+        group = await world.three_and_group('c')
         await group.keep(record('t1'))
         await forget(group)
         self.assertEqual({'c', 'a'}, world.holders('t1'))
@@ -275,9 +266,7 @@
     @virtual
     async def test_a_wiped_disk_is_filled_again(self) -> None:
         world = World()
-        await world.three()
-        group = world.group()
-        await world.wait(500)
+        group = await world.three_and_group()
         await group.keep(record('t1'))
         await forget(group)
         await world.kill('a')
@@ -293,9 +282,7 @@
     @virtual
     async def test_a_new_keeper_replaces_one_that_is_gone(self) -> None:
         world = World()
-        await world.three()
-        group = world.group()
-        await world.wait(500)
+        group = await world.three_and_group()
         await group.keep(record('t1'))
         await world.kill('a')
         await world.keeper('d')
@@ -319,9 +306,7 @@
     @virtual
     async def test_a_retired_keeper_is_not_needed(self) -> None:
         world = World()
-        await world.three()
-        group = world.group()
-        await world.wait(500)
+        group = await world.three_and_group()
         await group.keep(record('t1'))
         await forget(group)
         await world.store.put('retirements/a', b'{"duration_s": 8}', None)
@@ -337,9 +322,7 @@
     @virtual
     async def test_a_retiring_keeper_takes_no_turns(self) -> None:
         world = World()
-        await world.three()
-        group = world.group()
-        await world.wait(500)
+        group = await world.three_and_group()
         world.keepers['a'].own = world.keepers['a'].own._replace(retiring=True)
         await group.keep(record('t1'))
         self.assertEqual({'b', 'c'}, world.holders('t1'))
@@ -395,9 +378,7 @@
     @virtual
     async def test_settled_tokens_survive_a_restart(self) -> None:
         world = World()
-        await world.three()
-        group = world.group()
-        await world.wait(500)
+        group = await world.three_and_group()
         await self.reserve(group, 't1')
         group.settle(SettleTokens('p', 't1', 7, RETENTION_MS))
         await world.wait(500)
--- a/test/request/test_program_turn.py
+++ b/test/request/test_program_turn.py
@@ -40,13 +40,6 @@
 class TurnTest(testtools.TestCase):
     """Prompts, budgets and records of turns."""
 
-    async def group(self, world: World) -> KeeperGroup:
-        """Start three keepers and a gateway's side of them."""
-        await world.three()
-        group = world.group()
-        await world.wait(500)
-        return group
-
     def turn(self, group: KeeperGroup, call: Call) -> ProgramTurn:
         """Make a turn."""
         return ProgramTurn(group, call, GatewayMetrics())
@@ -54,7 +47,7 @@
     @virtual
     async def test_the_prompt_is_the_whole_chain(self) -> None:
         world = World()
-        group = await self.group(world)
+        group = await world.three_and_group()
         first = self.turn(group, make_call('t1', 1000))
         self.assertEqual(b't1', await first.prepare())
         for number in (1, 2):
@@ -68,7 +61,7 @@
     @virtual
     async def test_a_spent_budget_is_refused_before_the_run(self) -> None:
         world = World()
-        group = await self.group(world)
+        group = await world.three_and_group()
         first = self.turn(group, make_call('t1', 2 * MOST - 1))
         await first.prepare()
         second = self.turn(group, make_call('t2', 2 * MOST - 1))
@@ -81,7 +74,7 @@
     @virtual
     async def test_what_was_not_shown_is_given_back(self) -> None:
         world = World()
-        group = await self.group(world)
+        group = await world.three_and_group()
         first = self.turn(group, make_call('t1', 2 * MOST - 1))
         await first.prepare()
         await first.before_event(Event(b'', '1', b'out'))
@@ -94,7 +87,7 @@
     @virtual
     async def test_far_from_the_budget_one_disk_is_enough(self) -> None:
         world = World()
-        group = await self.group(world)
+        group = await world.three_and_group()
         turn = self.turn(group, make_call('t1', 10_000))
         before_ms = world.clock.now_ms()
         world.fabric.slow_ms['gateway', 'b'] = 1000
@@ -107,7 +100,7 @@
     @virtual
     async def test_beside_another_turn_a_majority_is_asked(self) -> None:
         world = World()
-        group = await self.group(world)
+        group = await world.three_and_group()
         first = self.turn(group, make_call('t1', 10_000))
         await first.prepare()
         world.fabric.slow_ms['gateway', 'b'] = 200
@@ -122,7 +115,7 @@
     @virtual
     async def test_near_the_budget_tokens_wait_for_a_majority(self) -> None:
         world = World()
-        group = await self.group(world)
+        group = await world.three_and_group()
         turn = self.turn(group, make_call('t1', MOST))
         world.fabric.slow_ms['gateway', 'b'] = 200
         world.fabric.slow_ms['gateway', 'c'] = 200
@@ -135,7 +128,7 @@
     @virtual
     async def test_a_lone_turn_near_its_budget_asks_once(self) -> None:
         world = World()
-        group = await self.group(world)
+        group = await world.three_and_group()
         turn = self.turn(group, make_call('t1', MOST))
         world.fabric.slow_ms['gateway', 'b'] = 200
         world.fabric.slow_ms['gateway', 'c'] = 200
@@ -149,7 +142,7 @@
     async def test_a_turn_found_beyond_its_budget_is_cut(self) -> None:
         """One keeper missed what the two others know."""
         world = World()
-        group = await self.group(world)
+        group = await world.three_and_group()
         for number in range(5):
             spent = SettleTokens('p', f'old{number}', MOST, 1000)
             for name in ('b', 'c'):
@@ -167,7 +160,7 @@
     @virtual
     async def test_the_end_waits_for_a_majority(self) -> None:
         world = World()
-        group = await self.group(world)
+        group = await world.three_and_group()
         turn = self.turn(group, make_call('t1', 10_000))
         await turn.prepare()
         turn.close()
@@ -190,7 +183,7 @@
     async def test_a_finished_turn_is_kept_late(self) -> None:
         """Found on a grown day: ready answers were cut after a second."""
         world = World()
-        group = await self.group(world)
+        group = await world.three_and_group()
         turn = self.turn(group, make_call('t1', 10_000))
         await turn.prepare()
         await turn.before_event(Event(b'', '1', b'out'))
@@ -209,7 +202,7 @@
     async def test_callers_outlast_a_restart(self) -> None:
         """Whoever comes back as told is served when a keeper is back."""
         world = World()
-        group = await self.group(world)
+        group = await world.three_and_group()
         for name in ('b', 'c'):
             await world.kill(name)
         restarted = asyncio.ensure_future(self.restart(world, 'b', 2500))
@@ -239,7 +232,7 @@
     async def test_a_keeper_listed_meanwhile_changes_nothing(self) -> None:
         """Found in an incident: the majority grew while one was awaited."""
         world = World()
-        group = await self.group(world)
+        group = await world.three_and_group()
         await world.kill('b')
         reservation = Reservation(group, make_call('t1', 10_000), GatewayMetrics())
         await world.wait(1)
@@ -250,7 +243,7 @@
     @virtual
     async def test_no_majority(self) -> None:
         world = World()
-        group = await self.group(world)
+        group = await world.three_and_group()
         await world.kill('b')
         await world.kill('c')
         turn = self.turn(group, make_call('t1', 1000))
@@ -262,7 +255,7 @@
     @virtual
     async def test_a_turn_that_cannot_be_kept_has_run(self) -> None:
         world = World()
-        group = await self.group(world)
+        group = await world.three_and_group()
         turn = self.turn(group, make_call('t1', 1000))
         await turn.prepare()
         await turn.before_event(Event(b'', '1', b'out'))
@@ -277,7 +270,7 @@
     @virtual
     async def test_a_forged_previous_turn(self) -> None:
         world = World()
-        group = await self.group(world)
+        group = await world.three_and_group()
         await group.keep(record('real'))
         turn = self.turn(group, make_call('t1', 1000, 'forged'))
         error = await self.refusal(turn)
