--- a/test/process/test_host_book.py
+++ b/test/process/test_host_book.py
@@ -73,6 +73,14 @@
         await clock.sleep_ms(200)
         self.assertEqual(['i-2'], self.usable(book))
 
+    @virtual
+    async def test_an_entry_that_goes_while_the_store_is_lost(self) -> None:
+        """Another process may have told of it."""
+        book = self.book(make_clock())
+        book.store_failed()
+        book.take(gone('i-1', 3))
+        self.assertEqual(['i-1', 'i-2'], self.usable(book))
+
     @virtual
     async def test_the_store_settles(self) -> None:
         clock = make_clock()
--- a/test/request/test_forwarding.py
+++ b/test/request/test_forwarding.py
@@ -214,6 +214,62 @@
     return reply, error
 
 
+class FirstTurn(UnboundTurn):
+    """A stream with which a program begins."""
+
+    def __init__(self, body: bytes) -> None:
+        """Be the first one of a program."""
+        super().__init__(body)
+        self.begins_program = True
+
+
+class DoorTest(testtools.TestCase):
+    """Programs that begin while the only host is busy, or idle."""
+
+    async def begin(self, turn: UnboundTurn, waiting: int) -> tuple[Any, Any, Any]:
+        """Run a turn; gives the hosts, what was learnt, and the error."""
+        hosts = Hosts(streams)
+        upstreams = await hosts.upstreams()
+        state = next(upstreams.placing.book.usable('up'))
+        now_ms = upstreams.clock.now_ms()
+        state.note_load((state.listed.slots, waiting, state.listed.slots), now_ms)
+        call = make_call(STREAM)
+        error = None
+        try:
+            await run_stream(upstreams, call, turn, RecordedReply())
+        except Refusal as refusal:
+            error = refusal
+        hosts.hosts[0].stop()
+        return hosts, upstreams.placing.run_times, error
+
+    @on_loop
+    async def test_a_new_program_is_turned_back(self) -> None:
+        hosts, _, error = await self.begin(FirstTurn(b'input'), 20)
+        self.assertEqual([0], hosts.ran())
+        self.assertEqual(RefusalCode.OVERLOADED, error.code)
+        self.assertEqual(Outcome.NOT_RUN, error.outcome)
+        self.assertTrue(450 <= error.retry_after_ms <= 650, error.retry_after_ms)
+
+    @on_loop
+    async def test_a_program_that_has_begun_is_not(self) -> None:
+        hosts, _, error = await self.begin(UnboundTurn(b'input'), 20)
+        self.assertEqual([1], hosts.ran())
+        self.assertIsNone(error)
+
+    @on_loop
+    async def test_a_new_program_begins_where_there_is_room(self) -> None:
+        hosts, _, error = await self.begin(FirstTurn(b'input'), 0)
+        self.assertEqual([1], hosts.ran())
+        self.assertIsNone(error)
+
+    @on_loop
+    async def test_run_times_are_learnt_without_waits(self) -> None:
+        _, learnt, _ = await self.begin(UnboundTurn(b'input'), 20)
+        self.assertEqual({}, learnt)
+        _, learnt, _ = await self.begin(UnboundTurn(b'input'), -1)
+        self.assertEqual(['r'], list(learnt))
+
+
 class PlainTest(testtools.TestCase):
     """Calls with one answer."""
 
