Show a begun answer cut by its budget in a failing test

Three turns of one program are reserved at once at gateways of two regions, with a budget for two of them. The test fails on the present code:

MismatchError: [0, 0, 0] != [0, 4, 0]

A turn has shown its four events when it is refused with `budget_exhausted`.

--- a/test/request/test_program_turn.py
+++ b/test/request/test_program_turn.py
@@ -21,6 +21,9 @@
 
 HISTORY_ROUTE = STREAM._replace(keeps_history=True)
 MAX_TOKENS = 28
+# The events of one answer.
+EVENTS = 4
+EVENT_INTERVAL_MS = 40
 
 
 def make_call(turn: str, budget: int, previous: str = '') -> Call:
@@ -157,6 +160,45 @@
             await turn.before_event(Event(b'', '2', b'out'))
         turn.close()
 
+    @virtual
+    async def test_budget_does_not_cut_a_begun_answer(self) -> None:
+        """Gateways of two regions begin three turns of which two fit the budget."""
+        cluster = KeeperCluster()
+        near_group = await cluster.start_three_with_group()
+        far_group = cluster.start_group('far', 'c')
+        await cluster.wait(500)
+        budget = 2 * MAX_TOKENS
+        turns = [
+            self.make_turn(group, make_call(name, budget))
+            for name, group in (
+                ('t1', near_group),
+                ('t2', far_group),
+                ('t3', far_group),
+            )
+        ]
+        shown_counts = await asyncio.gather(
+            *(self.count_events_of_cut_answer(cluster, turn) for turn in turns)
+        )
+        self.assertEqual([0, 0, 0], shown_counts)
+
+    async def count_events_of_cut_answer(
+        self, cluster: KeeperCluster, turn: ProgramTurn
+    ) -> int:
+        """Run a turn; return how many events were shown if it was refused, else 0."""
+        shown_count = 0
+        try:
+            await turn.prepare()
+            for number in range(EVENTS):
+                await turn.before_event(Event(b'', str(number), b'out'))
+                shown_count += 1
+                await cluster.wait(EVENT_INTERVAL_MS)
+            await turn.before_end()
+        except Refusal:
+            return shown_count
+        finally:
+            turn.close()
+        return 0
+
     @virtual
     async def test_end_waits_for_a_majority(self) -> None:
         cluster = KeeperCluster()
