Count answers broken off after they had begun, by cause

An answer that broke off after its status and headers was not to be told from one that was refused before: gateway_refused_total has no such label, a host's broken answer (`cut`) was counted nowhere, an internal error was not counted at all, and a caller who left was counted alike whether the answer had begun or not. gateway_interrupted_total{cause} now counts exactly the begun answers that did not end complete, by the refusal's code, broken_answer, internal or caller_left. Internal errors are counted as refusals, too, and the lines `cut` and `caller_left` say whether the answer had begun.

Answers cancelled by a gateway that stops are not counted.

--- a/pollenwalk/connection/gateway_app.py
+++ b/pollenwalk/connection/gateway_app.py
@@ -36,6 +36,9 @@
     Outcome.RAN: HTTPStatus.BAD_GATEWAY,
     Outcome.UNKNOWN: HTTPStatus.BAD_GATEWAY,
 }
+# Cause of an interruption if the caller disconnected; the other causes are codes of
+# errors.
+CALLER_LEFT = 'caller_left'
 
 
 class AsgiReply:
@@ -43,6 +46,7 @@
 
     Attributes:
         started: whether the status and the headers have been sent.
+        complete: whether the whole answer has been sent.
     """
 
     def __init__(self, send: Send, must_close: Callable[[], bool]) -> None:
@@ -56,12 +60,14 @@
         self.send = send
         self.must_close = must_close
         self.started = False
+        self.complete = False
 
     async def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer with a Content-Length header."""
         length = (b'content-length', str(len(body)).encode())
         await self.start(status, [*headers, length])
         await self.send({'type': 'http.response.body', 'body': body})
+        self.complete = True
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the status and the headers."""
@@ -84,6 +90,7 @@
     async def finish(self) -> None:
         """Mark the answer as complete."""
         await self.send({'type': 'http.response.body', 'body': b''})
+        self.complete = True
 
 
 class GatewayApp:
@@ -100,6 +107,7 @@
         clock: Clock,
         handler: Handler,
         count_refusal: Callable[[Refusal], None],
+        count_interruption: Callable[[str], None],
         max_body_bytes: Callable[[], int],
     ) -> None:
         """Create an application that answers each request with `handler`.
@@ -108,12 +116,15 @@
             clock: clock for the arrival times of requests.
             handler: answers a request; may raise `Refusal` or `BrokenAnswer`.
             count_refusal: called with each refusal that `read_body` or
-                `handler` raises.
+                `handler` raises, and with one for each internal error.
+            count_interruption: called with the cause of each answer that was
+                broken off after it had begun.
             max_body_bytes: returns the current limit on the size of a body.
         """
         self.clock = clock
         self.handler = handler
         self.count_refusal = count_refusal
+        self.count_interruption = count_interruption
         self.max_body_bytes = max_body_bytes
         self.close_connections = False
         self.in_progress = 0
@@ -159,7 +170,12 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if not answer_task.done():
-                logger.info('caller_left', request=request.metadata.id)
+                logger.info(
+                    CALLER_LEFT,
+                    request=request.metadata.id,
+                    begun=reply.started,
+                )
+                self.count_if_interrupted(reply, CALLER_LEFT)
         finally:
             disconnect_task.cancel()
             answer_task.cancel()
@@ -174,15 +190,33 @@
         try:
             await self.handler(request, reply)
         except Refusal as refusal:
-            self.count_refusal(refusal)
-            await refuse(request, refusal, reply)
+            await self.count_and_refuse(request, refusal, reply)
         except BrokenAnswer as error:
-            logger.warning('cut', request=request.metadata.id, reason=error.message)
+            logger.warning(
+                'cut',
+                request=request.metadata.id,
+                reason=error.message,
+                begun=reply.started,
+            )
+            self.count_if_interrupted(reply, error.code)
         except Exception as error:  # noqa: BLE001
             # Without an answer, the caller would wait until its timeout.
             logger.opt(exception=error).error('failed', request=request.metadata.id)
             internal = Refusal(RefusalCode.INTERNAL, 'internal error', Outcome.UNKNOWN)
-            await refuse(request, internal, reply)
+            await self.count_and_refuse(request, internal, reply)
+
+    async def count_and_refuse(
+        self, request: Request, refusal: Refusal, reply: AsgiReply
+    ) -> None:
+        """Count a refusal, and the interruption if an answer has begun; refuse."""
+        self.count_refusal(refusal)
+        self.count_if_interrupted(reply, str(refusal.code))
+        await refuse(request, refusal, reply)
+
+    def count_if_interrupted(self, reply: AsgiReply, cause: str) -> None:
+        """Count an interruption if the answer has begun and is not complete."""
+        if reply.started and not reply.complete:
+            self.count_interruption(cause)
 
 
 async def read_body(receive: Receive, max_bytes: int) -> bytes | None:
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -89,6 +89,7 @@
             self.clock,
             self.gateway.handle,
             self.gateway.metrics.count_refusal,
+            self.gateway.metrics.count_interruption,
             self.gateway.max_body_bytes,
         )
         self.caller_server = HttpServer(
--- a/pollenwalk/process/gateway_metrics.py
+++ b/pollenwalk/process/gateway_metrics.py
@@ -19,6 +19,10 @@
             'gateway_refused_total',
             'Refusals by code and by what is known of the run.',
         )
+        self.interrupted_total = self.counter(
+            'gateway_interrupted_total',
+            'Answers that were broken off after they had begun, by cause.',
+        )
         self.sends_total = self.counter(
             'gateway_sends_total',
             'Sends to upstream hosts by what came of them.',
@@ -64,6 +68,10 @@
             {'code': str(refusal.code), 'outcome': str(refusal.outcome)},
         )
 
+    def count_interruption(self, cause: str) -> None:
+        """Count an answer that was broken off after it had begun, by its cause."""
+        self.interrupted_total.inc({'cause': cause})
+
     def count_request(self, kind: str, outcome: str, took_ms: float) -> None:
         """Count a request by its outcome and record its duration.
 
--- a/test/connection/test_gateway_app.py
+++ b/test/connection/test_gateway_app.py
@@ -10,9 +10,10 @@
 from pollenwalk.connection.http_server import HttpServer, free_port
 from pollenwalk.errors import BrokenAnswer, Outcome, Refusal, RefusalCode
 from pollenwalk.process.clock import LoopClock
+from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.request.http_messages import Request
 from pollenwalk.request.reply import Reply
-from test.helper import on_loop
+from test.helper import logged, on_loop
 
 REQUEST = (
     b'POST /p/%41?x=%20&y HTTP/1.1\r\nHost: a.example\r\n'
@@ -25,9 +26,23 @@
 
 
 @asynccontextmanager
-async def serving(handle: Handler) -> AsyncIterator[tuple[GatewayApp, int]]:
-    """Serve the application; yield it and its port."""
-    app = GatewayApp(LoopClock(), handle, lambda _: None, lambda: MAX_BODY_BYTES)
+async def serving(
+    handle: Handler, metrics: GatewayMetrics | None = None
+) -> AsyncIterator[tuple[GatewayApp, int]]:
+    """Serve the application; yield it and its port.
+
+    Args:
+        handle: answers the requests.
+        metrics: counts refusals and interruptions; None if they are not read.
+    """
+    counts = metrics or GatewayMetrics()
+    app = GatewayApp(
+        LoopClock(),
+        handle,
+        counts.count_refusal,
+        counts.count_interruption,
+        lambda: MAX_BODY_BYTES,
+    )
     port = free_port()
     server = HttpServer(app, '127.0.0.1', port)
     await server.start()
@@ -47,6 +62,32 @@
     return received
 
 
+def interruptions(metrics: GatewayMetrics) -> dict[str, float]:
+    """Return the counts of interrupted answers by cause."""
+    counter = metrics.interrupted_total
+    return {labels['cause']: count for labels, count in counter.get_all()}
+
+
+def refusals(metrics: GatewayMetrics) -> list[tuple[str, str, float]]:
+    """Return code, outcome and count of the refusals."""
+    return [
+        (labels['code'], labels['outcome'], count)
+        for labels, count in metrics.refused_total.get_all()
+    ]
+
+
+def failing_handler(error: Exception, *, begun: bool) -> Handler:
+    """Return a handler that raises an error, after a part of an answer if `begun`."""
+
+    async def handle(_: Request, reply: Reply) -> None:
+        if begun:
+            await reply.start(200, [])
+            await reply.write(b'part')
+        raise error
+
+    return handle
+
+
 class GatewayAppTest(testtools.TestCase):
     """Tests of requests over a socket."""
 
@@ -148,3 +189,111 @@
             writer.close()
             async with asyncio.timeout(CANCEL_TIMEOUT_S):
                 await ended.wait()
+
+    @on_loop
+    async def test_caller_left_line_tells_if_begun(self) -> None:
+        for begun in (False, True):
+            metrics = GatewayMetrics()
+            with logged('caller_left') as lines:
+                await self.leave(metrics, begun=begun)
+            self.assertEqual([begun], [line['begun'] for line in lines])
+            expected = {'caller_left': 1} if begun else {}
+            self.assertEqual(expected, interruptions(metrics))
+            self.assertEqual([], refusals(metrics))
+
+    async def leave(self, metrics: GatewayMetrics, *, begun: bool) -> None:
+        """Leave before the end of an answer, after its first part if `begun`."""
+
+        async def handle(_: Request, reply: Reply) -> None:
+            if begun:
+                await reply.start(200, [])
+                await reply.write(b'part')
+            await asyncio.Event().wait()
+
+        async with serving(handle, metrics) as (app, port):
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(REQUEST)
+            if begun:
+                await reader.readuntil(b'part')
+            else:
+                await asyncio.sleep(0.05)
+            writer.close()
+            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                while app.in_progress:
+                    await asyncio.sleep(0.01)
+
+    @on_loop
+    async def test_interrupted_answers_are_counted_by_cause(self) -> None:
+        cases = (
+            (Refusal(RefusalCode.BUDGET_EXHAUSTED, ''), 'budget_exhausted'),
+            (Refusal(RefusalCode.DEADLINE, '', Outcome.UNKNOWN), 'deadline'),
+            (Refusal(RefusalCode.KEEPERS_UNAVAILABLE, ''), 'keepers_unavailable'),
+            (BrokenAnswer('cut'), 'broken_answer'),
+            (ValueError('defect'), 'internal'),
+        )
+        for error, cause in cases:
+            metrics = GatewayMetrics()
+            async with serving(failing_handler(error, begun=True), metrics) as (
+                _,
+                port,
+            ):
+                answer = await exchange(port, REQUEST)
+            self.assertIn(b'part', answer)
+            self.assertFalse(answer.endswith(b'0\r\n\r\n'))
+            self.assertEqual({cause: 1}, interruptions(metrics))
+
+    @on_loop
+    async def test_failure_before_answer_is_no_interruption(self) -> None:
+        for error in (
+            Refusal(RefusalCode.BUDGET_EXHAUSTED, ''),
+            BrokenAnswer('cut'),
+            ValueError('defect'),
+        ):
+            metrics = GatewayMetrics()
+            handle = failing_handler(error, begun=False)
+            async with serving(handle, metrics) as (app, port):
+                app.close_connections = True
+                await exchange(port, REQUEST)
+            self.assertEqual({}, interruptions(metrics))
+
+    @on_loop
+    async def test_complete_answer_is_no_interruption(self) -> None:
+        async def stream(_: Request, reply: Reply) -> None:
+            await reply.start(200, [])
+            await reply.write(b'part')
+            await reply.finish()
+
+        async def send(_: Request, reply: Reply) -> None:
+            await reply.send_complete(200, [], b'whole')
+
+        async def fail_after_end(request: Request, reply: Reply) -> None:
+            await stream(request, reply)
+            raise ValueError('defect')
+
+        for handle in (stream, send, fail_after_end):
+            metrics = GatewayMetrics()
+            async with serving(handle, metrics) as (app, port):
+                app.close_connections = True
+                await exchange(port, REQUEST)
+            self.assertEqual({}, interruptions(metrics))
+
+    @on_loop
+    async def test_internal_errors_are_counted_as_refusals(self) -> None:
+        for begun in (False, True):
+            metrics = GatewayMetrics()
+            handle = failing_handler(ValueError('defect'), begun=begun)
+            async with serving(handle, metrics) as (app, port):
+                app.close_connections = True
+                await exchange(port, REQUEST)
+            self.assertEqual([('internal', 'unknown', 1)], refusals(metrics))
+
+    @on_loop
+    async def test_cut_line_tells_if_begun(self) -> None:
+        for begun in (False, True):
+            handle = failing_handler(BrokenAnswer('why'), begun=begun)
+            with logged('cut') as lines:
+                async with serving(handle) as (app, port):
+                    app.close_connections = True
+                    await exchange(port, REQUEST)
+            expected = [{'request': 'r1', 'reason': 'why', 'begun': begun}]
+            self.assertEqual(expected, lines)
--- a/test/helper.py
+++ b/test/helper.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import functools
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import testtools
+from loguru import logger
 
 from standin.link import Place
 from standin.virtual.loop import run_virtual
 from standin.virtual.node import Node, NodeClock
 
 AsyncTest = Callable[..., Coroutine[Any, Any, None]]
+Fields = dict[str, Any]
 
 
 def virtual(test: AsyncTest) -> Callable[..., None]:
@@ -37,3 +40,19 @@
         asyncio.run(test(self, *parts))
 
     return wrapper
+
+
+@contextmanager
+def logged(event: str) -> Iterator[list[Fields]]:
+    """Collect the fields of the log lines of one event; yield their list."""
+    lines: list[Fields] = []
+
+    def collect(message: Any) -> None:
+        if message.record['message'] == event:
+            lines.append(message.record['extra'])
+
+    sink = logger.add(collect, format='{message}')
+    try:
+        yield lines
+    finally:
+        logger.remove(sink)
