--- a/pollenwalk/request/reservation.py
+++ b/pollenwalk/request/reservation.py
@@ -29,6 +29,8 @@
             if any of these does not happen. Replaced by a new task when the
             recording is repeated.
         permitted_early: whether the turn was permitted before `recorded` was done.
+        permitting_answers: how many answers that permission rests on, out of how
+            many keepers; None unless `permitted_early`.
         other_tokens: tokens that the program's other turns have spent or reserved,
             as of the permission, then as of the end of the recording.
         max_tokens: the most tokens that the turn may generate.
@@ -48,6 +50,7 @@
         self.call = call
         metadata = call.request.metadata
         self.permitted_early = False
+        self.permitting_answers: AnswerCount | None = None
         self.other_tokens = 0
         self.max_tokens = metadata.max_tokens
         self.budget = metadata.budget or 0
@@ -121,15 +124,33 @@
         """
         started_ms = self.group.clock.now_ms()
         known_entries = await self.ask_majority()
+        rounds = 1
         decision = self.decide(known_entries)
         exhausted = decision.settled_tokens + self.max_tokens > self.budget
         if not (exhausted or self.has_headroom(decision, len(known_entries))):
             # A second round sees the turns that were reserved during the first. It
             # is left out if settled turns alone leave too few tokens for this turn.
             known_entries.extend(await self.ask_majority())
+            rounds = 2
             decision = self.decide(known_entries)
         took_ms = self.group.clock.now_ms() - started_ms
         self.metrics.reserve_seconds.observe({}, took_ms / MS_PER_SECOND)
+        self.log_decision(decision, len(known_entries), rounds)
+        self.other_tokens = decision.others
+        if not decision.fits:
+            raise Refusal(
+                RefusalCode.BUDGET_EXHAUSTED, 'the budget does not cover the turn'
+            )
+
+    def log_decision(self, decision: BudgetDecision, answers: int, rounds: int) -> None:
+        """Log the decision on the reservation and what it rests on.
+
+        Args:
+            decision: the comparison that all answers give.
+            answers: number of keepers' complete answers, in all rounds together.
+            rounds: how many times the keepers were asked.
+        """
+        permitting = self.permitting_answers
         logger.info(
             'budget',
             request=self.call.id,
@@ -138,12 +159,13 @@
             others=decision.others,
             most=self.max_tokens,
             fits=decision.fits,
+            answers=answers,
+            keepers=self.listed_keepers,
+            unsettled=decision.unsettled,
+            early=permitting is not None and not permitting.is_majority,
+            permitted_by=permitting.answers if permitting else None,
+            rounds=rounds,
         )
-        self.other_tokens = decision.others
-        if not decision.fits:
-            raise Refusal(
-                RefusalCode.BUDGET_EXHAUSTED, 'the budget does not cover the turn'
-            )
 
     async def ask_majority(self) -> list[list[TokenEntry]]:
         """Reserve at all keepers and wait until a majority has answered.
@@ -187,6 +209,7 @@
         decision = self.decide(known_entries)
         if self.has_headroom(decision, len(known_entries)):
             self.permitted_early = True
+            self.permitting_answers = self.count_answers(len(known_entries))
             self.other_tokens = decision.others
             self.permitted.set_result(None)
 
@@ -203,11 +226,19 @@
             decision: the comparison that the answers give.
             answers: number of keepers with complete records that answered.
         """
-        answer_count = AnswerCount(answers, len(self.group.links.members.by_name))
         return fits_with_hidden_turns(
-            decision, self.max_tokens, self.budget, answer_count
+            decision, self.max_tokens, self.budget, self.count_answers(answers)
         )
 
+    @property
+    def listed_keepers(self) -> int:
+        """Return how many keepers are listed now."""
+        return len(self.group.links.members.by_name)
+
+    def count_answers(self, answers: int) -> AnswerCount:
+        """Return a number of answers together with that of the listed keepers."""
+        return AnswerCount(answers, self.listed_keepers)
+
     @property
     def must_delay_events(self) -> bool:
         """Return whether the turn's events must wait for the recording.
--- a/test/request/test_program_turn.py
+++ b/test/request/test_program_turn.py
@@ -15,7 +15,7 @@
 from pollenwalk.request.http_messages import Request, RequestMetadata
 from pollenwalk.request.program_turn import ProgramTurn
 from pollenwalk.request.reservation import Reservation
-from test.helper import virtual
+from test.helper import Fields, logged, virtual
 from test.process.test_keepers import KeeperCluster, make_record
 from test.request.test_forwarding import STREAM
 
@@ -157,6 +157,97 @@
             await turn.before_event(Event(b'', '2', b'out'))
         turn.close()
 
+    @virtual
+    async def test_line_of_early_turn_that_is_cut(self) -> None:
+        """The first keeper to answer lacks turns that the two others have."""
+        cluster = KeeperCluster()
+        group = await cluster.start_three_with_group()
+        spent = SettleTokens('p', 'old', 5 * MAX_TOKENS, 1000)
+        for name in ('b', 'c'):
+            await cluster.keepers[name].state.store_record(spent)
+        cluster.fabric.slow_ms['gateway', 'b'] = 200
+        cluster.fabric.slow_ms['gateway', 'c'] = 200
+        turn = self.make_turn(group, make_call('t1', 5 * MAX_TOKENS))
+        with logged('budget') as lines:
+            await turn.prepare()
+            await cluster.wait(500)
+        turn.close()
+        line = self.basis_of(lines)
+        self.assertEqual(
+            {
+                'fits': False,
+                'others': 5 * MAX_TOKENS,
+                'unsettled': 0,
+                'answers': 2,
+                'keepers': 3,
+                'rounds': 1,
+                'early': True,
+                'permitted_by': 1,
+            },
+            line,
+        )
+
+    @virtual
+    async def test_line_of_turn_permitted_by_a_majority(self) -> None:
+        """The turn is permitted by the last answer, before its recording ends."""
+        cluster = KeeperCluster()
+        group = await cluster.start_three_with_group()
+        first = self.make_turn(group, make_call('t1', 10_000))
+        await first.prepare()
+        second = self.make_turn(group, make_call('t2', 10_000))
+        with logged('budget') as lines:
+            await second.prepare()
+            await cluster.wait(500)
+        first.close()
+        second.close()
+        line = self.basis_of([one for one in lines if one['request'] == 't2'])
+        self.assertEqual(
+            {
+                'fits': True,
+                'others': MAX_TOKENS,
+                'unsettled': MAX_TOKENS,
+                'answers': 2,
+                'keepers': 3,
+                'rounds': 1,
+                'early': False,
+                'permitted_by': 2,
+            },
+            line,
+        )
+
+    @virtual
+    async def test_line_of_second_round(self) -> None:
+        cluster = KeeperCluster()
+        group = await cluster.start_three_with_group()
+        first = self.make_turn(group, make_call('t1', 2 * MAX_TOKENS))
+        await first.prepare()
+        await cluster.wait(500)
+        second = self.make_turn(group, make_call('t2', 2 * MAX_TOKENS))
+        with logged('budget') as lines:
+            await second.prepare()
+        first.close()
+        second.close()
+        line = self.basis_of(lines)
+        self.assertEqual(
+            {
+                'fits': True,
+                'others': MAX_TOKENS,
+                'unsettled': MAX_TOKENS,
+                'answers': 4,
+                'keepers': 3,
+                'rounds': 2,
+                'early': False,
+                'permitted_by': None,
+            },
+            line,
+        )
+
+    def basis_of(self, lines: list[Fields]) -> Fields:
+        """Return what the only line `budget` says, without names and constants."""
+        self.assertEqual(1, len(lines))
+        known = ('request', 'program', 'budget', 'most')
+        return {name: lines[0][name] for name in lines[0] if name not in known}
+
     @virtual
     async def test_end_waits_for_a_majority(self) -> None:
         cluster = KeeperCluster()
