Begin an answer only when its budget has been decided

Callers saw a streamed answer (200) closed in the middle, about 190 ms after the request, although the host was sound.

Cause: a turn may be sent to a host on the answers of fewer than a majority of the keepers, and its events were shown at once. The majority's answers, a round trip between regions later, could then say that the budget does not cover the turn. They do so when other turns of the program reach the far keepers first, even if these turns are refused themselves. The answer was cut at its next event. An event without data began the answer even if the refusal was known already.

No event is shown now before the reservation is recorded and fits. That decision is final, so no budget can cut an answer. The turn does not end later, since its end has always waited for the same. A turn that is refused then is answered 502 with outcome `unknown`, as it may have run.

Tests that held the former behaviour are replaced: - test_one_keeper_suffices_far_from_the_budget wanted the first event on one keeper's word, which is the fault. The run still needs one keeper only (test_one_keeper_suffices_to_run_a_turn); the event needs a majority and waits for nothing more (test_events_wait_for_a_majority_of_the_keepers). - test_turn_found_to_exceed_its_budget_is_cut wanted the cut after a first event; now not even that one may be shown. - test_end_waits_for_a_majority showed an event without a majority; now neither event nor end may be shown.

--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -95,19 +95,19 @@
         return build_prompt(chain, request.body)
 
     async def before_event(self, event: Event) -> None:
-        """Wait until an event's tokens may be sent to the caller, and count them.
+        """Wait until the turn's reservation is recorded, and count the event's tokens.
 
-        Far from the budget, one keeper's answer can be enough to begin. The end of
-        the stream waits for a majority of the keepers, which usually have answered
-        long before it. Events without data are neither delayed nor counted.
+        Far from the budget, one keeper's answer can be enough to run the turn, but
+        not to show its answer: the answers of a majority can still refuse it, and
+        an answer that has begun must not be cut. The turn does not end later, as
+        its end also waits for the recording. Events without data are not counted.
 
         Raises:
             Refusal: the budget does not cover the turn, whose outcome is unknown.
         """
+        await self.wait_for_reservation()
         if event.payload is None:
             return
-        if self.reservation is not None and self.reservation.must_delay_events:
-            await self.await_for_running_turn(self.reservation.wait_until_recorded())
         self.output.extend((event.payload, b'\n'))
         self.tokens += self.call.tokens_per_event
 
@@ -117,11 +117,20 @@
         Raises:
             Refusal: the budget does not cover the turn, whose outcome is unknown.
         """
-        if self.reservation is not None:
-            await self.await_for_running_turn(self.reservation.wait_until_recorded())
+        await self.wait_for_reservation()
         if self.call.route.keeps_history:
             await self.store_turn()
 
+    async def wait_for_reservation(self) -> None:
+        """Wait until the reservation is recorded, if there is one.
+
+        Raises:
+            Refusal: the budget does not cover the turn, whose outcome is unknown.
+        """
+        if self.reservation is None or self.reservation.confirmed:
+            return
+        await self.await_for_running_turn(self.reservation.wait_until_recorded())
+
     async def await_for_running_turn(self, work: Awaitable[Any]) -> Any:
         """Wait for `work` on behalf of a turn that has begun to run.
 
--- a/pollenwalk/request/reservation.py
+++ b/pollenwalk/request/reservation.py
@@ -23,7 +23,8 @@
     """Tokens reserved for one turn.
 
     Attributes:
-        permitted: done once the turn may run; fails if it may not.
+        permitted: done once the turn may run; fails if it may not. The recording
+            can still find that the budget does not cover the turn.
         recorded: task that ends once a majority of the keepers have answered, the
             reservation is on enough disks and the budget covers the turn; fails
             if any of these does not happen. Replaced by a new task when the
@@ -86,8 +87,8 @@
         """Wait until the reservation of a turn that has begun to run is recorded.
 
         The answer of such a turn is ready or soon will be, and a late answer is
-        better than one that breaks off. So while keepers are unavailable, the
-        recording is repeated until the caller's deadline cancels it.
+        better than none. So while keepers are unavailable, the recording is
+        repeated until the caller's deadline cancels it.
 
         Raises:
             Refusal: the budget does not cover the turn.
@@ -109,11 +110,11 @@
             raise
 
     @property
-    def failed(self) -> bool:
-        """Return whether the recording has failed or was cancelled."""
-        if not self.recorded.done():
+    def confirmed(self) -> bool:
+        """Return whether the recording has ended and the budget covers the turn."""
+        if not self.recorded.done() or self.recorded.cancelled():
             return False
-        return self.recorded.cancelled() or self.recorded.exception() is not None
+        return self.recorded.exception() is None
 
     async def record(self) -> None:
         """Record the reservation at a majority of the keepers and check the budget.
@@ -239,15 +240,6 @@
         """Return a number of answers together with that of the listed keepers."""
         return AnswerCount(answers, self.listed_keepers)
 
-    @property
-    def must_delay_events(self) -> bool:
-        """Return whether the turn's events must wait for the recording.
-
-        They also wait after a failure: `wait_until_recorded` then raises it or
-        records again.
-        """
-        return self.failed or not (self.recorded.done() or self.permitted_early)
-
     def close(self) -> None:
         """Cancel the recording if it still runs."""
         self.recorded.cancel()
--- a/test/request/test_program_turn.py
+++ b/test/request/test_program_turn.py
@@ -88,18 +88,35 @@
         second.close()
 
     @virtual
-    async def test_one_keeper_suffices_far_from_the_budget(self) -> None:
+    async def test_one_keeper_suffices_to_run_a_turn(self) -> None:
         cluster = KeeperCluster()
         group = await cluster.start_three_with_group()
         turn = self.make_turn(group, make_call('t1', 10_000))
         started_ms = cluster.clock.now_ms()
-        cluster.fabric.slow_ms['gateway', 'b'] = 1000
-        cluster.fabric.slow_ms['gateway', 'c'] = 1000
+        cluster.fabric.slow_ms['gateway', 'b'] = 200
+        cluster.fabric.slow_ms['gateway', 'c'] = 200
         await turn.prepare()
-        await turn.before_event(Event(b'', '1', b'out'))
         self.assertTrue(cluster.clock.now_ms() - started_ms < 100)
         turn.close()
 
+    @virtual
+    async def test_events_wait_for_a_majority_of_the_keepers(self) -> None:
+        """An event without data begins the answer, too."""
+        for payload in (b'out', None):
+            cluster = KeeperCluster()
+            group = await cluster.start_three_with_group()
+            turn = self.make_turn(group, make_call('t1', 10_000))
+            started_ms = cluster.clock.now_ms()
+            cluster.fabric.slow_ms['gateway', 'b'] = 200
+            cluster.fabric.slow_ms['gateway', 'c'] = 200
+            await turn.prepare()
+            await turn.before_event(Event(b'', '1', payload))
+            shown_after_ms = cluster.clock.now_ms() - started_ms
+            self.assertTrue(400 <= shown_after_ms < 500, shown_after_ms)
+            await turn.before_event(Event(b'', '2', payload))
+            self.assertEqual(shown_after_ms, cluster.clock.now_ms() - started_ms)
+            turn.close()
+
     @virtual
     async def test_concurrent_turn_waits_for_a_majority(self) -> None:
         cluster = KeeperCluster()
@@ -142,7 +159,7 @@
         turn.close()
 
     @virtual
-    async def test_turn_found_to_exceed_its_budget_is_cut(self) -> None:
+    async def test_turn_that_exceeds_its_budget_shows_nothing(self) -> None:
         """The first keeper to answer lacks turns that the two others have."""
         cluster = KeeperCluster()
         group = await cluster.start_three_with_group()
@@ -154,10 +171,25 @@
         cluster.fabric.slow_ms['gateway', 'c'] = 200
         turn = self.make_turn(group, make_call('t1', 5 * MAX_TOKENS))
         await turn.prepare()
-        await turn.before_event(Event(b'', '1', b'out'))
+        with testtools.ExpectedException(Refusal):
+            await turn.before_event(Event(b'', '1', b'out'))
+        self.assertEqual(0, turn.tokens)
+        turn.close()
+
+    @virtual
+    async def test_refused_turn_does_not_begin_with_a_comment(self) -> None:
+        """Guards against an answer that begins after its refusal is known."""
+        cluster = KeeperCluster()
+        group = await cluster.start_three_with_group()
+        for name in ('b', 'c'):
+            spent = SettleTokens('p', 'old', 5 * MAX_TOKENS, 1000)
+            await cluster.keepers[name].state.store_record(spent)
+            cluster.fabric.slow_ms['gateway', name] = 200
+        turn = self.make_turn(group, make_call('t1', 5 * MAX_TOKENS))
+        await turn.prepare()
         await cluster.wait(500)
         with testtools.ExpectedException(Refusal):
-            await turn.before_event(Event(b'', '2', b'out'))
+            await turn.before_event(Event(b': comment\n\n', '', None))
         turn.close()
 
     @virtual
@@ -200,7 +232,7 @@
         return 0
 
     @virtual
-    async def test_line_of_early_turn_that_is_cut(self) -> None:
+    async def test_line_of_early_turn_that_is_refused(self) -> None:
         """The first keeper to answer lacks turns that the two others have."""
         cluster = KeeperCluster()
         group = await cluster.start_three_with_group()
@@ -291,7 +323,7 @@
         return {name: lines[0][name] for name in lines[0] if name not in known}
 
     @virtual
-    async def test_end_waits_for_a_majority(self) -> None:
+    async def test_events_and_end_wait_for_a_majority(self) -> None:
         cluster = KeeperCluster()
         group = await cluster.start_three_with_group()
         turn = self.make_turn(group, make_call('t1', 10_000))
@@ -302,13 +334,16 @@
         cluster.fabric.cut('gateway', 'c')
         second = self.make_turn(group, make_call('t2', 10_000))
         await second.prepare()
-        await second.before_event(Event(b'', '1', b'out'))
+        showing = asyncio.ensure_future(second.before_event(Event(b'', '1', b'out')))
         ending = asyncio.ensure_future(second.before_end())
         await cluster.wait(1500)
+        self.assertFalse(showing.done())
         self.assertFalse(ending.done())
         cluster.fabric.heal()
         await cluster.wait(1000)
+        self.assertTrue(showing.done())
         self.assertTrue(ending.done())
+        await showing
         await ending
         second.close()
 
