Refuse a stream that broke off before the caller got any of it

A caller of a streaming route whose host broke off before the first event saw a bare 500 of the HTTP server, without a code or an outcome, if the call could not be sent again. StreamForwarder raised BrokenAnswer whether or not the answer had begun, and the gateway application ends a call with BrokenAnswer without sending anything, which leaves the HTTP server to answer "Internal Server Error".

The forwarder now raises a Refusal (upstream_failed, outcome unknown, so status 502) as long as nothing was sent to the caller, as unary calls do. After the first byte it still raises BrokenAnswer, so that the caller sees the stream cut.

Test before the change: 'the connection was reset' is not an instance of Refusal (test_stream_broken_before_its_start_is_refused); 19 passed, 1 failed. After: test_forwarding.py 20 passed, 0 failed.

--- a/pollenwalk/request/streaming.py
+++ b/pollenwalk/request/streaming.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from pollenwalk.errors import BrokenAnswer
+from pollenwalk.errors import BrokenAnswer, Outcome, Refusal, RefusalCode
 from pollenwalk.process.clock import MS_PER_SECOND
 from pollenwalk.request.call_sender import CallSender, ForwardingContext
 from pollenwalk.request.event_stream import Event, EventSplitter
@@ -146,6 +146,7 @@
 
         Raises:
             BrokenAnswer: the answer broke off and no other host may be tried.
+            Refusal: likewise, but the caller has not got any part of an answer.
         """
         try:
             with exchange:
@@ -154,7 +155,13 @@
             self.sender.handle_broken_answer(exchange.state, error.message)
             if self.sender.may_send():
                 return False
-            raise
+            if self.reply.started:
+                raise
+            raise Refusal(
+                RefusalCode.UPSTREAM_FAILED,
+                'the upstream host broke off its answer',
+                Outcome.UNKNOWN,
+            ) from error
         exchange.state.record_success()
         return True
 
--- a/test/request/test_forwarding.py
+++ b/test/request/test_forwarding.py
@@ -391,6 +391,16 @@
         self.assertTrue(reply.finished)
         self.assertNotIn('last-event-id', hosts.hosts[1].received[0].headers)
 
+    @on_loop
+    async def test_stream_broken_before_its_start_is_refused(self) -> None:
+        hosts = Hosts(breaks_before_first_event, streams_to_end)
+        reply, error = await run(hosts, STREAM)
+        self.assertIsInstance(error, Refusal)
+        self.assertEqual(RefusalCode.UPSTREAM_FAILED, error.code)
+        self.assertEqual(Outcome.UNKNOWN, error.outcome)
+        self.assertFalse(reply.started)
+        self.assertEqual([1, 0], hosts.request_counts())
+
     @on_loop
     async def test_resumptions_are_limited_by_the_route(self) -> None:
         hosts = Hosts(breaks_in_third_event, breaks_in_third_event, streams_to_end)
