Bound the informational answers before an answer

A host that sent 1xx answers without end held a call until its deadline: the caller got 504 then, and a call that may run again was never tried at another host. UpstreamConnection.read_any_head skipped informational answers in a loop without a bound.

More than MAX_INFORMATIONAL_ANSWERS = 100 of them are a BrokenAnswer now, so that the connection is closed and the usual rules for sending again hold. A server sends one or a few of them (100, 103, or 102 every some seconds).

The new test_endless_answers.py has a host that sends without end until the caller closes. It checks the result within 1 s (the deadline is 2 s), and that the host saw the close before it could send 32 MB. Endless header bytes, header lines, chunk sizes, chunk extensions and trailers, endless answers to other requests and endless bytes after an answer were bounded before, by h11's limit of 16 KiB for an incomplete event, MAX_ANSWERS and the close.

--- a/pollenwalk/connection/upstream_connection.py
+++ b/pollenwalk/connection/upstream_connection.py
@@ -24,6 +24,8 @@
 # Maximum number of answers read on a connection until one is the answer to the
 # current request.
 MAX_ANSWERS = 3
+# Maximum number of informational (1xx) answers before an answer.
+MAX_INFORMATIONAL_ANSWERS = 100
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -208,10 +210,15 @@
         """Wait for the head of the next answer, whichever request it is for.
 
         Raises:
-            BrokenAnswer: the connection ended without an answer.
+            BrokenAnswer: the connection ended without an answer, or more than
+                MAX_INFORMATIONAL_ANSWERS came before it.
         """
         event = await self.next_event()
+        skipped = 0
         while isinstance(event, h11.InformationalResponse):
+            skipped += 1
+            if skipped > MAX_INFORMATIONAL_ANSWERS:
+                raise BrokenAnswer('the host sent too many informational answers')
             event = await self.next_event()
         if not isinstance(event, h11.Response):
             raise BrokenAnswer('the connection ended without an answer')
--- /dev/null
+++ b/test/request/test_endless_answers.py
@@ -0,0 +1,275 @@
+"""Answers of upstream hosts that never end, which must be cut off in time."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import testtools
+
+from pollenwalk.errors import BrokenAnswer, Refusal
+from pollenwalk.request.gateway_call import Call
+from pollenwalk.request.streaming import StandaloneTurn, run_stream
+from pollenwalk.request.unary import run_unary
+from pollenwalk.version.routes import Route
+from standin.platform.host import (
+    SIGNED,
+    Line,
+    Received,
+    answer,
+    chunk,
+    event,
+    stream_head,
+)
+from test.helper import on_loop
+from test.request.test_forwarding import (
+    ROUTE,
+    STREAM,
+    UNSAFE,
+    Hosts,
+    RecordedReply,
+    answers_hello,
+    make_call,
+)
+
+# Time within which the caller gets an answer; its deadline is after 2 s.
+ANSWER_LIMIT_S = 1.0
+# Time within which a host sees that its connection was closed.
+CLOSE_LIMIT_S = 0.5
+# Size of each write of a host.
+WRITE_BYTES = 65_536
+# Bytes that a host can send before it is cut off, including those that are still
+# in the buffers of the kernel.
+SENT_LIMIT_BYTES = 32_000_000
+# Limit on the memory that the gateway and the hosts allocate for a call.
+MEMORY_LIMIT_BYTES = 40_000_000
+OTHER_REQUEST = Received('GET', '/', {'x-pollenwalk-request-id': 'another'}, b'')
+INFORMATION = b'HTTP/1.1 102 Processing\r\n\r\n'
+NOT_EXECUTED = b'X-Pollenwalk-Not-Executed: 1\r\n'
+
+ANSWERED = 'answered'
+CUT = 'cut'
+IN_TIME = 'closed in time'
+Opening = Callable[[Received], bytes]
+
+
+class EndlessScript:
+    """Sends an opening, then the same bytes again until the caller closes.
+
+    Attributes:
+        sent_bytes: number of bytes sent after the opening.
+        closed: set when the caller has closed the connection.
+    """
+
+    def __init__(self, opening: Opening, unit: bytes) -> None:
+        """Send `opening` of the request, then `unit` without end."""
+        self.opening = opening
+        self.block = unit * max(WRITE_BYTES // len(unit), 1)
+        self.sent_bytes = 0
+        self.closed = asyncio.Event()
+
+    async def __call__(self, line: Line, request: Received) -> None:
+        """Answer one request."""
+        line.say(self.opening(request))
+        try:
+            while not line.writer.is_closing():
+                line.say(self.block)
+                self.sent_bytes += len(self.block)
+                await line.writer.drain()
+                await asyncio.sleep(0)
+        finally:
+            self.closed.set()
+
+
+class Case(NamedTuple):
+    """An answer without end and its expected effect.
+
+    Attributes:
+        name: name of the case.
+        route: route of the call.
+        opening: what the host sends first.
+        unit: what it sends again and again after that.
+        result: the outcome of the refusal, ANSWERED or CUT.
+    """
+
+    name: str
+    route: Route
+    opening: Opening
+    unit: bytes
+    result: str = 'unknown'
+
+
+def status_line(_: Received) -> bytes:
+    """Return the beginning of a head."""
+    return b'HTTP/1.1 200 OK\r\n'
+
+
+def header_name(_: Received) -> bytes:
+    """Return the beginning of a head up to the value of a header."""
+    return b'HTTP/1.1 200 OK\r\nX-Long: '
+
+
+def nothing(_: Received) -> bytes:
+    """Return no bytes."""
+    return b''
+
+
+def head_of(
+    request: Received, framing: bytes, more: bytes = SIGNED, status: bytes = b'200 OK'
+) -> bytes:
+    """Return a head with the given framing of its body."""
+    lines = (
+        b'HTTP/1.1 ' + status,
+        b'X-Pollenwalk-Request-Id: ' + request.id.encode(),
+        more + framing,
+    )
+    return b'\r\n'.join(lines) + b'\r\n\r\n'
+
+
+CHUNKED = b'Transfer-Encoding: chunked'
+LONG = b'Content-Length: 1000000000000'
+CLOSING = b'Connection: close'
+BODY_CHUNK = chunk(b'x' * 1000)
+
+HEADS = (
+    Case('header bytes', UNSAFE, header_name, b'x'),
+    Case('header lines', UNSAFE, status_line, b'X-A: b\r\n'),
+    Case('informational answers', UNSAFE, nothing, INFORMATION),
+    Case('informational answers to a stream', STREAM, nothing, INFORMATION),
+    Case(
+        'answers to other requests', UNSAFE, nothing, answer(OTHER_REQUEST, b'x' * 1000)
+    ),
+)
+BODIES = (
+    Case('chunk size', UNSAFE, stream_head, b'0'),
+    Case(
+        'chunk extension',
+        UNSAFE,
+        lambda request: stream_head(request) + b'5;a=',
+        b'x',
+    ),
+    Case(
+        'trailers',
+        UNSAFE,
+        lambda request: stream_head(request) + b'0\r\n',
+        b'X-A: b\r\n',
+    ),
+    Case('bytes after the answer', UNSAFE, answer, b'x', ANSWERED),
+)
+
+
+class CountedReply(RecordedReply):
+    """Counts the bytes that the caller receives instead of recording them.
+
+    Attributes:
+        received_bytes: number of bytes of the body.
+    """
+
+    def __init__(self) -> None:
+        """Start without an answer."""
+        super().__init__()
+        self.received_bytes = 0
+
+    async def write(self, chunk: bytes) -> None:
+        """Count some bytes of the body."""
+        self.received_bytes += len(chunk)
+
+
+async def forward(hosts: Hosts, call: Call, reply: RecordedReply) -> str:
+    """Forward a call; return its result."""
+    context = await hosts.start()
+    try:
+        async with asyncio.timeout(ANSWER_LIMIT_S):
+            if call.route.is_streaming:
+                turn = StandaloneTurn(call.request.body)
+                await run_stream(context, call, turn, reply)
+            else:
+                await run_unary(context, call, reply)
+    except Refusal as refusal:
+        return str(refusal.outcome)
+    except BrokenAnswer:
+        return CUT if reply.started else 'neither answer nor refusal'
+    except TimeoutError:
+        return 'nothing in time'
+    finally:
+        for host in hosts.hosts:
+            host.stop()
+    return ANSWERED
+
+
+async def describe_close(script: EndlessScript) -> str:
+    """Return whether the host saw the close, and before it had sent too much."""
+    try:
+        async with asyncio.timeout(CLOSE_LIMIT_S):
+            await script.closed.wait()
+    except TimeoutError:
+        return 'not closed'
+    if script.sent_bytes > SENT_LIMIT_BYTES:
+        return f'closed after {script.sent_bytes} bytes'
+    return IN_TIME
+
+
+async def play(case: Case) -> tuple[str, str]:
+    """Play a case; return the call's result and how the connection ended."""
+    script = EndlessScript(case.opening, case.unit)
+    reply = RecordedReply()
+    result = await forward(Hosts(script), make_call(case.route), reply)
+    return result, await describe_close(script)
+
+
+class EndlessAnswersTest(testtools.TestCase):
+    """Tests of the only host answering without end."""
+
+    def check(self, cases: tuple[Case, ...]) -> None:
+        """Play cases and compare all results at once."""
+        expected = {case.name: (case.result, IN_TIME) for case in cases}
+        played = {case.name: asyncio.run(play(case)) for case in cases}
+        self.assertEqual(expected, played)
+
+    def test_endless_heads(self) -> None:
+        self.check(HEADS)
+
+    def test_endless_bodies(self) -> None:
+        self.check(BODIES)
+
+
+class OtherHostTest(testtools.TestCase):
+    """Tests of one host answering without end while another one answers well."""
+
+    async def play(self, case: Case, other: Any) -> tuple[str, str, list[int]]:
+        """Return the call's result, the body received, and the hosts' requests."""
+        hosts = Hosts(EndlessScript(case.opening, case.unit), other)
+        reply = RecordedReply()
+        result = await forward(hosts, make_call(case.route), reply)
+        return result, reply.body.decode(), hosts.request_counts()
+
+    @on_loop
+    async def test_safe_call_runs_again_after_the_bounds(self) -> None:
+        names = ('informational answers', 'chunks for another request', 'chunks')
+        for case in (*HEADS, *BODIES):
+            if case.name in names:
+                again = case._replace(route=ROUTE)
+                self.assertEqual(
+                    (ANSWERED, 'hello', [1, 1]),
+                    await self.play(again, answers_hello),
+                    case.name,
+                )
+
+
+class BoundsTest(testtools.TestCase):
+    """Tests of what the bounds must not affect."""
+
+    @on_loop
+    async def test_long_stream_of_events_is_forwarded(self) -> None:
+        events = chunk(b''.join(event(number, 'x' * 10_000) for number in range(10)))
+
+        async def streams_long(line: Line, request: Received) -> None:
+            line.say(stream_head(request))
+            for _ in range(120):
+                line.say(events)
+                await line.writer.drain()
+            line.say(chunk(b''))
+
+        reply = CountedReply()
+        result = await forward(Hosts(streams_long), make_call(STREAM), reply)
+        self.assertEqual(ANSWERED, result)
+        self.assertTrue(reply.received_bytes > 12_000_000)
