Bound the skipped body of an answer to another request

If a host answered another request with a body that never ended, the gateway read that body into memory until the call's deadline: about 120 MB in a second in chunks of 1000 bytes, and more than a gigabyte with a length, which ends a gateway of 128 MB. The caller got 504 at best. UpstreamConnection.read_head read the body of a skipped answer as a whole with read_body, which joined all chunks.

read_body is replaced by skip_body, which discards the bytes as they arrive and raises BrokenAnswer above MAX_SKIPPED_BODY_BYTES = 8 MiB. The usual rules for sending again hold then.

Before the change, with unknown and closed in time expected: 'chunks for another request': ('nothing in time', 'closed after bytes'), 'long body for another request': ('nothing in time', 'closed after bytes'), and ('nothing in time', '', [1, 0]) for ('answered', 'hello', [1, 1]) of a safe call with a second host; 2 passed, 2 failed. After: 4 passed, 0 failed, in 0.2 s; test_forwarding.py 20 and test_upstream_connection.py 5 passed, 0 failed.

--- a/pollenwalk/connection/upstream_connection.py
+++ b/pollenwalk/connection/upstream_connection.py
@@ -24,6 +24,8 @@
 # Maximum number of answers read on a connection until one is the answer to the
 # current request.
 MAX_ANSWERS = 3
+# Maximum size of the body of an answer to another request.
+MAX_SKIPPED_BODY_BYTES = 8_388_608
 # Maximum number of informational (1xx) answers before an answer.
 MAX_INFORMATIONAL_ANSWERS = 100
 
@@ -194,15 +196,16 @@
                 skipped; one that states none is accepted.
 
         Raises:
-            BrokenAnswer: the connection failed, or none of the first MAX_ANSWERS
-                answers was to this request.
+            BrokenAnswer: the connection failed, none of the first MAX_ANSWERS
+                answers was to this request, or the body of a skipped one exceeds
+                MAX_SKIPPED_BODY_BYTES.
         """
         for _ in range(MAX_ANSWERS):
             head = await self.read_any_head()
             if not head.request or head.request == request:
                 return head
             self.reusable = False
-            await self.read_body()
+            await self.skip_body(MAX_SKIPPED_BODY_BYTES)
             self.expect_another_answer()
         raise BrokenAnswer('the host sent only answers to other requests')
 
@@ -227,13 +230,17 @@
             self.keep_alive_ms = head.keep_alive_ms
         return head
 
-    async def read_body(self) -> bytes:
-        """Read the rest of the body of the current answer.
+    async def skip_body(self, max_bytes: int) -> None:
+        """Read the rest of the body of the current answer and discard it.
 
         Raises:
-            BrokenAnswer: the body is incomplete.
+            BrokenAnswer: the body is incomplete or exceeds `max_bytes`.
         """
-        return b''.join([chunk async for chunk in self.chunks()])
+        size = 0
+        async for chunk in self.chunks():
+            size += len(chunk)
+            if size > max_bytes:
+                raise BrokenAnswer(f'a skipped body exceeds {max_bytes} bytes')
 
     def expect_another_answer(self) -> None:
         """Reset the parser so that it accepts another answer to the same request.
--- a/test/request/test_endless_answers.py
+++ b/test/request/test_endless_answers.py
@@ -140,6 +140,18 @@
     ),
 )
 BODIES = (
+    Case(
+        'chunks for another request',
+        UNSAFE,
+        lambda _: stream_head(OTHER_REQUEST),
+        BODY_CHUNK,
+    ),
+    Case(
+        'long body for another request',
+        UNSAFE,
+        lambda _: head_of(OTHER_REQUEST, LONG),
+        b'x',
+    ),
     Case('chunk size', UNSAFE, stream_head, b'0'),
     Case(
         'chunk extension',
