Send a refused call on without waiting for the refusal's whole body

If a host said that it had not run a call (Not-Executed or 421) and its body never ended, the gateway read the body into memory until the call's deadline. The caller got 504 with an unknown outcome although the call had provably not run, and no other host was tried. CallSender.send_request read the whole body, only in order to reuse the connection, before it raised NotSent.

The head alone proves that the call was not run. The body is now discarded while it arrives, up to MAX_REFUSAL_BODY_BYTES = 64 KiB and REFUSAL_BODY_TIMEOUT_MS = 50; whatever is longer, slower or broken closes the connection, and the call counts as not run either way.

--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -5,6 +5,7 @@
 one more attempt.
 """
 
+import contextlib
 import random
 from typing import NamedTuple
 
@@ -29,6 +30,10 @@
 HOST_RETRY_SHARE = 0.25
 # Pause before all hosts are tried again.
 HOST_RETRY_INTERVAL_MS = 25.0
+# Maximum size of the body of a host's refusal, and maximum time until its end, for
+# which the connection is kept.
+MAX_REFUSAL_BODY_BYTES = 65_536
+REFUSAL_BODY_TIMEOUT_MS = 50.0
 # Retry-After in the refusal of a call that no host accepts. No better estimate is
 # known, so it is about one service time.
 RETRY_AFTER_MS = 200
@@ -239,7 +244,7 @@
             state.record_load(head.load, self.context.clock.now_ms())
         if head.refused:
             self.runs -= 1
-            await exchange.body()
+            await self.skip_refusal_body(exchange)
             raise NotSent(f'refused with status {head.status}')
         if not head.signed or head.encoded:
             raise BrokenAnswer(
@@ -247,6 +252,17 @@
             )
         self.context.metrics.count_send('answered')
 
+    async def skip_refusal_body(self, exchange: Exchange) -> None:
+        """Read the body of a host's refusal, so that the connection can be reused.
+
+        The exchange stays incomplete, which closes the connection, if the body is
+        broken, exceeds MAX_REFUSAL_BODY_BYTES or takes longer than
+        REFUSAL_BODY_TIMEOUT_MS. The head alone proves that the call was not run.
+        """
+        with contextlib.suppress(BrokenAnswer, TimeoutError):
+            async with self.context.clock.timeout_ms(REFUSAL_BODY_TIMEOUT_MS):
+                await exchange.skip_body(MAX_REFUSAL_BODY_BYTES)
+
     def log_send(self, state: HostState) -> None:
         """Log the chosen host and its estimated load, just before the send."""
         now_ms = self.context.clock.now_ms()
--- a/pollenwalk/request/exchange.py
+++ b/pollenwalk/request/exchange.py
@@ -89,6 +89,15 @@
             yield chunk
         self.complete = True
 
+    async def skip_body(self, max_bytes: int) -> None:
+        """Read the whole body and discard it.
+
+        Raises:
+            BrokenAnswer: the answer broke off, or its body exceeds `max_bytes`.
+        """
+        await self.connection.skip_body(max_bytes)
+        self.complete = True
+
     async def body(self) -> bytes:
         """Read and return the whole body.
 
--- a/test/request/test_endless_answers.py
+++ b/test/request/test_endless_answers.py
@@ -29,6 +29,7 @@
     RecordedReply,
     answers_hello,
     make_call,
+    refuses_unrun,
 )
 
 # Time within which the caller gets an answer; its deadline is after 2 s.
@@ -167,6 +168,26 @@
     ),
     Case('bytes after the answer', UNSAFE, answer, b'x', ANSWERED),
 )
+REFUSALS = (
+    Case(
+        'chunks of a refusal',
+        UNSAFE,
+        lambda request: head_of(
+            request, CHUNKED, NOT_EXECUTED, b'503 Service Unavailable'
+        ),
+        BODY_CHUNK,
+        'not_run',
+    ),
+    Case(
+        'long body of a refusal',
+        UNSAFE,
+        lambda request: head_of(
+            request, LONG, NOT_EXECUTED, b'503 Service Unavailable'
+        ),
+        b'x',
+        'not_run',
+    ),
+)
 
 
 class CountedReply(RecordedReply):
@@ -243,6 +264,9 @@
     def test_endless_bodies(self) -> None:
         self.check(BODIES)
 
+    def test_endless_refusals(self) -> None:
+        self.check(REFUSALS)
+
 
 class OtherHostTest(testtools.TestCase):
     """Tests of one host answering without end while another one answers well."""
@@ -254,6 +278,25 @@
         result = await forward(hosts, make_call(case.route), reply)
         return result, reply.body.decode(), hosts.request_counts()
 
+    @on_loop
+    async def test_refused_call_runs_at_another_host(self) -> None:
+        for case in REFUSALS:
+            self.assertEqual(
+                (ANSWERED, 'hello', [1, 1]),
+                await self.play(case, answers_hello),
+                case.name,
+            )
+
+    @on_loop
+    async def test_refusal_whose_body_stalls_is_not_awaited(self) -> None:
+        async def stalls(line: Line, request: Received) -> None:
+            line.say(head_of(request, LONG, NOT_EXECUTED, b'503 Service Unavailable'))
+            await line.gone()
+
+        hosts = Hosts(stalls, answers_hello)
+        result = await forward(hosts, make_call(UNSAFE), RecordedReply())
+        self.assertEqual((ANSWERED, [1, 1]), (result, hosts.request_counts()))
+
     @on_loop
     async def test_safe_call_runs_again_after_the_bounds(self) -> None:
         names = ('informational answers', 'chunks for another request', 'chunks')
@@ -270,6 +313,15 @@
 class BoundsTest(testtools.TestCase):
     """Tests of what the bounds must not affect."""
 
+    @on_loop
+    async def test_short_refusal_keeps_the_connection(self) -> None:
+        hosts = Hosts(refuses_unrun)
+        patient = UNSAFE._replace(target_ms=400)
+        result = await forward(hosts, make_call(patient), RecordedReply())
+        self.assertEqual('not_run', result)
+        self.assertTrue(len(hosts.hosts[0].received) > 1)
+        self.assertEqual(1, hosts.hosts[0].connections)
+
     @on_loop
     async def test_long_stream_of_events_is_forwarded(self) -> None:
         events = chunk(b''.join(event(number, 'x' * 10_000) for number in range(10)))
