Split a stream into events in linear time

A stream with many small events in a chunk, or with an event in many small chunks, held up a whole gateway: 256 KiB of empty events kept its event loop busy for 18 s, and an incomplete event of 400 KB in parts of 10 bytes for 9.7 s, in which no other call was served and no deadline was kept. EventSplitter copied all remaining bytes after each event and with each chunk, and searched them from the start twice.

--- a/pollenwalk/request/event_stream.py
+++ b/pollenwalk/request/event_stream.py
@@ -1,11 +1,14 @@
 """Splitting of a stream of server-sent events into single events."""
 
+import re
 from collections.abc import Iterator
 from typing import NamedTuple
 
 # The end of an event's last line and the blank line after it. A blank line between
 # lines that end with CR alone is not recognised.
-EVENT_ENDS = (b'\n\n', b'\r\n\r\n')
+EVENT_END = re.compile(rb'\n\n|\r\n\r\n')
+# Number of bytes of an event's end that may be found only after more bytes arrive.
+PARTIAL_END_BYTES = 3
 
 
 class Event(NamedTuple):
@@ -27,34 +30,25 @@
 
     Attributes:
         incomplete: bytes received after the last complete event.
+        searched_bytes: length of the part of `incomplete` in which no event ends.
     """
 
     def __init__(self) -> None:
         """Create a splitter that has not received any bytes."""
-        self.incomplete = b''
+        self.incomplete = bytearray()
+        self.searched_bytes = 0
 
     def feed(self, chunk: bytes) -> Iterator[Event]:
         """Add a chunk and yield the events that it completes."""
         self.incomplete += chunk
-        while True:
-            end = self.end_of_event()
-            if not end:
-                return
-            raw = self.incomplete[:end]
-            self.incomplete = self.incomplete[end:]
+        complete_bytes = 0
+        for end in EVENT_END.finditer(self.incomplete, self.searched_bytes):
+            raw = bytes(self.incomplete[complete_bytes : end.end()])
+            complete_bytes = end.end()
             yield parse_event(raw)
-
-    def end_of_event(self) -> int:
-        """Return the length of the first event in `incomplete`.
-
-        0 if there is no complete event.
-        """
-        ends = (
-            position + len(event_end)
-            for event_end in EVENT_ENDS
-            if (position := self.incomplete.find(event_end)) >= 0
-        )
-        return min(ends, default=0)
+        if complete_bytes:
+            self.incomplete = self.incomplete[complete_bytes:]
+        self.searched_bytes = max(len(self.incomplete) - PARTIAL_END_BYTES, 0)
 
 
 def parse_event(raw: bytes) -> Event:
--- a/pollenwalk/request/streaming.py
+++ b/pollenwalk/request/streaming.py
@@ -184,7 +184,7 @@
         await self.turn.before_end()
         await self.start_reply(exchange)
         if splitter.incomplete:
-            await self.reply.write(splitter.incomplete)
+            await self.reply.write(bytes(splitter.incomplete))
         await self.reply.finish()
 
     async def forward_event(self, exchange: Exchange, event: Event) -> None:
--- a/test/request/test_endless_answers.py
+++ b/test/request/test_endless_answers.py
@@ -1,6 +1,7 @@
 """Answers of upstream hosts that never end, which must be cut off in time."""
 
 import asyncio
+import time
 import tracemalloc
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -18,6 +19,7 @@
     Received,
     answer,
     chunk,
+    event,
     stream_head,
 )
 from test.helper import on_loop
@@ -360,3 +362,33 @@
         reply = RecordedReply()
         result = await forward(Hosts(answers_large), make_call(UNSAFE), reply)
         self.assertEqual((ANSWERED, body), (result, reply.body))
+
+    @on_loop
+    async def test_many_events_in_one_chunk_are_split_in_time(self) -> None:
+        events = b'\n\n' * 131_072
+
+        async def streams_empty_events(line: Line, request: Received) -> None:
+            line.say(stream_head(request) + chunk(events) + chunk(b''))
+
+        reply = CountedReply()
+        start_s = time.monotonic()
+        result = await forward(Hosts(streams_empty_events), make_call(STREAM), reply)
+        self.assertEqual(ANSWERED, result)
+        self.assertEqual(len(events), reply.received_bytes)
+        self.assertTrue(time.monotonic() - start_s < ANSWER_LIMIT_S)
+
+    @on_loop
+    async def test_long_stream_of_events_is_forwarded(self) -> None:
+        events = chunk(b''.join(event(number, 'x' * 10_000) for number in range(10)))
+
+        async def streams_long(line: Line, request: Received) -> None:
+            line.say(stream_head(request))
+            for _ in range(120):
+                line.say(events)
+                await line.writer.drain()
+            line.say(chunk(b''))
+
+        reply = CountedReply()
+        result = await forward(Hosts(streams_long), make_call(STREAM), reply)
+        self.assertEqual(ANSWERED, result)
+        self.assertTrue(reply.received_bytes > 12_000_000)
