Bound the incomplete event of a stream

A host whose event never ended held a streaming call until its deadline, and the gateway kept all bytes of the event: the caller got 504, or the part before the event, and a stream that may be resumed was not resumed at another host. EventSplitter kept an incomplete event without a limit.

It now raises BrokenAnswer above MAX_INCOMPLETE_EVENT_BYTES = 1 MiB. The stream is then resumed if the route allows it, cut if the caller has a part of it, and else refused with 502 and outcome unknown. Complete events are not limited in number or total length; a stream of 12 MB is forwarded as before.

--- a/pollenwalk/request/event_stream.py
+++ b/pollenwalk/request/event_stream.py
@@ -4,11 +4,15 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from pollenwalk.errors import BrokenAnswer
+
 # The end of an event's last line and the blank line after it. A blank line between
 # lines that end with CR alone is not recognised.
 EVENT_END = re.compile(rb'\n\n|\r\n\r\n')
 # Number of bytes of an event's end that may be found only after more bytes arrive.
 PARTIAL_END_BYTES = 3
+# Maximum number of bytes that are kept of an event whose end has not arrived.
+MAX_INCOMPLETE_EVENT_BYTES = 1_048_576
 
 
 class Event(NamedTuple):
@@ -39,7 +43,11 @@
         self.searched_bytes = 0
 
     def feed(self, chunk: bytes) -> Iterator[Event]:
-        """Add a chunk and yield the events that it completes."""
+        """Add a chunk and yield the events that it completes.
+
+        Raises:
+            BrokenAnswer: the event after them exceeds MAX_INCOMPLETE_EVENT_BYTES.
+        """
         self.incomplete += chunk
         complete_bytes = 0
         for end in EVENT_END.finditer(self.incomplete, self.searched_bytes):
@@ -48,6 +56,8 @@
             yield parse_event(raw)
         if complete_bytes:
             self.incomplete = self.incomplete[complete_bytes:]
+        if len(self.incomplete) > MAX_INCOMPLETE_EVENT_BYTES:
+            raise BrokenAnswer(f'an event exceeds {MAX_INCOMPLETE_EVENT_BYTES} bytes')
         self.searched_bytes = max(len(self.incomplete) - PARTIAL_END_BYTES, 0)
 
 
--- a/test/request/test_endless_answers.py
+++ b/test/request/test_endless_answers.py
@@ -24,6 +24,7 @@
 )
 from test.helper import on_loop
 from test.request.test_forwarding import (
+    RESUMABLE,
     ROUTE,
     STREAM,
     UNSAFE,
@@ -32,6 +33,7 @@
     answers_hello,
     make_call,
     refuses_unrun,
+    streams_to_end,
 )
 
 # Time within which the caller gets an answer; its deadline is after 2 s.
@@ -202,6 +204,15 @@
         lambda request: head_of(request, CHUNKED, SIGNED, b'500 Internal Server Error'),
         BODY_CHUNK,
     ),
+    Case('first event', STREAM, stream_head, BODY_CHUNK),
+    Case('first event in small chunks', STREAM, stream_head, chunk(b'x' * 100)),
+    Case(
+        'second event',
+        STREAM,
+        lambda request: stream_head(request) + chunk(event(1)),
+        BODY_CHUNK,
+        CUT,
+    ),
 )
 
 
@@ -339,6 +350,14 @@
                     case.name,
                 )
 
+    @on_loop
+    async def test_stream_is_resumed_after_an_endless_event(self) -> None:
+        case = STREAMS[-1]._replace(route=RESUMABLE)
+        self.assertEqual(
+            (ANSWERED, b''.join(map(event, range(1, 5))).decode(), [1, 1]),
+            await self.play(case, streams_to_end),
+        )
+
 
 class BoundsTest(testtools.TestCase):
     """Tests of what the bounds must not affect."""
