Let other calls run while many tiny chunks are parsed

A host that sent its answer in chunks of a few bytes kept a gateway from serving other calls for 0.2 to 0.3 s at a time, again and again until the call's deadline. UpstreamConnection.feed_parser passed all received bytes, 256 KiB and more, to the parser at once, and their events, tens of thousands, were handled without the event loop getting a turn.

At most MAX_PARSED_BYTES = 32 KiB are passed at once now, and other tasks run before more are. Reading from the host is resumed only when no more than HIGH_WATER_BYTES are left.

--- a/pollenwalk/connection/upstream_connection.py
+++ b/pollenwalk/connection/upstream_connection.py
@@ -21,6 +21,9 @@
 
 # Number of unread bytes above which reading from the host is paused.
 HIGH_WATER_BYTES = 262_144
+# Number of bytes that are parsed before other calls get a chance to run. Parsing
+# takes longest for chunks of one byte each.
+MAX_PARSED_BYTES = 32_768
 # Maximum number of answers read on a connection until one is the answer to the
 # current request.
 MAX_ANSWERS = 3
@@ -164,7 +167,9 @@
             ) from error
 
     async def feed_parser(self) -> None:
-        """Wait for received bytes or EOF, and pass them to the parser.
+        """Wait for received bytes or EOF, and pass some of them to the parser.
+
+        At most MAX_PARSED_BYTES are passed; other tasks run before more are.
 
         Raises:
             BrokenAnswer: the connection was reset, or the answer is incomplete or
@@ -177,9 +182,12 @@
                 raise BrokenAnswer('the connection was reset')
             self.changed.clear()
             await self.changed.wait()
-        chunk = bytes(self.received)
-        self.received.clear()
-        if not self.transport.is_closing():
+        if len(self.received) > MAX_PARSED_BYTES:
+            await asyncio.sleep(0)
+        chunk = bytes(self.received[:MAX_PARSED_BYTES])
+        self.received = self.received[MAX_PARSED_BYTES:]
+        has_room = len(self.received) <= HIGH_WATER_BYTES
+        if has_room and not self.transport.is_closing():
             self.transport.resume_reading()
         try:
             self.parser.receive_data(chunk)
--- a/test/request/test_endless_answers.py
+++ b/test/request/test_endless_answers.py
@@ -40,6 +40,10 @@
 ANSWER_LIMIT_S = 1.0
 # Time within which a host sees that its connection was closed.
 CLOSE_LIMIT_S = 0.5
+# Time above which a pause in which no other call is served counts as long, and
+# limit on the sum of these pauses in ANSWER_LIMIT_S.
+LONG_PAUSE_S = 0.1
+LONG_PAUSES_LIMIT_S = 0.5
 # Size of each write of a host.
 WRITE_BYTES = 65_536
 # Bytes that a host can send before it is cut off, including those that are still
@@ -309,6 +313,42 @@
         self.assertEqual({}, above)
 
 
+TINY_CHUNKS = (
+    Case('tiny chunks', UNSAFE, stream_head, chunk(b'x')),
+    Case('tiny chunks of an event', STREAM, stream_head, chunk(b'x')),
+    Case('tiny events', STREAM, stream_head, chunk(b'\n\n')),
+)
+
+
+async def sum_long_pauses_s(case: Case) -> float:
+    """Play a case; return the time of all long pauses in which no task could run."""
+    pauses_s: list[float] = []
+
+    async def measure() -> None:
+        while True:
+            start_s = time.monotonic()
+            await asyncio.sleep(0)
+            pauses_s.append(time.monotonic() - start_s)
+
+    measuring = asyncio.ensure_future(measure())
+    await play(case)
+    measuring.cancel()
+    return sum(pause_s for pause_s in pauses_s if pause_s > LONG_PAUSE_S)
+
+
+class FairnessTest(testtools.TestCase):
+    """Tests of whether a host can keep a gateway from serving other calls."""
+
+    def test_tiny_chunks_do_not_delay_other_calls(self) -> None:
+        sums_s = {
+            case.name: asyncio.run(sum_long_pauses_s(case)) for case in TINY_CHUNKS
+        }
+        longer = {
+            name: sum_s for name, sum_s in sums_s.items() if sum_s > LONG_PAUSES_LIMIT_S
+        }
+        self.assertEqual({}, longer)
+
+
 class OtherHostTest(testtools.TestCase):
     """Tests of one host answering without end while another one answers well."""
 
