Bound the responses of services and engines that are read as a whole

A service whose response never ended took the memory of a sidecar until the call's deadline, and an engine did so for up to 5 s when it was asked for its cache or to cancel a call or free memory: HttpService.invoke and HttpEngine.fetch read the body with aiohttp's read(), which has no limit.

Both use read_body now, which raises aiohttp.ClientPayloadError above MAX_RESPONSE_BYTES = 8 MiB. The existing rules turn it into a refusal with an unknown outcome for a service and into ConnectionLost for an engine, and aiohttp closes the connection, as the response was not read to its end.

--- a/pollenwalk/connection/engine_http.py
+++ b/pollenwalk/connection/engine_http.py
@@ -18,7 +18,7 @@
 import msgspec
 from aiohttp.http_exceptions import HttpProcessingError
 
-from pollenwalk.connection.http_client import HttpClient
+from pollenwalk.connection.http_client import HttpClient, read_body
 from pollenwalk.connection.upstream import ChatRequest
 from pollenwalk.connection.wire import Answer, Tokens
 from pollenwalk.errors import ConnectionLost, Outcome, Refusal, RefusalCode
@@ -189,7 +189,7 @@
             ) as response:
                 if response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
                     raise ConnectionLost(f'{method} {path}: {response.status}')
-                return await response.read()
+                return await read_body(response)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise ConnectionLost(f'{method} {path}: {error}') from error
 
--- a/pollenwalk/connection/http_client.py
+++ b/pollenwalk/connection/http_client.py
@@ -2,6 +2,9 @@
 
 import aiohttp
 
+# Maximum size of a response body that is read as a whole.
+MAX_RESPONSE_BYTES = 8_388_608
+
 
 class HttpClient:
     """Holds the HTTP session for one base URL, opened at the first request.
@@ -34,3 +37,19 @@
         """Close the session and its connections."""
         if self.session is not None:
             await self.session.close()
+
+
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Read and return the whole body of a response.
+
+    Raises:
+        aiohttp.ClientError: the body is incomplete or exceeds MAX_RESPONSE_BYTES.
+    """
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > MAX_RESPONSE_BYTES:
+            raise aiohttp.ClientPayloadError(
+                f'the body exceeds {MAX_RESPONSE_BYTES} bytes'
+            )
+    return bytes(body)
--- a/pollenwalk/connection/service_http.py
+++ b/pollenwalk/connection/service_http.py
@@ -7,7 +7,7 @@
 import aiohttp
 import msgspec
 
-from pollenwalk.connection.http_client import HttpClient
+from pollenwalk.connection.http_client import HttpClient, read_body
 from pollenwalk.errors import Outcome, Refusal, RefusalCode
 
 # Statuses with which a service states that it did not run the operation.
@@ -53,7 +53,7 @@
                 headers={'Idempotency-Key': call},
                 timeout=aiohttp.ClientTimeout(total=None),
             ) as response:
-                return read_output(response.status, await response.read())
+                return read_output(response.status, await read_body(response))
         except aiohttp.ClientConnectorError as error:
             # No connection was made, so the service can't have run the operation.
             raise Refusal(
