--- a/pollenwalk/connection/upstream_connection.py
+++ b/pollenwalk/connection/upstream_connection.py
@@ -21,9 +21,16 @@
 
 # Number of unread bytes above which reading from the host is paused.
 HIGH_WATER_BYTES = 262_144
+# Number of bytes that are parsed before other calls get a chance to run. Parsing
+# takes longest for chunks of one byte each.
+MAX_PARSED_BYTES = 32_768
 # Maximum number of answers read on a connection until one is the answer to the
 # current request.
 MAX_ANSWERS = 3
+# Maximum size of the body of an answer to another request.
+MAX_SKIPPED_BODY_BYTES = 8_388_608
+# Maximum number of informational (1xx) answers before an answer.
+MAX_INFORMATIONAL_ANSWERS = 100
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -160,7 +167,9 @@
             ) from error
 
     async def feed_parser(self) -> None:
-        """Wait for received bytes or EOF, and pass them to the parser.
+        """Wait for received bytes or EOF, and pass some of them to the parser.
+
+        At most MAX_PARSED_BYTES are passed; other tasks run before more are.
 
         Raises:
             BrokenAnswer: the connection was reset, or the answer is incomplete or
@@ -173,9 +182,12 @@
                 raise BrokenAnswer('the connection was reset')
             self.changed.clear()
             await self.changed.wait()
-        chunk = bytes(self.received)
-        self.received.clear()
-        if not self.transport.is_closing():
+        if len(self.received) > MAX_PARSED_BYTES:
+            await asyncio.sleep(0)
+        chunk = bytes(self.received[:MAX_PARSED_BYTES])
+        self.received = self.received[MAX_PARSED_BYTES:]
+        has_room = len(self.received) <= HIGH_WATER_BYTES
+        if has_room and not self.transport.is_closing():
             self.transport.resume_reading()
         try:
             self.parser.receive_data(chunk)
@@ -192,15 +204,16 @@
                 skipped; one that states none is accepted.
 
         Raises:
-            BrokenAnswer: the connection failed, or none of the first MAX_ANSWERS
-                answers was to this request.
+            BrokenAnswer: the connection failed, none of the first MAX_ANSWERS
+                answers was to this request, or the body of a skipped one exceeds
+                MAX_SKIPPED_BODY_BYTES.
         """
         for _ in range(MAX_ANSWERS):
             head = await self.read_any_head()
             if not head.request or head.request == request:
                 return head
             self.reusable = False
-            await self.read_body()
+            await self.skip_body(MAX_SKIPPED_BODY_BYTES)
             self.expect_another_answer()
         raise BrokenAnswer('the host sent only answers to other requests')
 
@@ -208,10 +221,15 @@
         """Wait for the head of the next answer, whichever request it is for.
 
         Raises:
-            BrokenAnswer: the connection ended without an answer.
+            BrokenAnswer: the connection ended without an answer, or more than
+                MAX_INFORMATIONAL_ANSWERS came before it.
         """
         event = await self.next_event()
+        skipped = 0
         while isinstance(event, h11.InformationalResponse):
+            skipped += 1
+            if skipped > MAX_INFORMATIONAL_ANSWERS:
+                raise BrokenAnswer('the host sent too many informational answers')
             event = await self.next_event()
         if not isinstance(event, h11.Response):
             raise BrokenAnswer('the connection ended without an answer')
@@ -220,13 +238,17 @@
             self.keep_alive_ms = head.keep_alive_ms
         return head
 
-    async def read_body(self) -> bytes:
-        """Read the rest of the body of the current answer.
+    async def skip_body(self, max_bytes: int) -> None:
+        """Read the rest of the body of the current answer and discard it.
 
         Raises:
-            BrokenAnswer: the body is incomplete.
+            BrokenAnswer: the body is incomplete or exceeds `max_bytes`.
         """
-        return b''.join([chunk async for chunk in self.chunks()])
+        size = 0
+        async for chunk in self.chunks():
+            size += len(chunk)
+            if size > max_bytes:
+                raise BrokenAnswer(f'a skipped body exceeds {max_bytes} bytes')
 
     def expect_another_answer(self) -> None:
         """Reset the parser so that it accepts another answer to the same request.
