Test that a begun stream outlasts a busy moment

A stream that broke off is resumed at another host. If every other host refuses it in that moment and a quarter of the target time has passed since the call arrived, the gateway gives up at once. That limit lets a caller that was refused retry in time, but a caller that has a part of the answer cannot: it sees the answer cut, long before the deadline and with an attempt left.

--- a/test/request/test_forwarding.py
+++ b/test/request/test_forwarding.py
@@ -115,6 +115,16 @@
     line.reset()
 
 
+def in_turn(*scripts: Script) -> Script:
+    """Return a script that follows one of `scripts` after the other."""
+    remaining = list(scripts)
+
+    async def follow_next(line: Line, request: Received) -> None:
+        await remaining.pop(0)(line, request)
+
+    return follow_next
+
+
 class RecordedReply:
     """Implements `Reply`; records what the caller receives."""
 
@@ -409,6 +419,18 @@
         self.assertFalse(reply.finished)
         self.assertEqual([1, 1, 0], hosts.request_counts())
 
+    @on_loop
+    async def test_begun_stream_outlasts_a_busy_moment(self) -> None:
+        """Guards against a cut long before the deadline."""
+        hosts = Hosts(
+            in_turn(breaks_in_third_event, streams_to_end),
+            in_turn(refuses_unrun, streams_to_end),
+        )
+        reply, error = await run(hosts, RESUMABLE)
+        self.assertIsNone(error)
+        self.assertEqual(b''.join(map(event, range(1, 5))), reply.body)
+        self.assertTrue(reply.finished)
+
     @on_loop
     async def test_cancelled_caller_closes_the_connection(self) -> None:
         host_saw_end = asyncio.Event()
