Test that a begun program is not refused as a new one

Whether a turn begins its program is taken from the answers that permitted it, which may be those of a single keeper. If that keeper lacks the program's earlier turns and the hosts are busy, program admission refuses the turn: the caller of a program that was admitted and has run turns sees 503 with code overloaded, as if the program were new. The test fails on the present code.

--- a/test/request/test_program_turn.py
+++ b/test/request/test_program_turn.py
@@ -1,23 +1,33 @@
 """Prompts, reservations and records of turns while keepers come and go."""
 
 import asyncio
+import random
 
 import testtools
 
+from pollenwalk.connection.connection_pool import ConnectionPool
+from pollenwalk.connection.hosts import UpstreamHost
+from pollenwalk.connection.upstream_connection import UpstreamConnection
 from pollenwalk.errors import Outcome, Refusal, RefusalCode
+from pollenwalk.policy.host_choice import EarliestFinish
+from pollenwalk.process.call_placer import CallPlacer
+from pollenwalk.process.clock import Clock
 from pollenwalk.process.gateway import deadline_passed
 from pollenwalk.process.gateway_metrics import GatewayMetrics
+from pollenwalk.process.host_table import HostTable
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_members import Member
 from pollenwalk.program.turns import SettleTokens
+from pollenwalk.request.call_sender import ForwardingContext
 from pollenwalk.request.event_stream import Event
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.request.http_messages import Request, RequestMetadata
 from pollenwalk.request.program_turn import ProgramTurn
 from pollenwalk.request.reservation import Reservation
+from pollenwalk.request.streaming import run_stream
 from test.helper import Fields, logged, virtual
 from test.process.test_keepers import KeeperCluster, make_record
-from test.request.test_forwarding import STREAM
+from test.request.test_forwarding import STREAM, RecordedReply
 
 HISTORY_ROUTE = STREAM._replace(keeps_history=True)
 MAX_TOKENS = 28
@@ -40,6 +50,24 @@
     return Call(request, HISTORY_ROUTE, 'up', 1, 2000, 14)
 
 
+class UnreachableHosts(ConnectionPool):
+    """A pool without connections.
+
+    Attributes:
+        requests: how many connections were asked for.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Create a pool that nothing was asked of."""
+        super().__init__(clock)
+        self.requests = 0
+
+    async def acquire(self, host: UpstreamHost) -> UpstreamConnection:
+        """Refuse to connect."""
+        self.requests += 1
+        raise Refusal(RefusalCode.UPSTREAM_FAILED, 'unreachable', Outcome.UNKNOWN)
+
+
 class TurnTest(testtools.TestCase):
     """Turns of a program that three keepers store."""
 
@@ -192,6 +220,35 @@
             await turn.before_event(Event(b': comment\n\n', '', None))
         turn.close()
 
+    @virtual
+    async def test_begun_program_is_not_refused_as_a_new_one(self) -> None:
+        """The first keeper to answer lacks the program's earlier turn."""
+        cluster = KeeperCluster()
+        group = await cluster.start_three_with_group()
+        for name in ('b', 'c'):
+            spent = SettleTokens('p', 'old', MAX_TOKENS, 1000)
+            await cluster.keepers[name].state.store_record(spent)
+            cluster.fabric.slow_ms['gateway', name] = 200
+        turn = self.make_turn(group, make_call('t1', 10_000))
+        pool = UnreachableHosts(cluster.clock)
+        context = self.make_busy_context(cluster, pool)
+        with testtools.ExpectedException(Refusal):
+            await run_stream(context, turn.call, turn, RecordedReply())
+        self.assertEqual(1, pool.requests)
+
+    def make_busy_context(
+        self, cluster: KeeperCluster, pool: ConnectionPool
+    ) -> ForwardingContext:
+        """Return the context of a gateway whose only host has many waiting calls."""
+        clock = cluster.clock
+        host_table = HostTable(clock)
+        host_table.register(UpstreamHost('i', 'up', 'i:1', 'a', 4, False, 0, 0), 1)
+        host_table.states['i'].record_load((4, 100, 4), clock.now_ms())
+        rng = random.Random(1)
+        choice = EarliestFinish(rng)
+        call_placer = CallPlacer(clock, host_table, choice, 'a', {'a': 'east'})
+        return ForwardingContext(clock, pool, call_placer, GatewayMetrics(), rng)
+
     @virtual
     async def test_budget_does_not_cut_a_begun_answer(self) -> None:
         """Gateways of two regions begin three turns of which two fit the budget."""
