Say that the outcome of a pending begin or end is unknown

A caller whose POST or DELETE of a program was not durable within 2 s got store_unavailable with the outcome not_run, although the record was still pending and took effect once the store answered again. A repeat of a pending begin was refused with not_run too, as the check that the store answers came before the look at what is pending.

The refusal is built by store_unavailable, whose outcome was always not_run. That holds for a reservation or an intent, which come before the dispatch of a call, but not for a record that itself carries the request out. The waits for such a record now refuse with an unknown outcome; the others stay as they are. A repeat of a pending begin waits for its record before new work is checked.

--- a/pollenwalk/process/program_creator.py
+++ b/pollenwalk/process/program_creator.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from pollenwalk.connection.wire import BeginProgram
-from pollenwalk.errors import Refusal, RefusalCode
+from pollenwalk.errors import Outcome, Refusal, RefusalCode
 from pollenwalk.policy.program_admission import has_capacity
 from pollenwalk.process.owner_interface import OwnerInterface
 from pollenwalk.process.program_ids import new_program_id
@@ -66,7 +66,6 @@
         existing = self.find_existing(request)
         if existing is not None:
             return self.check_repeat(existing, request)
-        self.owner.check_accepts_work()
         spec = self.context.config.program(request.declaration)
         if spec is None:
             raise Refusal(
@@ -76,6 +75,7 @@
         identity = (request.caller, request.key or request.program)
         pending_program = self.pending.get(identity)
         if pending_program is None:
+            self.owner.check_accepts_work()
             pending_program = self.create_new(request, spec)
         await self.wait_durable(pending_program.task)
         return self.created_program(pending_program.program)
@@ -84,14 +84,15 @@
         """Wait for a commit, which continues in the background after a timeout.
 
         Raises:
-            Refusal: it took longer than `COMMIT_TIMEOUT_MS`.
+            Refusal: it took longer than `COMMIT_TIMEOUT_MS`; the outcome is
+                unknown.
             Fenced: a successor has sealed the journal; retry there.
         """
         try:
             async with self.context.clock.timeout_ms(COMMIT_TIMEOUT_MS):
                 await asyncio.shield(task)
         except TimeoutError as error:
-            raise store_unavailable() from error
+            raise store_unavailable(Outcome.UNKNOWN) from error
 
     def created_program(self, program_id: str) -> Program:
         """Return a program whose commit has ended.
--- a/pollenwalk/process/program_owner.py
+++ b/pollenwalk/process/program_owner.py
@@ -302,7 +302,7 @@
 
         Raises:
             Refusal: there is no such program, or its end is not durable
-                within `END_COMMIT_TIMEOUT_MS`.
+                within `END_COMMIT_TIMEOUT_MS`; the outcome is unknown then.
             Fenced: a successor owns the program.
         """
         live = self.find(program_id)
@@ -317,7 +317,9 @@
         records: list[Record] = [Ended(program_id)]
         if was_running:
             records.insert(0, Forfeited(program_id))
-        await self.context.recorder.record(live, lambda: records, END_COMMIT_TIMEOUT_MS)
+        await self.context.recorder.record(
+            live, lambda: records, END_COMMIT_TIMEOUT_MS, Outcome.UNKNOWN
+        )
         self.tasks.spawn(self.maintenance.release(live.program), 'release')
         return live.program
 
--- a/pollenwalk/process/recorder.py
+++ b/pollenwalk/process/recorder.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from pollenwalk.connection.wire import Settle
-from pollenwalk.errors import ConnectionLost, Refusal, RefusalCode
+from pollenwalk.errors import ConnectionLost, Outcome, Refusal, RefusalCode
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.journal import Journal
 from pollenwalk.process.tasks import TaskSet
@@ -76,6 +76,7 @@
         live: LiveProgram,
         build: BuildRecords,
         wait_ms: float | None = None,
+        late_outcome: Outcome = Outcome.NOT_RUN,
     ) -> None:
         """Record and wait until the records are durable and applied.
 
@@ -85,6 +86,8 @@
             live: the program.
             build: computes the records under the program's lock.
             wait_ms: timeout of the wait; None to wait without one.
+            late_outcome: outcome of the caller's request after a timeout; it is
+                unknown if the late records themselves carry the request out.
 
         Raises:
             Refusal: the wait timed out.
@@ -98,7 +101,7 @@
             async with self.clock.timeout_ms(wait_ms):
                 await asyncio.shield(task)
         except TimeoutError as error:
-            raise store_unavailable() from error
+            raise store_unavailable(late_outcome) from error
 
     async def commit_locked(self, live: LiveProgram, build: BuildRecords) -> None:
         """Compute, commit and apply records under the program's lock."""
@@ -152,10 +155,15 @@
                     logger.debug('settle_failed', address=address, reason=str(error))
 
 
-def store_unavailable() -> Refusal:
-    """Return the refusal of a change that could not be made durable in time."""
+def store_unavailable(outcome: Outcome = Outcome.NOT_RUN) -> Refusal:
+    """Return the refusal of a change that could not be made durable in time.
+
+    Args:
+        outcome: unknown if the change is pending and may still take effect.
+    """
     return Refusal(
         RefusalCode.STORE_UNAVAILABLE,
         'the store does not answer',
+        outcome,
         retry_after_ms=RETRY_AFTER_MS,
     )
--- a/test/process/test_program_creator.py
+++ b/test/process/test_program_creator.py
@@ -32,3 +32,24 @@
         self.assertIsNotNone(refusal)
         created = bool(entry.routing.owner.table.programs)
         self.assertNotEqual((Outcome.NOT_RUN, True), (refusal.outcome, created))
+
+    @virtual
+    async def test_repeat_of_pending_begin_is_not_not_run(self) -> None:
+        world = World(Shape(witnesses=0))
+        await world.start()
+        owner = world.entries['entry1'].entry.routing.owner
+        creator = owner.program_creator
+        request = BEGIN._replace(key='key', program=creator.new_id())
+        world.store.faults = Faults(down=True)
+        outcomes = []
+        for _ in range(3):
+            try:
+                await creator.create(request)
+            except Refusal as caught:
+                outcomes.append(caught.outcome)
+        world.store.faults = Faults()
+        await world.clock.sleep_ms(RECOVERY_MS)
+        self.assertEqual([Outcome.UNKNOWN] * 3, outcomes)
+        program = await creator.create(request)
+        self.assertEqual(request.program, program.id)
+        self.assertEqual([program.id], list(owner.table.programs))
