Resume a begun stream until the caller's deadline

A caller whose stream broke off saw its answer cut as soon as every other host was busy for a moment, long before the deadline and with attempts left. All hosts are tried again only within a quarter of the target time, so that a refused caller can retry and still be served on time. A caller that has a part of the answer cannot retry.

The limit now moves to the call's deadline when the answer begins. Attempts still count, and an upstream of which no host was tried still ends the stream at once. Calls that have not begun keep the old limit.

Evidence: test_begun_stream_outlasts_a_busy_moment failed and passes now, like the other tests of test_forwarding.

--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -26,7 +26,8 @@
 
 # If all hosts have been tried in vain, they are tried again until this share of the
 # route's target time has passed since the call arrived. A caller that is refused
-# then can still retry and be served on time.
+# then can still retry and be served on time. A caller that has a part of the answer
+# cannot retry, so this limit ends when the answer begins.
 HOST_RETRY_SHARE = 0.25
 # Pause before all hosts are tried again.
 HOST_RETRY_INTERVAL_MS = 25.0
@@ -67,6 +68,8 @@
             a connection was acquired.
         found_no_free_slot: whether the last host was estimated to have no free
             slot.
+        give_up_at_ms: time on the process's clock after which hosts that were tried
+            in vain are not tried again.
         tried_hosts: ids of the hosts that must not be chosen; emptied when all
             hosts may be tried again.
     """
@@ -80,6 +83,9 @@
         self.runs = 0
         self.sent_ms = 0.0
         self.found_no_free_slot = False
+        self.give_up_at_ms = (
+            call.request.arrived_ms + call.route.target_ms * HOST_RETRY_SHARE
+        )
         self.tried_hosts: set[str] = set()
 
     def check_program_admission(self) -> None:
@@ -130,6 +136,10 @@
         route = self.call.route
         return route.idempotent and self.runs < route.max_attempts
 
+    def allow_until_deadline(self) -> None:
+        """Allow that hosts are tried again until the caller's deadline."""
+        self.give_up_at_ms = self.call.deadline_at_ms
+
     async def open_exchange(self, last_event_id: str = '') -> Exchange:
         """Send the call until a host begins to answer, and return the exchange.
 
@@ -159,14 +169,12 @@
         """Choose the host for the next send.
 
         Once all hosts have been tried, they are tried again at intervals of
-        HOST_RETRY_INTERVAL_MS, within HOST_RETRY_SHARE of the target time.
+        HOST_RETRY_INTERVAL_MS until `give_up_at_ms`.
 
         Raises:
             Refusal: no host accepts the call.
         """
         clock = self.context.clock
-        target_ms = self.call.route.target_ms
-        give_up_at_ms = self.call.request.arrived_ms + target_ms * HOST_RETRY_SHARE
         while True:
             state = self.context.call_placer.choose_host(
                 self.call, self.cost, self.tried_hosts
@@ -175,7 +183,7 @@
                 return state
             if (
                 not self.tried_hosts
-                or clock.now_ms() + HOST_RETRY_INTERVAL_MS > give_up_at_ms
+                or clock.now_ms() + HOST_RETRY_INTERVAL_MS > self.give_up_at_ms
             ):
                 raise self.no_host_refusal()
             await clock.sleep_ms(HOST_RETRY_INTERVAL_MS)
--- a/pollenwalk/request/streaming.py
+++ b/pollenwalk/request/streaming.py
@@ -198,6 +198,7 @@
         """Send status and headers to the caller unless they are sent already."""
         if self.reply.started:
             return
+        self.sender.allow_until_deadline()
         context = self.sender.context
         took_ms = context.clock.now_ms() - self.call.request.arrived_ms
         context.metrics.first_event_seconds.observe({}, took_ms / MS_PER_SECOND)
