Hold what callers see of a turn that its budget refuses

- The forwarder's reply must not have begun when the first event is refused.
- Refused events must say budget_exhausted and `unknown`; such a refusal is answered 502, and 402 only if the turn did not run.
- The test of the incident also wants a turn that was refused after it had been permitted, so that it can't pass without the case.
- One keeper must suffice beside keepers that are slower than a request's timeout, as before.
- The end is awaited after the event, as the forwarder does, and what is stored is compared; a turn without events waits, too.

--- a/test/connection/test_gateway_app.py
+++ b/test/connection/test_gateway_app.py
@@ -297,3 +297,13 @@
                     await exchange(port, REQUEST)
             expected = [{'request': 'r1', 'reason': 'why', 'begun': begun}]
             self.assertEqual(expected, lines)
+
+    @on_loop
+    async def test_spent_budget_after_a_run_is_not_promised(self) -> None:
+        for outcome, status in ((Outcome.NOT_RUN, b'402'), (Outcome.UNKNOWN, b'502')):
+            refusal = Refusal(RefusalCode.BUDGET_EXHAUSTED, '', outcome)
+            handle = failing_handler(refusal, begun=False)
+            async with serving(handle) as (app, port):
+                app.close_connections = True
+                answer = await exchange(port, REQUEST)
+            self.assertEqual(status, answer.split()[1])
--- a/test/request/test_forwarding.py
+++ b/test/request/test_forwarding.py
@@ -16,6 +16,7 @@
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.host_table import HostTable
 from pollenwalk.request.call_sender import ForwardingContext
+from pollenwalk.request.event_stream import Event
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.request.http_messages import Headers, Request, RequestMetadata
 from pollenwalk.request.streaming import StandaloneTurn, run_stream
@@ -224,6 +225,14 @@
     return reply, error
 
 
+class RefusedTurn(StandaloneTurn):
+    """A turn whose first event finds that the budget is exhausted."""
+
+    async def before_event(self, event: Event) -> None:
+        """Refuse every event."""
+        raise Refusal(RefusalCode.BUDGET_EXHAUSTED, 'exhausted', Outcome.UNKNOWN)
+
+
 class FirstTurn(StandaloneTurn):
     """The first turn of a program."""
 
@@ -401,6 +410,18 @@
         self.assertTrue(reply.finished)
         self.assertNotIn('last-event-id', hosts.hosts[1].received[0].headers)
 
+    @on_loop
+    async def test_turn_refused_at_first_event_shows_nothing(self) -> None:
+        hosts = Hosts(streams_to_end)
+        context = await hosts.start()
+        reply = RecordedReply()
+        call = make_call(STREAM)
+        turn = RefusedTurn(call.request.body)
+        with testtools.ExpectedException(Refusal):
+            await run_stream(context, call, turn, reply)
+        hosts.hosts[0].stop()
+        self.assertFalse(reply.started)
+
     @on_loop
     async def test_stream_broken_before_its_start_is_refused(self) -> None:
         hosts = Hosts(breaks_before_first_event, streams_to_end)
--- a/test/request/test_program_turn.py
+++ b/test/request/test_program_turn.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from typing import NamedTuple
 
 import testtools
 
@@ -50,6 +51,20 @@
     return Call(request, HISTORY_ROUTE, 'up', 1, 2000, 14)
 
 
+class TurnEnd(NamedTuple):
+    """How a turn went.
+
+    Attributes:
+        permitted: whether it was permitted to run.
+        shown_events: how many of its events were permitted.
+        refused: whether its budget was found to be exhausted.
+    """
+
+    permitted: bool
+    shown_events: int
+    refused: bool
+
+
 class UnreachableHosts(ConnectionPool):
     """A pool without connections.
 
@@ -121,8 +136,8 @@
         group = await cluster.start_three_with_group()
         turn = self.make_turn(group, make_call('t1', 10_000))
         started_ms = cluster.clock.now_ms()
-        cluster.fabric.slow_ms['gateway', 'b'] = 200
-        cluster.fabric.slow_ms['gateway', 'c'] = 200
+        cluster.fabric.slow_ms['gateway', 'b'] = 1000
+        cluster.fabric.slow_ms['gateway', 'c'] = 1000
         await turn.prepare()
         self.assertTrue(cluster.clock.now_ms() - started_ms < 100)
         turn.close()
@@ -199,8 +214,9 @@
         cluster.fabric.slow_ms['gateway', 'c'] = 200
         turn = self.make_turn(group, make_call('t1', 5 * MAX_TOKENS))
         await turn.prepare()
-        with testtools.ExpectedException(Refusal):
-            await turn.before_event(Event(b'', '1', b'out'))
+        error = await self.refusal_of_event(turn, Event(b'', '1', b'out'))
+        self.assertEqual(RefusalCode.BUDGET_EXHAUSTED, error.code)
+        self.assertEqual(Outcome.UNKNOWN, error.outcome)
         self.assertEqual(0, turn.tokens)
         turn.close()
 
@@ -216,8 +232,9 @@
         turn = self.make_turn(group, make_call('t1', 5 * MAX_TOKENS))
         await turn.prepare()
         await cluster.wait(500)
-        with testtools.ExpectedException(Refusal):
-            await turn.before_event(Event(b': comment\n\n', '', None))
+        error = await self.refusal_of_event(turn, Event(b': comment\n\n', '', None))
+        self.assertEqual(RefusalCode.BUDGET_EXHAUSTED, error.code)
+        self.assertEqual(Outcome.UNKNOWN, error.outcome)
         turn.close()
 
     @virtual
@@ -265,28 +282,30 @@
                 ('t3', far_group),
             )
         ]
-        shown_counts = await asyncio.gather(
-            *(self.count_events_of_cut_answer(cluster, turn) for turn in turns)
-        )
-        self.assertEqual([0, 0, 0], shown_counts)
-
-    async def count_events_of_cut_answer(
-        self, cluster: KeeperCluster, turn: ProgramTurn
-    ) -> int:
-        """Run a turn; return how many events were shown if it was refused, else 0."""
-        shown_count = 0
+        ends = await asyncio.gather(*(self.run_turn(cluster, turn) for turn in turns))
+        cut_turns = [end for end in ends if end.refused and end.shown_events]
+        self.assertEqual([], cut_turns)
+        refused_running_turns = [end for end in ends if end.refused and end.permitted]
+        self.assertNotEqual([], refused_running_turns)
+
+    async def run_turn(self, cluster: KeeperCluster, turn: ProgramTurn) -> TurnEnd:
+        """Run a turn with several events to its end or its refusal."""
+        permitted = False
+        shown_events = 0
+        refused = False
         try:
             await turn.prepare()
+            permitted = True
             for number in range(EVENTS):
                 await turn.before_event(Event(b'', str(number), b'out'))
-                shown_count += 1
+                shown_events += 1
                 await cluster.wait(EVENT_INTERVAL_MS)
             await turn.before_end()
-        except Refusal:
-            return shown_count
+        except Refusal as refusal:
+            refused = refusal.code == RefusalCode.BUDGET_EXHAUSTED
         finally:
             turn.close()
-        return 0
+        return TurnEnd(permitted, shown_events, refused)
 
     @virtual
     async def test_line_of_early_turn_that_is_refused(self) -> None:
@@ -381,28 +400,31 @@
 
     @virtual
     async def test_events_and_end_wait_for_a_majority(self) -> None:
-        cluster = KeeperCluster()
-        group = await cluster.start_three_with_group()
-        turn = self.make_turn(group, make_call('t1', 10_000))
-        await turn.prepare()
-        turn.close()
-        await cluster.wait(200)
-        cluster.fabric.cut('gateway', 'b')
-        cluster.fabric.cut('gateway', 'c')
-        second = self.make_turn(group, make_call('t2', 10_000))
-        await second.prepare()
-        showing = asyncio.ensure_future(second.before_event(Event(b'', '1', b'out')))
-        ending = asyncio.ensure_future(second.before_end())
-        await cluster.wait(1500)
-        self.assertFalse(showing.done())
-        self.assertFalse(ending.done())
-        cluster.fabric.heal()
-        await cluster.wait(1000)
-        self.assertTrue(showing.done())
-        self.assertTrue(ending.done())
-        await showing
-        await ending
-        second.close()
+        for has_event in (True, False):
+            cluster = KeeperCluster()
+            group = await cluster.start_three_with_group()
+            turn = self.make_turn(group, make_call('t1', 10_000))
+            await turn.prepare()
+            turn.close()
+            await cluster.wait(200)
+            cluster.fabric.cut('gateway', 'b')
+            cluster.fabric.cut('gateway', 'c')
+            second = self.make_turn(group, make_call('t2', 10_000))
+            await second.prepare()
+            event = Event(b'', '1', b'out')
+            next_step = second.before_event(event) if has_event else second.before_end()
+            waiting = asyncio.ensure_future(next_step)
+            await cluster.wait(1500)
+            self.assertFalse(waiting.done())
+            cluster.fabric.heal()
+            await cluster.wait(1000)
+            self.assertTrue(waiting.done())
+            await waiting
+            if has_event:
+                await second.before_end()
+            second.close()
+            stored = (await group.load_chain('t2'))[-1]
+            self.assertEqual(b'out\n' if has_event else b'', stored.output)
 
     @virtual
     async def test_finished_turn_is_stored_late(self) -> None:
@@ -507,6 +529,14 @@
         self.assertEqual(RefusalCode.UNKNOWN_TURN, error.code)
         turn.close()
 
+    async def refusal_of_event(self, turn: ProgramTurn, event: Event) -> Refusal:
+        """Return the refusal of an event; fail if it may be shown."""
+        try:
+            await turn.before_event(event)
+        except Refusal as refusal:
+            return refusal
+        raise AssertionError('not refused')
+
     async def refusal_of(self, turn: ProgramTurn) -> Refusal:
         """Prepare a turn and return its refusal; fail if it is not refused."""
         try:
