Bound the output that a turn keeps until it is stored

A host that sends complete events without end made the gateway keep all their data until the call's deadline. At a link of 200 Mbit/s and a deadline of 3 s that is 75 MB, beside the 128 MB that the smallest gateway has in all, and a process that exceeds its memory is killed with all its callers' requests.

The output is needed only on routes that keep history, and is kept only there. Above 8 MiB, which is also the bound on answers that are forwarded in one piece, the answer counts as broken: the caller sees it cut and the host is suspected.

--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from pollenwalk.errors import Outcome, Refusal
+from pollenwalk.errors import BrokenAnswer, Outcome, Refusal
 from pollenwalk.process.clock import MS_PER_SECOND
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.keeper_group import KeeperGroup
@@ -15,12 +15,16 @@
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.request.reservation import Reservation
 
+# Maximum size of a turn's output, which is kept in memory until it is stored.
+MAX_OUTPUT_BYTES = 8_388_608
+
 
 class ProgramTurn:
     """Implements `Turn` for a turn that belongs to a program.
 
     Attributes:
-        output: the data of the events so far, each followed by a line feed.
+        output: the data of the events so far, each followed by a line feed;
+            empty on routes that keep no history.
         tokens: number of tokens that these events count for.
         reservation: the turn's reservation; None before `prepare` and for
             requests without a token budget.
@@ -42,7 +46,7 @@
         self.group = group
         self.metrics = metrics
         self.call = call
-        self.output: list[bytes] = []
+        self.output = bytearray()
         self.tokens = 0
         self.reservation: Reservation | None = None
 
@@ -104,13 +108,26 @@
 
         Raises:
             Refusal: the budget does not cover the turn, whose outcome is unknown.
+            BrokenAnswer: the output exceeds MAX_OUTPUT_BYTES.
         """
         await self.wait_for_reservation()
         if event.payload is None:
             return
-        self.output.extend((event.payload, b'\n'))
+        if self.call.route.keeps_history:
+            self.keep_output(event.payload)
         self.tokens += self.call.tokens_per_event
 
+    def keep_output(self, payload: bytes) -> None:
+        """Append an event's data to the output.
+
+        Raises:
+            BrokenAnswer: the output exceeds MAX_OUTPUT_BYTES.
+        """
+        if len(self.output) + len(payload) > MAX_OUTPUT_BYTES:
+            raise BrokenAnswer(f'the output exceeds {MAX_OUTPUT_BYTES} bytes')
+        self.output.extend(payload)
+        self.output.extend(b'\n')
+
     async def before_end(self) -> None:
         """Wait until the reservation is recorded and the turn is stored.
 
@@ -154,7 +171,7 @@
             program=metadata.program,
             previous=metadata.previous,
             input=self.call.request.body,
-            output=b''.join(self.output),
+            output=bytes(self.output),
             tokens=self.tokens,
             retention_ms=self.call.route.retention_ms,
             replicas=[],
--- a/test/request/test_program_turn.py
+++ b/test/request/test_program_turn.py
@@ -9,7 +9,7 @@
 from pollenwalk.connection.connection_pool import ConnectionPool
 from pollenwalk.connection.hosts import UpstreamHost
 from pollenwalk.connection.upstream_connection import UpstreamConnection
-from pollenwalk.errors import Outcome, Refusal, RefusalCode
+from pollenwalk.errors import BrokenAnswer, Outcome, Refusal, RefusalCode
 from pollenwalk.policy.host_choice import EarliestFinish
 from pollenwalk.process.call_placer import CallPlacer
 from pollenwalk.process.clock import Clock
@@ -266,6 +266,27 @@
         call_placer = CallPlacer(clock, host_table, choice, 'a', {'a': 'east'})
         return ForwardingContext(clock, pool, call_placer, GatewayMetrics(), rng)
 
+    @virtual
+    async def test_endless_events_do_not_fill_the_memory(self) -> None:
+        cluster = KeeperCluster()
+        group = await cluster.start_three_with_group()
+        event = Event(b'', '1', b'x' * 1_000_000)
+        kept = self.make_turn(group, make_call('t1', 10_000))
+        await kept.prepare()
+        with testtools.ExpectedException(BrokenAnswer):
+            for _ in range(20):
+                await kept.before_event(event)
+        self.assertTrue(len(kept.output) < 10_000_000)
+        kept.close()
+        call = make_call('t2', 10_000)
+        call = call._replace(route=call.route._replace(keeps_history=False))
+        unkept = self.make_turn(group, call)
+        await unkept.prepare()
+        for _ in range(20):
+            await unkept.before_event(event)
+        self.assertEqual(b'', unkept.output)
+        unkept.close()
+
     @virtual
     async def test_budget_does_not_cut_a_begun_answer(self) -> None:
         """Gateways of two regions begin three turns of which two fit the budget."""
