--- a/test/process/test_program_creator.py
+++ b/test/process/test_program_creator.py
@@ -34,7 +34,7 @@
         self.assertNotEqual((Outcome.NOT_RUN, True), (refusal.outcome, created))
 
     @virtual
-    async def test_repeat_of_pending_begin_is_not_not_run(self) -> None:
+    async def test_repeat_of_pending_begin_is_unknown(self) -> None:
         world = World(Shape(witnesses=0))
         await world.start()
         owner = world.entries['entry1'].entry.routing.owner
