Log how an answer marks its end, and orderly ends without a mark

Callers saw broken-off answers framed as complete.

`stream_begins` now has `framing`; `answer_ended_by_close` is logged for an answer with neither a length nor chunks that ended by an orderly close. A reset is a `broken_answer`, as before. No logic is changed.

--- a/pollenwalk/platform/headers.py
+++ b/pollenwalk/platform/headers.py
@@ -1,9 +1,10 @@
 """The platform's HTTP headers: their names, decoding and encoding."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from pollenwalk.request.http_messages import (
     AnswerHead,
+    Framing,
     Headers,
     PromptPart,
     RequestMetadata,
@@ -34,6 +35,8 @@
 RETRY_AFTER = b'retry-after'
 KEEP_ALIVE = b'keep-alive'
 CONTENT_ENCODING = b'content-encoding'
+CONTENT_LENGTH = b'content-length'
+TRANSFER_ENCODING = b'transfer-encoding'
 
 HOP_BY_HOP = frozenset(
     (
@@ -44,9 +47,9 @@
         b'proxy-authorization',
         b'te',
         b'trailer',
-        b'transfer-encoding',
+        TRANSFER_ENCODING,
         b'upgrade',
-        b'content-length',
+        CONTENT_LENGTH,
         b'expect',
     ),
 )
@@ -190,9 +193,17 @@
         load=read_load(found.get(SERVER_LOAD, '')),
         keep_alive_ms=read_keep_alive(found.get(KEEP_ALIVE, '')),
         retry_after_ms=None if retry_s is None else retry_s * MS_PER_SECOND,
+        framing=read_framing(found),
     )
 
 
+def read_framing(found: Mapping[bytes, str]) -> Framing:
+    """Return how an answer with these headers marks the end of its body."""
+    if TRANSFER_ENCODING in found:
+        return Framing.CHUNKS
+    return Framing.LENGTH if CONTENT_LENGTH in found else Framing.CONNECTION_END
+
+
 def read_load(text: str) -> tuple[int, int, int] | None:
     """Return a host's running and waiting requests and its slots.
 
--- a/pollenwalk/request/exchange.py
+++ b/pollenwalk/request/exchange.py
@@ -4,11 +4,13 @@
 from http import HTTPStatus
 from types import TracebackType
 
+from loguru import logger
+
 from pollenwalk.connection.connection_pool import ConnectionPool
 from pollenwalk.connection.upstream_connection import UpstreamConnection
 from pollenwalk.errors import BrokenAnswer
 from pollenwalk.process.host_table import HostState
-from pollenwalk.request.http_messages import AnswerHead
+from pollenwalk.request.http_messages import AnswerHead, Framing
 
 # Maximum size of a body that is forwarded in one piece.
 MAX_BODY_BYTES = 8_388_608
@@ -88,9 +90,23 @@
         Raises:
             BrokenAnswer: the answer broke off.
         """
+        size_bytes = 0
         async for chunk in self.connection.chunks():
+            size_bytes += len(chunk)
             yield chunk
         self.complete = True
+        if self.head.framing == Framing.CONNECTION_END:
+            self.log_end(size_bytes)
+
+    def log_end(self, size_bytes: int) -> None:
+        """Log that the host ended an answer by closing the connection orderly."""
+        logger.info(
+            'answer_ended_by_close',
+            request=self.head.request,
+            host=self.state.registration.id,
+            status=self.head.status,
+            body_bytes=size_bytes,
+        )
 
     async def skip_body(self, max_bytes: int) -> None:
         """Read the whole body and discard it.
--- a/pollenwalk/request/http_messages.py
+++ b/pollenwalk/request/http_messages.py
@@ -1,5 +1,6 @@
 """The decoded request of a caller and the head of an upstream host's answer."""
 
+import enum
 from typing import NamedTuple
 
 Headers = list[tuple[bytes, bytes]]
@@ -77,6 +78,14 @@
     arrived_ms: float
 
 
+class Framing(enum.StrEnum):
+    """How the end of an answer's body is marked."""
+
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CONNECTION_END = 'connection_end'
+
+
 class AnswerHead(NamedTuple):
     """Status and headers of an upstream host's answer.
 
@@ -94,6 +103,7 @@
         keep_alive_ms: how long the connection may stay idle; None if not stated.
         retry_after_ms: time after which the host may be tried again, as it states;
             None if not stated.
+        framing: how the end of the body is marked.
     """
 
     status: int
@@ -105,3 +115,4 @@
     load: tuple[int, int, int] | None = None
     keep_alive_ms: float | None = None
     retry_after_ms: float | None = None
+    framing: Framing = Framing.LENGTH
--- a/pollenwalk/request/streaming.py
+++ b/pollenwalk/request/streaming.py
@@ -207,6 +207,7 @@
             request=self.call.id,
             host=exchange.state.registration.id,
             status=exchange.head.status,
+            framing=str(exchange.head.framing),
             after_ms=round(took_ms),
         )
         await self.reply.start(exchange.head.status, exchange.head.headers)
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -9,7 +9,7 @@
     read_request_metadata,
     retry_header,
 )
-from pollenwalk.request.http_messages import PromptPart
+from pollenwalk.request.http_messages import Framing, PromptPart
 
 
 class RequestMetadataTest(testtools.TestCase):
@@ -131,6 +131,13 @@
         self.assertTrue(read_answer_head(421, []).refused)
         self.assertFalse(read_answer_head(503, []).refused)
 
+    def test_framing_of_the_body(self) -> None:
+        chunked = [(b'transfer-encoding', b'chunked')]
+        self.assertEqual(Framing.CHUNKS, read_answer_head(200, chunked).framing)
+        sized = [(b'content-length', b'3')]
+        self.assertEqual(Framing.LENGTH, read_answer_head(200, sized).framing)
+        self.assertEqual(Framing.CONNECTION_END, read_answer_head(200, []).framing)
+
     def test_malformed_load_is_ignored(self) -> None:
         self.assertIsNone(
             read_answer_head(200, [(b'x-pollenwalk-server-load', b'3,x')]).load,
