End a stream that broke off inside an event as broken

The turn of such a stream was stored, too, and later turns went on from it.

Cause: an answer with neither a length nor chunks ends with its connection. A host that crashes closes it in an orderly way, so the HTTP parser reports the end of the message; the gateway took every such end for the end of the stream, sent the incomplete event and the last chunk. The class: an end of input is taken for completeness.

Why it works: a stream that ends inside an event, however it is framed, is a broken answer: it is resumed where the route allows it, else the caller's answer is left without its end, and the turn isn't stored. An answer that ends with its connection before its first event is broken, too, as a host that stops after the head ends it in the same way. The incomplete event is not shown. The connection of a broken answer is closed even if its HTTP message was complete. As the end of an event decides now, events whose lines end with CR alone are recognised.

Not covered, as nothing tells them apart: an orderly end between two events, or in an answer that is no stream, is the end of the answer (RFC 9112, section 6.3).

--- a/pollenwalk/platform/headers.py
+++ b/pollenwalk/platform/headers.py
@@ -35,8 +35,11 @@
 RETRY_AFTER = b'retry-after'
 KEEP_ALIVE = b'keep-alive'
 CONTENT_ENCODING = b'content-encoding'
+CONTENT_TYPE = b'content-type'
 CONTENT_LENGTH = b'content-length'
 TRANSFER_ENCODING = b'transfer-encoding'
+# Media type of a stream of server-sent events.
+EVENT_STREAM = 'text/event-stream'
 
 HOP_BY_HOP = frozenset(
     (
@@ -183,6 +186,7 @@
     """Decode the status and the headers of an upstream host's answer."""
     found = {name: field.decode('latin-1').strip() for name, field in headers}
     retry_s = read_float(found.get(RETRY_AFTER))
+    media_type = found.get(CONTENT_TYPE, EVENT_STREAM).partition(';')[0]
     return AnswerHead(
         status=status,
         headers=end_to_end_headers(headers),
@@ -194,6 +198,7 @@
         keep_alive_ms=read_keep_alive(found.get(KEEP_ALIVE, '')),
         retry_after_ms=None if retry_s is None else retry_s * MS_PER_SECOND,
         framing=read_framing(found),
+        is_event_stream=media_type.strip().lower() == EVENT_STREAM,
     )
 
 
--- a/pollenwalk/request/event_stream.py
+++ b/pollenwalk/request/event_stream.py
@@ -6,11 +6,12 @@
 
 from pollenwalk.errors import BrokenAnswer
 
-# The end of an event's last line and the blank line after it. A blank line between
-# lines that end with CR alone is not recognised.
-EVENT_END = re.compile(rb'\n\n|\r\n\r\n')
+# The end of an event's last line and the blank line after it. Lines end with LF,
+# CR LF or CR; a blank line of CR alone is recognised only after another CR.
+EVENT_END = re.compile(rb'\n\r?\n|\r\r')
+LINE_BREAKS = b'\r\n'
 # Number of bytes of an event's end that may be found only after more bytes arrive.
-PARTIAL_END_BYTES = 3
+PARTIAL_END_BYTES = 2
 # Maximum number of bytes that are kept of an event whose end has not arrived.
 MAX_INCOMPLETE_EVENT_BYTES = 1_048_576
 
@@ -35,12 +36,14 @@
     Attributes:
         incomplete: bytes received after the last complete event.
         searched_bytes: length of the part of `incomplete` in which no event ends.
+        events: number of complete events so far.
     """
 
     def __init__(self) -> None:
         """Create a splitter that has not received any bytes."""
         self.incomplete = bytearray()
         self.searched_bytes = 0
+        self.events = 0
 
     def feed(self, chunk: bytes) -> Iterator[Event]:
         """Add a chunk and yield the events that it completes.
@@ -53,6 +56,7 @@
         for end in EVENT_END.finditer(self.incomplete, self.searched_bytes):
             raw = bytes(self.incomplete[complete_bytes : end.end()])
             complete_bytes = end.end()
+            self.events += 1
             yield parse_event(raw)
         if complete_bytes:
             self.incomplete = self.incomplete[complete_bytes:]
@@ -60,6 +64,15 @@
             raise BrokenAnswer(f'an event exceeds {MAX_INCOMPLETE_EVENT_BYTES} bytes')
         self.searched_bytes = max(len(self.incomplete) - PARTIAL_END_BYTES, 0)
 
+    def check_end(self) -> None:
+        """Check that the stream may end here; only blank lines may follow an event.
+
+        Raises:
+            BrokenAnswer: the stream has ended inside an event.
+        """
+        if self.incomplete.strip(LINE_BREAKS):
+            raise BrokenAnswer('the stream ended inside an event')
+
 
 def parse_event(raw: bytes) -> Event:
     """Decode the id and data fields of one event; ignore its other fields."""
--- a/pollenwalk/request/exchange.py
+++ b/pollenwalk/request/exchange.py
@@ -58,10 +58,12 @@
     def __exit__(
         self,
         _kind: type[BaseException] | None,
-        _error: BaseException | None,
+        error: BaseException | None,
         _trace: TracebackType | None,
     ) -> None:
-        """Close the exchange."""
+        """Close the exchange, and the connection if the answer was broken."""
+        if isinstance(error, BrokenAnswer):
+            self.complete = False
         self.close()
 
     def close(self) -> None:
--- a/pollenwalk/request/http_messages.py
+++ b/pollenwalk/request/http_messages.py
@@ -104,6 +104,8 @@
         retry_after_ms: time after which the host may be tried again, as it states;
             None if not stated.
         framing: how the end of the body is marked.
+        is_event_stream: whether the body is a stream of events; also true if the
+            answer states no content type.
     """
 
     status: int
@@ -116,3 +118,4 @@
     keep_alive_ms: float | None = None
     retry_after_ms: float | None = None
     framing: Framing = Framing.LENGTH
+    is_event_stream: bool = True
--- a/pollenwalk/request/streaming.py
+++ b/pollenwalk/request/streaming.py
@@ -10,6 +10,7 @@
 from pollenwalk.request.event_stream import Event, EventSplitter
 from pollenwalk.request.exchange import Exchange
 from pollenwalk.request.gateway_call import Call
+from pollenwalk.request.http_messages import AnswerHead, Framing
 from pollenwalk.request.reply import Reply
 
 
@@ -181,6 +182,7 @@
         async for chunk in exchange.chunks():
             for event in splitter.feed(chunk):
                 await self.forward_event(exchange, event)
+        check_end(exchange.head, splitter)
         await self.turn.before_end()
         await self.start_reply(exchange)
         if splitter.incomplete:
@@ -211,3 +213,19 @@
             after_ms=round(took_ms),
         )
         await self.reply.start(exchange.head.status, exchange.head.headers)
+
+
+def check_end(head: AnswerHead, splitter: EventSplitter) -> None:
+    """Check that a host's answer to a streaming call is whole.
+
+    An answer that ends with its connection must have an event: a host that stops
+    after the head ends its answer in the same way.
+
+    Raises:
+        BrokenAnswer: the answer has been broken off.
+    """
+    if not head.is_event_stream:
+        return
+    splitter.check_end()
+    if head.framing == Framing.CONNECTION_END and not splitter.events:
+        raise BrokenAnswer('the stream ended before its first event')
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -138,6 +138,13 @@
         self.assertEqual(Framing.LENGTH, read_answer_head(200, sized).framing)
         self.assertEqual(Framing.CONNECTION_END, read_answer_head(200, []).framing)
 
+    def test_content_type_of_a_stream(self) -> None:
+        types = ((b'text/event-stream', True), (b'Text/Event-Stream; a=b', True))
+        for name, expected in (*types, (b'application/json', False)):
+            head = read_answer_head(200, [(b'content-type', name)])
+            self.assertEqual(expected, head.is_event_stream, name)
+        self.assertTrue(read_answer_head(200, []).is_event_stream)
+
     def test_malformed_load_is_ignored(self) -> None:
         self.assertIsNone(
             read_answer_head(200, [(b'x-pollenwalk-server-load', b'3,x')]).load,
--- a/test/request/test_unframed_answers.py
+++ b/test/request/test_unframed_answers.py
@@ -71,7 +71,10 @@
 class RecordedTurn(StandaloneTurn):
     """A turn that records whether its end was permitted, which stores it."""
 
-    stored = False
+    def __init__(self, body: bytes) -> None:
+        """Begin a turn that is not complete."""
+        super().__init__(body)
+        self.stored = False
 
     async def before_end(self) -> None:
         """Record that the turn is complete."""
@@ -122,9 +125,9 @@
 
 def cuts() -> Iterator[tuple[bytes, bytes]]:
     """Yield each beginning of the stream's answer, and the whole events in it."""
-    for size_bytes in range(len(STREAM_HEAD)):
+    for size_bytes, _ in enumerate(STREAM_HEAD):
         yield STREAM_HEAD[:size_bytes], b''
-    for size_bytes in range(len(WHOLE_STREAM)):
+    for size_bytes, _ in enumerate(WHOLE_STREAM):
         shown = whole_events(size_bytes)
         yield STREAM_HEAD + WHOLE_STREAM[:size_bytes], shown
 
@@ -177,6 +180,30 @@
         for script in (closes_after(raw), chunked_stream(body)):
             self.assertEqual(Played(CUT, EVENTS[0], False), await play(STREAM, script))
 
+    @on_loop
+    async def test_cut_stream_closes_its_connection(self) -> None:
+        hosts = Hosts(chunked_stream(b'id: 1\n'), answers_hello)
+        context = await hosts.start()
+        with testtools.ExpectedException(Refusal):
+            turn = StandaloneTurn(b'')
+            await run_stream(context, make_call(STREAM), turn, RecordedReply())
+        self.assertEqual({}, context.pool.idle)
+        for host in hosts.hosts:
+            host.stop()
+
+    @on_loop
+    async def test_all_line_ends_are_recognised(self) -> None:
+        for line_end in (b'\r\n', b'\r'):
+            body = WHOLE_STREAM.replace(b'\n', line_end)
+            script = closes_after(STREAM_HEAD + body)
+            self.assertEqual(Played(ANSWERED, body, True), await play(STREAM, script))
+
+    @on_loop
+    async def test_answer_of_another_type_has_no_events(self) -> None:
+        head = unframed_head(REQUEST, 'application/json')
+        script = closes_after(head + b'{}')
+        self.assertEqual(Played(ANSWERED, b'{}', True), await play(STREAM, script))
+
     @on_loop
     async def test_blank_lines_after_last_event_are_sent(self) -> None:
         body = WHOLE_STREAM + b'\n\r\n'
@@ -215,7 +242,7 @@
 
     @on_loop
     async def test_reset_answer_is_not_complete(self) -> None:
-        for size_bytes in range(len(PLAIN_ANSWER) + 1):
+        for size_bytes, _ in enumerate((*PLAIN_ANSWER, 0)):
             script = resets_after(PLAIN_ANSWER[:size_bytes])
             result = await self.play_body(UNSAFE, script, answers_hello)
             self.assertEqual((REFUSED, b''), result, size_bytes)
