Resume an engine's stream that breaks off inside a line

What callers saw: a call refused as `upstream_failed` although its engine could go on. An engine's stream that ends with its connection may stop inside a line; the client decoded the part of the line, failed, and refused the call instead of resuming it.

Why it works: a last line without its line break is ignored, so the stream ends without an answer, which the sidecar already resumes.

Looked at with it, each cut at every byte: responses of plain services (outcome `unknown`), listings and objects of the platform's store and listings of the product's own store (`StoreUnavailable`); these were right before.

--- a/pollenwalk/connection/engine_http.py
+++ b/pollenwalk/connection/engine_http.py
@@ -27,6 +27,7 @@
 RESPONSE_TIMEOUT_S = 5
 # Limit on the time between two reads of a stream.
 READ_TIMEOUT_S = 30
+LINE_BREAK = b'\n'
 DATA_PREFIX = b'data:'
 DONE_DATA = b'[DONE]'
 # Time after which a caller may repeat a call that the engine refused because it
@@ -199,11 +200,16 @@
 ) -> AsyncIterator[Tokens | Answer]:
     """Yield the tokens of an engine's event stream, then the answer.
 
+    A last line without its line break is incomplete and is ignored, so that the
+    stream ends without an answer.
+
     Raises:
         Refusal: the data of an event is invalid.
     """
     parser = EngineStreamParser()
     async for line in response.content:
+        if not line.endswith(LINE_BREAK):
+            return
         for item in parser.parse_line(line):
             yield item
 
