Read no object of the store whose answer may be incomplete

The product's own store answers a read with the object's bytes. If the answer has neither a length nor chunks, a store that stops in the middle of it gives a shorter object, which was taken for the stored one.

Why it works: such an answer is `StoreUnavailable`, upon which each reader tries again. Listings are JSON and can't be cut unnoticed.

Result: test_unframed_responses.py 5 passed, 1 of them failed before.

--- a/pollenwalk/connection/store_http.py
+++ b/pollenwalk/connection/store_http.py
@@ -79,6 +79,7 @@
                     http_response.status,
                     await http_response.read(),
                     http_response.headers.get('ETag', ''),
+                    is_framed(http_response),
                 )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise StoreUnavailable(f'{method} {path}: {error}') from error
@@ -89,10 +90,17 @@
         return response
 
     async def get(self, key: str) -> StoredObject | None:
-        """Return an object, or None if there is none with this key."""
+        """Return an object, or None if there is none with this key.
+
+        Raises:
+            StoreUnavailable: the store did not answer, or in such a way that its
+                answer may be incomplete.
+        """
         response = await self.request('GET', object_path(key))
         if response.status == HTTPStatus.NOT_FOUND:
             return None
+        if not response.framed:
+            raise StoreUnavailable(f'{key}: the answer has neither length nor chunks')
         return StoredObject(key, response.body, response.version)
 
     async def put(self, key: str, body: bytes, version: int | None) -> int:
@@ -148,11 +156,19 @@
 
 
 class StoreResponse(NamedTuple):
-    """A response of the object store."""
+    """A response of the object store.
+
+    Attributes:
+        status: the HTTP status.
+        body: the body; it may be incomplete unless `framed`.
+        etag: the ETag header; empty if there is none.
+        framed: whether the end of the body was marked.
+    """
 
     status: int
     body: bytes
     etag: str
+    framed: bool
 
     @property
     def version(self) -> int:
@@ -167,6 +183,13 @@
         return int(text)
 
 
+def is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a response has a length or chunks, which mark its end."""
+    return response.content_length is not None or (
+        'Transfer-Encoding' in response.headers
+    )
+
+
 def object_path(key: str) -> str:
     """Return the URL path of an object."""
     return f'/objects/{quote(key)}'
--- a/test/connection/test_unframed_responses.py
+++ b/test/connection/test_unframed_responses.py
@@ -93,6 +93,17 @@
         await service.close()
         fixed.host.stop()
 
+    @on_loop
+    async def test_object_without_a_length_is_not_used(self) -> None:
+        fixed = FixedHost()
+        store = HttpStore(await fixed.start())
+        for body in (b'', b'half an ob', b'half an object'):
+            fixed.body = body
+            with testtools.ExpectedException(StoreUnavailable):
+                await store.get('a/1')
+        await store.close()
+        fixed.host.stop()
+
     @on_loop
     async def test_cut_listing_is_not_used(self) -> None:
         fixed = FixedHost()
