Don't resume a stream whose last event has no id

What callers saw: nothing reported. Events without data are comments, which may come twice.

Why it works: a stream is resumed only if the last event with data that the caller has got bears the id after which the next host goes on. Others end as broken off.

--- a/pollenwalk/request/streaming.py
+++ b/pollenwalk/request/streaming.py
@@ -102,6 +102,8 @@
     Attributes:
         last_event_id: id of the last event with an id that was sent to the
             caller; empty for none.
+        may_resume: whether a host that goes on after `last_event_id` repeats
+            nothing: the last event with data that was sent has an id.
     """
 
     def __init__(
@@ -113,6 +115,7 @@
         self.turn = turn
         self.reply = reply
         self.last_event_id = ''
+        self.may_resume = True
 
     async def run(self) -> None:
         """Forward the stream; if it breaks off, resume it at another host.
@@ -154,7 +157,7 @@
                 await self.forward_answer(exchange)
         except BrokenAnswer as error:
             self.sender.handle_broken_answer(exchange.state, error.message)
-            if self.sender.may_send():
+            if self.may_resume and self.sender.may_send():
                 return False
             if self.reply.started:
                 raise
@@ -195,6 +198,8 @@
         await self.start_reply(exchange)
         await self.reply.write(event.raw)
         self.last_event_id = event.id or self.last_event_id
+        if event.id or event.payload is not None:
+            self.may_resume = bool(event.id)
 
     async def start_reply(self, exchange: Exchange) -> None:
         """Send status and headers to the caller unless they are sent already."""
--- a/test/request/test_forwarding.py
+++ b/test/request/test_forwarding.py
@@ -108,6 +108,18 @@
     line.reset()
 
 
+def breaks_after(events: bytes) -> Script:
+    """Return a script that streams some events and breaks off."""
+
+    async def script(line: Line, request: Received) -> None:
+        line.say(stream_head(request) + chunk(events))
+        await line.writer.drain()
+        await asyncio.sleep(BREAK_DELAY_S)
+        line.reset()
+
+    return script
+
+
 async def breaks_before_first_event(line: Line, request: Received) -> None:
     """Send the head of a stream and break off before the first event."""
     line.say(stream_head(request))
@@ -432,6 +444,16 @@
         self.assertFalse(reply.started)
         self.assertEqual([1, 0], hosts.request_counts())
 
+    @on_loop
+    async def test_stream_is_resumed_after_ids_only(self) -> None:
+        """Guards against events that come twice after a resumption."""
+        for last in (b'data: x2\n\n', b'id\ndata: x2\n\n'):
+            hosts = Hosts(breaks_after(event(1) + last), streams_to_end)
+            reply, error = await run(hosts, RESUMABLE)
+            self.assertIsInstance(error, BrokenAnswer)
+            self.assertEqual(event(1) + last, reply.body)
+            self.assertEqual([1, 0], hosts.request_counts())
+
     @on_loop
     async def test_resumptions_are_limited_by_the_route(self) -> None:
         hosts = Hosts(breaks_in_third_event, breaks_in_third_event, streams_to_end)
