Log the software version of hosts and what a request resumes

The version in a host's registration and the header `Resumes` are decoded now; `sent` has `software`, `resumes_after` and `resumes_attempt`, `upstream_host` has `software`. No choice is changed.

--- a/pollenwalk/connection/hosts.py
+++ b/pollenwalk/connection/hosts.py
@@ -15,6 +15,8 @@
         leaving: whether the host accepts no new calls.
         warm_up_ms: time for which the host will still be slow after its start.
         started_ms: Unix time of the start; 0 if the host does not state it.
+        software_version: version of the host's software; empty if the host does
+            not state it.
     """
 
     id: str
@@ -25,3 +27,4 @@
     leaving: bool
     warm_up_ms: float
     started_ms: int
+    software_version: str = ''
--- a/pollenwalk/platform/documents.py
+++ b/pollenwalk/platform/documents.py
@@ -97,8 +97,8 @@
     """The object of an upstream host.
 
     `born` is the Unix time of the host's start. `cold_left_ms` is the time for
-    which the host is still slow after the start. The object's `version` is that
-    of the host's software and is not decoded.
+    which the host is still slow after the start. `version` is that of the host's
+    software.
     """
 
     service: str
@@ -106,6 +106,7 @@
     zone: str
     slots: int
     state: str
+    version: NotRequired[str]
     cold_left_ms: NotRequired[float]
     born: NotRequired[int]
 
@@ -228,6 +229,7 @@
         leaving=leaving,
         warm_up_ms=wire.get('cold_left_ms', 0),
         started_ms=wire.get('born', 0),
+        software_version=wire.get('version', ''),
     )
 
 
--- a/pollenwalk/platform/headers.py
+++ b/pollenwalk/platform/headers.py
@@ -26,6 +26,8 @@
 PROMPT_PARTS = b'x-pollenwalk-prompt-prefix'
 PREVIOUS_TURN = b'x-pollenwalk-previous-turn'
 LAST_EVENT_ID = b'last-event-id'
+# Id of the request that brought the first event of the stream that is resumed.
+RESUMES = b'resumes'
 EXPECT_INSTANCE = b'x-pollenwalk-expect-instance'
 PRIORITY = b'x-pollenwalk-request-priority'
 SIGNATURE = b'x-pollenwalk-server-signature'
@@ -96,6 +98,7 @@
         prompt_parts=read_parts(found.get(PROMPT_PARTS, '')),
         previous=found.get(PREVIOUS_TURN, ''),
         resumes=LAST_EVENT_ID in found,
+        resumed_attempt=found.get(RESUMES, ''),
     )
 
 
--- a/pollenwalk/process/host_table.py
+++ b/pollenwalk/process/host_table.py
@@ -146,6 +146,7 @@
             host=registration.id,
             upstream=registration.upstream,
             leaving=registration.leaving,
+            software=registration.software_version,
             version=version,
         )
 
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -238,7 +238,7 @@
         """
         request = self.call.request
         state = exchange.state
-        self.log_send(state)
+        self.log_send(state, last_event_id)
         await exchange.connection.send(
             request.method,
             request.target,
@@ -271,9 +271,16 @@
             async with self.context.clock.timeout_ms(REFUSAL_BODY_TIMEOUT_MS):
                 await exchange.skip_body(MAX_REFUSAL_BODY_BYTES)
 
-    def log_send(self, state: HostState) -> None:
-        """Log the chosen host and its estimated load, just before the send."""
+    def log_send(self, state: HostState, last_event_id: str) -> None:
+        """Log the chosen host and its estimated load, just before the send.
+
+        Args:
+            state: the host.
+            last_event_id: id of the event after which this gateway resumes the
+                stream; empty if it does not.
+        """
         now_ms = self.context.clock.now_ms()
+        metadata = self.call.request.metadata
         logger.info(
             'sent',
             request=self.call.id,
@@ -282,6 +289,9 @@
             load_age_ms=state.report_age_ms(now_ms),
             run=self.runs + 1,
             version=self.call.version,
+            software=state.registration.software_version,
+            resumes_after=last_event_id,
+            resumes_attempt=metadata.resumed_attempt,
         )
 
     def build_headers(self, state: HostState, last_event_id: str) -> Headers:
--- a/pollenwalk/request/http_messages.py
+++ b/pollenwalk/request/http_messages.py
@@ -38,6 +38,8 @@
         prompt_parts: parts of the prompt in order.
         previous: id of the turn that this one continues; empty for none.
         resumes: whether the request resumes an interrupted stream.
+        resumed_attempt: id of the caller's attempt that brought the first event of
+            that stream; empty if not stated.
     """
 
     id: str
@@ -52,6 +54,7 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     previous: str = ''
     resumes: bool = False
+    resumed_attempt: str = ''
 
 
 class Request(NamedTuple):
--- a/test/platform/test_documents.py
+++ b/test/platform/test_documents.py
@@ -90,6 +90,7 @@
         self.assertEqual('10.128.0.9:8080', host.address)
         self.assertEqual(5, host.started_ms)
         self.assertFalse(host.leaving)
+        self.assertEqual('v1', host.software_version)
 
     def test_draining_host_is_leaving(self) -> None:
         body = json.dumps({**HOST, 'state': 'draining'}).encode()
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -29,6 +29,7 @@
                 (b'x-pollenwalk-prompt-prefix', b'5c1e:800,91bd:410'),
                 (b'x-pollenwalk-previous-turn', b'e5b2'),
                 (b'last-event-id', b'12'),
+                (b'resumes', b'77aa'),
             ],
         )
         self.assertEqual('9c41', metadata.id)
@@ -44,6 +45,7 @@
         )
         self.assertEqual('e5b2', metadata.previous)
         self.assertTrue(metadata.resumes)
+        self.assertEqual('77aa', metadata.resumed_attempt)
 
     def test_missing_and_malformed_headers(self) -> None:
         empty = read_request_metadata([])
