Refuse a turn as a new program only on a majority's answers

Cause: the first keepers to answer may lack the program's earlier turns, so the turn was taken for the program's first. The class: a decision on fewer answers than it needs.

Why it works: if admission would refuse the turn, the recording of its reservation is awaited, which needs a majority, and the decision is made again. Turns that are admitted wait for nothing.

--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -94,6 +94,13 @@
         self.tried_hosts: set[str] = set()
         self.software_version: str | None = None
 
+    @property
+    def admits_new_program(self) -> bool:
+        """Return whether the wait at the best host allows one more program now."""
+        route = self.call.route
+        wait_ms = self.context.call_placer.min_wait_ms(self.call, self.cost)
+        return is_wait_acceptable(wait_ms, route.target_ms, route.priority)
+
     def check_program_admission(self) -> None:
         """Refuse a new program if the wait at the best host is too long.
 
@@ -101,18 +108,16 @@
             Refusal: the hosts are too busy for one more program; no work was done
                 for it.
         """
-        call = self.call
-        call_placer = self.context.call_placer
-        wait_ms = call_placer.min_wait_ms(call, self.cost)
-        if is_wait_acceptable(wait_ms, call.route.target_ms, call.route.priority):
+        if self.admits_new_program:
             return
+        call = self.call
         remaining_ms = call.remaining_ms(self.context.clock.now_ms())
         retry_after_ms = draw_retry_after_ms(remaining_ms, self.context.rng)
         logger.info(
             'turned_back',
             request=call.id,
             program=call.request.metadata.program,
-            wait_ms=round(wait_ms),
+            wait_ms=round(self.context.call_placer.min_wait_ms(call, self.cost)),
             run_ms=round(self.cost.run_ms),
             priority=call.route.priority,
             retry_after_ms=round(retry_after_ms),
--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -1,7 +1,8 @@
 """A turn of a program: its prompt, its token reservation and its record."""
 
+import asyncio
 from collections.abc import Awaitable
-from typing import Any
+from typing import Any, TypeVar
 
 from loguru import logger
 
@@ -18,6 +19,8 @@
 # Maximum size of a turn's output, which is kept in memory until it is stored.
 MAX_OUTPUT_BYTES = 8_388_608
 
+Result = TypeVar('Result')
+
 
 class ProgramTurn:
     """Implements `Turn` for a turn that belongs to a program.
@@ -67,8 +70,26 @@
                 unknown, or too few keepers answered. `RetryAdvisor` sets
                 Retry-After if too few keepers answered.
         """
+        return await self.with_advice(self.prepare_within_budget())
+
+    async def confirm_beginning(self) -> None:
+        """Wait until a majority of the keepers has answered.
+
+        Raises:
+            Refusal: the budget does not cover the turn, or too few keepers
+                answered.
+        """
+        if self.reservation is not None:
+            await self.with_advice(asyncio.shield(self.reservation.recorded))
+
+    async def with_advice(self, work: Awaitable[Result]) -> Result:
+        """Wait for `work`; let `RetryAdvisor` set Retry-After of its refusal.
+
+        Raises:
+            Refusal: that of `work`.
+        """
         try:
-            return await self.prepare_within_budget()
+            return await work
         except Refusal as refusal:
             program = self.call.request.metadata.program
             raise self.group.retry_advisor.advise(refusal, program) from refusal
--- a/pollenwalk/request/streaming.py
+++ b/pollenwalk/request/streaming.py
@@ -33,6 +33,13 @@
             Refusal: the turn may not run.
         """
 
+    async def confirm_beginning(self) -> None:
+        """Wait until `begins_program` rests on the answers of enough keepers.
+
+        Raises:
+            Refusal: the turn may not run.
+        """
+
     async def before_event(self, event: Event) -> None:
         """Wait until an event may be sent to the caller, and record it.
 
@@ -63,6 +70,9 @@
         """Return the caller's body."""
         return self.body
 
+    async def confirm_beginning(self) -> None:
+        """Do nothing, as nobody is asked."""
+
     async def before_event(self, event: Event) -> None:
         """Allow every event."""
 
@@ -111,9 +121,23 @@
     sender = CallSender(context, call, body)
     if origin is not None:
         sender.software_version = origin.software_version
+    await check_admission(sender, turn)
+    return sender
+
+
+async def check_admission(sender: CallSender, turn: Turn) -> None:
+    """Refuse a turn that begins a program if the hosts are too busy for one more.
+
+    The first keepers to answer may not know the earlier turns of the program, so the
+    turn is refused only on the answers of a majority.
+
+    Raises:
+        Refusal: the program may not begin, or too few keepers answered.
+    """
+    if turn.begins_program and not sender.admits_new_program:
+        await turn.confirm_beginning()
     if turn.begins_program:
         sender.check_program_admission()
-    return sender
 
 
 async def find_origin(context: ForwardingContext, call: Call) -> StreamOrigin | None:
