Ignore numbers in headers that are not finite

What callers saw: a request whose budget, token usage, length hint or prompt prefix was given as `nan`, `inf` or `1e400` ended with an internal error, as did every call answered by a host with such a load. Cause: they pass for floating-point numbers, but have no whole number. A deadline of `nan` was taken as one.

Why it works: a number that is not finite counts as absent, like any other text that is no number.

--- a/pollenwalk/platform/headers.py
+++ b/pollenwalk/platform/headers.py
@@ -1,5 +1,6 @@
 """The platform's HTTP headers: their names, decoding and encoding."""
 
+import math
 from collections.abc import Iterable, Mapping
 
 from pollenwalk.request.http_messages import (
@@ -77,12 +78,7 @@
 
 
 def read_request_metadata(headers: Iterable[tuple[bytes, bytes]]) -> RequestMetadata:
-    """Decode the headers of a caller's request; malformed numbers are ignored.
-
-    Raises:
-        OverflowError: a whole number is given as infinite.
-        ValueError: a whole number is given as `nan`.
-    """
+    """Decode the headers of a caller's request; malformed numbers are ignored."""
     found = {name: field.decode('latin-1').strip() for name, field in headers}
     prompt_tokens, max_tokens = read_pair(found.get(TOKEN_USAGE, ''))
     return RequestMetadata(
@@ -103,20 +99,16 @@
 
 
 def read_float(text: str | None) -> float | None:
-    """Return the number that a header holds; None if it is absent or malformed."""
+    """Return the number that a header holds; None if it is absent or not finite."""
     try:
-        return None if text is None else float(text)
+        number = math.nan if text is None else float(text)
     except ValueError:
         return None
+    return number if math.isfinite(number) else None
 
 
 def read_int(text: str | None) -> int | None:
-    """Return a number without its fraction; None if it is absent or malformed.
-
-    Raises:
-        OverflowError: the number is infinite.
-        ValueError: the value is `nan`.
-    """
+    """Return a number without its fraction; None if it is absent or not finite."""
     number = read_float(text)
     return None if number is None else int(number)
 
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -104,6 +104,46 @@
         self.assertEqual((b'retry-after', b'0.250'), retry_header(250))
 
 
+NOT_FINITE = (b'nan', b'inf', b'-inf', b'1e400')
+
+
+class NotFiniteTest(testtools.TestCase):
+    """Numbers in headers that no whole number can hold."""
+
+    def test_request_with_numbers_that_are_not_finite(self) -> None:
+        for text in NOT_FINITE:
+            metadata = read_request_metadata(
+                [
+                    (b'x-pollenwalk-deadline-ms', text),
+                    (b'x-pollenwalk-program-deadline-ms', text),
+                    (b'x-pollenwalk-token-budget', text),
+                    (b'x-pollenwalk-token-usage', text + b',' + text),
+                    (b'x-pollenwalk-length-hint', text),
+                    (b'x-pollenwalk-prompt-prefix', b'5c1e:' + text),
+                ],
+            )
+            self.assertIsNone(metadata.deadline_ms)
+            self.assertIsNone(metadata.program_remaining_ms)
+            self.assertIsNone(metadata.budget)
+            self.assertEqual((0, 0), (metadata.prompt_tokens, metadata.max_tokens))
+            self.assertEqual(0, metadata.expected_tokens)
+            self.assertEqual((PromptPart('5c1e', 0),), metadata.prompt_parts)
+
+    def test_answer_with_numbers_that_are_not_finite(self) -> None:
+        for text in NOT_FINITE:
+            head = read_answer_head(
+                200,
+                [
+                    (b'x-pollenwalk-server-load', text + b',1,8'),
+                    (b'keep-alive', b'timeout=' + text),
+                    (b'retry-after', text),
+                ],
+            )
+            self.assertIsNone(head.load)
+            self.assertIsNone(head.keep_alive_ms)
+            self.assertIsNone(head.retry_after_ms)
+
+
 class AnswerHeadTest(testtools.TestCase):
     """Decoding the headers of an upstream host's answer."""
 
