Close a gateway's servers within the time reserved for it

What callers saw: nothing certain. The last 0.7 s of the grace period are reserved for closing the servers, but each server gave the requests that still ran 3 s, so that the platform could kill the process before it had stopped.

Why it works: the time is an argument of `HttpServer.stop` now, 0.2 s in the gateway. Each of its three servers takes 0.1 s besides, and only the one for callers has requests that last.

Result: the new test stops a server during a request without end within 0.7 s; with the 3 s as before it fails.

--- a/pollenwalk/connection/http_server.py
+++ b/pollenwalk/connection/http_server.py
@@ -57,7 +57,6 @@
             date_header=False,
             timeout_keep_alive=keep_alive_s,
             h11_max_incomplete_event_size=MAX_INCOMPLETE_HEAD_BYTES,
-            timeout_graceful_shutdown=STOP_GRACE_S,
         )
         self.server = EmbeddedServer(config)
         self.task: asyncio.Task[None] | None = None
@@ -74,11 +73,13 @@
                 raise OSError('the HTTP address cannot be bound')
             await asyncio.sleep(START_POLL_S)
 
-    async def stop(self) -> None:
+    async def stop(self, grace_s: float = STOP_GRACE_S) -> None:
         """Stop accepting connections and wait for the requests in progress.
 
-        Requests that run for longer than STOP_GRACE_S are cancelled.
+        Args:
+            grace_s: time after which the requests that still run are cancelled.
         """
+        self.server.config.timeout_graceful_shutdown = grace_s
         self.server.should_exit = True
         if self.task is not None:
             await asyncio.gather(self.task, return_exceptions=True)
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -31,6 +31,8 @@
 BALANCER_REMOVAL_MS = 2500.0
 # Part of the grace period that is reserved for closing the servers.
 CLOSE_RESERVE_MS = 700.0
+# Part of it for the requests that still run. Each server takes 0.1 s besides.
+CLOSE_GRACE_S = 0.2
 DRAIN_CHECK_INTERVAL_MS = 50.0
 OK = HTTPStatus.OK
 NOT_READY = HTTPStatus.SERVICE_UNAVAILABLE
@@ -156,7 +158,7 @@
         while self.app.in_progress and self.clock.now_ms() < deadline_at_ms:
             await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
         for server in self.servers():
-            await server.stop()
+            await server.stop(CLOSE_GRACE_S)
         await self.gateway.stop()
         await self.store.close()
         logger.info('stop', role='gateway', unfinished=self.app.in_progress)
--- a/test/connection/test_gateway_app.py
+++ b/test/connection/test_gateway_app.py
@@ -1,6 +1,7 @@
 """Tests of the gateway's answers to HTTP requests, at the level of bytes."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -22,6 +23,10 @@
 )
 # Time within which a request must be cancelled after its caller left.
 CANCEL_TIMEOUT_S = 0.5
+# Time that a stopped server gives requests, and time until it must have ended, which
+# is what a gateway's grace period reserves for it.
+STOP_GRACE_S = 0.2
+STOP_LIMIT_S = 0.7
 MAX_BODY_BYTES = 100
 
 
@@ -222,6 +227,55 @@
                 while app.in_progress:
                     await asyncio.sleep(0.01)
 
+    @on_loop
+    async def test_stop_ends_after_its_grace_time(self) -> None:
+        for begun in (False, True):
+            _, took_s = await self.stop_meanwhile(GatewayMetrics(), [], begun=begun)
+            self.assertTrue(took_s < STOP_LIMIT_S, took_s)
+
+    async def stop_meanwhile(
+        self, metrics: GatewayMetrics, cancelled: list[str], *, begun: bool
+    ) -> tuple[bytes, float]:
+        """Stop the server during a request that does not end.
+
+        Args:
+            metrics: counts refusals and interruptions.
+            cancelled: gets the cause with which the handler is cancelled.
+            begun: whether a part of the answer is sent.
+
+        Returns:
+            The bytes that the caller received, and how long the stop took.
+        """
+        running = asyncio.Event()
+
+        async def handle(_: Request, reply: Reply) -> None:
+            if begun:
+                await reply.start(200, [])
+                await reply.write(b'part')
+            running.set()
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError as error:
+                cancelled.extend(error.args)
+                raise
+
+        app = GatewayApp(
+            LoopClock(),
+            handle,
+            metrics.count_refusal,
+            metrics.count_interruption,
+            lambda: MAX_BODY_BYTES,
+        )
+        port = free_port()
+        server = HttpServer(app, '127.0.0.1', port)
+        await server.start()
+        receiving = asyncio.ensure_future(exchange(port, REQUEST))
+        await running.wait()
+        start_s = time.monotonic()
+        await server.stop(STOP_GRACE_S)
+        took_s = time.monotonic() - start_s
+        return await receiving, took_s
+
     @on_loop
     async def test_interrupted_answers_are_counted_by_cause(self) -> None:
         cases = (
