Count and name the requests that a stopping gateway cuts

What callers and operators saw: answers that were still running as the grace period ended were not counted as interrupted, the line `ended` said `caller_left`, and a request without an answer got a bare 500. Cause: the server's cancellation of a request was taken for the caller's disconnect.

Why it works: only the server cancels a request; the application then cancels the handler with the cause, counts the refusal `stopping` and the interruption, and refuses with outcome `unknown` unless an answer has begun, which stays incomplete.

--- a/pollenwalk/connection/gateway_app.py
+++ b/pollenwalk/connection/gateway_app.py
@@ -150,7 +150,7 @@
         receive: Receive,
         send: Send,
     ) -> None:
-        """Read a request and answer it; stop answering if the caller disconnects."""
+        """Read a request and answer it."""
         arrived_ms = self.clock.now_ms()
         reply = AsgiReply(send, lambda: self.close_connections)
         try:
@@ -162,6 +162,12 @@
         if body is None:
             return
         request = read_request(scope, body, arrived_ms)
+        await self.answer_while_connected(request, receive, reply)
+
+    async def answer_while_connected(
+        self, request: Request, receive: Receive, reply: AsgiReply
+    ) -> None:
+        """Answer a request; stop if the caller disconnects or the server must end."""
         answer_task = asyncio.ensure_future(self.answer(request, reply))
         disconnect_task = asyncio.ensure_future(wait_for_disconnect(receive))
         try:
@@ -176,11 +182,32 @@
                     begun=reply.started,
                 )
                 self.count_if_interrupted(reply, CALLER_LEFT)
+        except asyncio.CancelledError:
+            await self.interrupt(answer_task, request, reply)
+            raise
         finally:
             disconnect_task.cancel()
             answer_task.cancel()
             await asyncio.gather(answer_task, disconnect_task, return_exceptions=True)
 
+    async def interrupt(
+        self, answer_task: asyncio.Future[None], request: Request, reply: AsgiReply
+    ) -> None:
+        """Give up a request that is not answered when the server must end.
+
+        An answer that has begun is left incomplete.
+        """
+        answer_task.cancel(RefusalCode.STOPPING)
+        await asyncio.gather(answer_task, return_exceptions=True)
+        if reply.complete:
+            return
+        refusal = Refusal(
+            RefusalCode.STOPPING,
+            'the gateway stopped before the answer was complete',
+            Outcome.UNKNOWN,
+        )
+        await self.count_and_refuse(request, refusal, reply)
+
     async def answer(self, request: Request, reply: AsgiReply) -> None:
         """Answer a request, with a refusal if the handler fails.
 
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -54,6 +54,8 @@
 # that it is not ready, so that callers are sent to other gateways. Shorter than
 # the time until a load balancer's second check.
 MAX_WITHOUT_MAJORITY_MS = 500.0
+# Outcome of a request whose caller disconnected.
+CALLER_LEFT = 'caller_left'
 # Number of different CRC-32 checksums.
 CHECKSUM_VALUES = 4_294_967_296
 
@@ -240,8 +242,9 @@
         try:
             await self.run_until_deadline(call, reply)
             outcome = 'answered'
-        except asyncio.CancelledError:
-            outcome = 'caller_left'
+        except asyncio.CancelledError as error:
+            # Whoever cancels for another reason than that names it.
+            outcome = str(*error.args) or CALLER_LEFT
             raise
         finally:
             took_ms = self.clock.now_ms() - request.arrived_ms
--- a/test/connection/test_gateway_app.py
+++ b/test/connection/test_gateway_app.py
@@ -233,6 +233,20 @@
             _, took_s = await self.stop_meanwhile(GatewayMetrics(), [], begun=begun)
             self.assertTrue(took_s < STOP_LIMIT_S, took_s)
 
+    @on_loop
+    async def test_request_cut_by_a_stop_is_counted(self) -> None:
+        for begun in (False, True):
+            metrics = GatewayMetrics()
+            cancelled: list[str] = []
+            answer, _ = await self.stop_meanwhile(metrics, cancelled, begun=begun)
+            self.assertEqual(['stopping'], cancelled)
+            self.assertEqual(begun, b'part' in answer)
+            self.assertEqual(not begun, answer.startswith(b'HTTP/1.1 502 '))
+            self.assertFalse(answer.endswith(b'0\r\n\r\n'))
+            expected = {'stopping': 1} if begun else {}
+            self.assertEqual(expected, interruptions(metrics))
+            self.assertEqual([('stopping', 'unknown', 1)], refusals(metrics))
+
     async def stop_meanwhile(
         self, metrics: GatewayMetrics, cancelled: list[str], *, begun: bool
     ) -> tuple[bytes, float]:
--- a/test/process/test_stream_versions.py
+++ b/test/process/test_stream_versions.py
@@ -37,7 +37,7 @@
     stream_head,
 )
 from standin.store import MemoryStore
-from test.helper import on_loop
+from test.helper import logged, on_loop
 from test.request.test_forwarding import (
     RecordedReply,
     Script,
@@ -367,6 +367,24 @@
             self.assertEqual(1, upstream.requests_at('other'))
 
 
+class EndedLineTest(testtools.TestCase):
+    """The log line of a stream that is cancelled."""
+
+    @on_loop
+    async def test_ended_line_names_the_cause(self) -> None:
+        for cause in ('stopping', ''):
+            async with started_upstream() as upstream:
+                caller = await upstream.begin(
+                    await upstream.start_gateway('g'), '/once/1'
+                )
+                with logged('ended') as lines:
+                    caller.task.cancel(*([cause] if cause else []))
+                    await asyncio.gather(caller.task, return_exceptions=True)
+            self.assertEqual(
+                [cause or 'caller_left'], [line['outcome'] for line in lines]
+            )
+
+
 class ResumedByCallerTest(testtools.TestCase):
     """Streams that a caller takes up with another request."""
 
