Don't say not run of a call whose stream its engine does not resume

A sidecar resumes an interrupted stream at its engine. An engine that has restarted does not know the call and refuses; the refusal was passed on as `not_run`, although tokens may have been shown, and the call could be dispatched once more.

Why it works: a call whose stream has been interrupted may have run, so a refused resumption has the outcome `unknown`.

--- a/pollenwalk/process/call_executor.py
+++ b/pollenwalk/process/call_executor.py
@@ -179,13 +179,28 @@
             else:
                 return complete_answer(call, answer)
             await self.clock.sleep_ms(RESUME_DELAY_MS)
-            source = self.upstream.resume(request.call, len(call.stream.texts))
+            source = self.resume(call)
         raise Refusal(
             RefusalCode.UPSTREAM_FAILED,
             'the engine gave no complete answer, even after resuming the stream',
             Outcome.UNKNOWN,
         )
 
+    async def resume(self, call: SidecarCall) -> AsyncIterator[Any]:
+        """Resume the stream of a call after the tokens that have been received.
+
+        Raises:
+            ConnectionLost: the stream was interrupted again.
+            Refusal: the engine does not resume it, as after a restart; the outcome
+                is unknown, since the call had begun to run.
+        """
+        offset = len(call.stream.texts)
+        try:
+            async for item in self.upstream.resume(call.message.call, offset):
+                yield item
+        except Refusal as refusal:
+            raise Refusal(refusal.code, refusal.message, Outcome.UNKNOWN) from refusal
+
     async def forward_stream(
         self, source: AsyncIterator[Any], call: SidecarCall
     ) -> Answer:
