--- a/pollenwalk/process/host_table.py
+++ b/pollenwalk/process/host_table.py
@@ -34,6 +34,8 @@
 # About one run time of a call. The weight of a load report falls linearly from 1
 # to 0 within twice this time.
 LOAD_REPORT_TRUST_MS = 400.0
+# More versions of an upstream than are replaced while a stream lasts.
+MAX_REMOVED_VERSIONS = 16
 
 
 class HostState:
@@ -114,6 +116,8 @@
 
     Attributes:
         states: the state of each host, by its id.
+        removed_versions: for each upstream, the software versions of removed hosts
+            and the time at which the last one of each was removed.
         loaded: whether the hosts have been read from the store.
         store_unavailable_since_ms: time of the first read without an answer;
             None while the store answers, directly or through a relay.
@@ -125,6 +129,7 @@
         """Create an empty table."""
         self.clock = clock
         self.states: dict[str, HostState] = {}
+        self.removed_versions: dict[str, dict[str, float]] = {}
         self.loaded = False
         self.store_unavailable_since_ms: float | None = None
         self.store_recovered_at_ms: float | None = None
@@ -148,7 +153,9 @@
         A host that has started again loses its former state.
         """
         state = self.states.get(registration.id)
-        if state is None or state.registration.started_ms != registration.started_ms:
+        if state is None or not is_same_start(state.registration, registration):
+            if state is not None:
+                self.note_version(state, self.clock.now_ms())
             state = HostState(registration)
             self.states[registration.id] = state
         state.update(registration, self.clock.now_ms())
@@ -212,7 +219,26 @@
             if state.removal_due_at_ms is not None and state.removal_due_at_ms <= now_ms
         ]
         for name in due:
-            self.states.pop(name)
+            self.note_version(self.states.pop(name), now_ms)
+
+    def note_version(self, state: HostState, now_ms: float) -> None:
+        """Note the software version of a host that is no longer listed."""
+        registration = state.registration
+        versions = self.removed_versions.setdefault(registration.upstream, {})
+        versions.pop(registration.software_version, None)
+        versions[registration.software_version] = now_ms
+        if len(versions) > MAX_REMOVED_VERSIONS:
+            versions.pop(next(iter(versions)))
+
+    def versions_since(self, upstream: str, since_ms: float) -> set[str]:
+        """Return the software versions of the hosts listed now or since a time."""
+        listed = {
+            state.registration.software_version for state in self.hosts_of(upstream)
+        }
+        removed = self.removed_versions.get(upstream, {})
+        return listed | {
+            version for version, at_ms in removed.items() if at_ms >= since_ms
+        }
 
     def available_hosts(self, upstream: str) -> Iterator[HostState]:
         """Yield the hosts of an upstream that are not leaving."""
@@ -236,3 +262,14 @@
         for state in self.states.values():
             if state.registration.upstream == upstream:
                 yield state
+
+
+def is_same_start(former: UpstreamHost, latter: UpstreamHost) -> bool:
+    """Return whether two registrations under one id are of one start of the host.
+
+    A host that states no time of its start is told by its software version.
+    """
+    return (former.started_ms, former.software_version) == (
+        latter.started_ms,
+        latter.software_version,
+    )
