--- a/test/process/test_stream_versions.py
+++ b/test/process/test_stream_versions.py
@@ -166,6 +166,12 @@
         await self.write(HOSTS_PREFIX + name, self.documents[name])
         await self.wait_for_hosts()
 
+    async def replace_first_host(self) -> None:
+        """Replace the first host by a near one of version 2 and a far one like it."""
+        await self.add_host('other', 'v2', NEAR, streams_to_end)
+        await self.add_host('same', 'v1', FAR, streams_to_end)
+        await self.remove_host('first')
+
     async def drain_host(self, name: str) -> None:
         """Let a host announce that it leaves."""
         self.documents[name]['state'] = 'draining'
@@ -323,9 +329,7 @@
     async def test_goes_on_at_a_host_that_just_leaves(self) -> None:
         async with started_upstream() as upstream:
             caller = await upstream.begin(await upstream.start_gateway('g'), '/twice/1')
-            await upstream.add_host('other', 'v2', NEAR, streams_to_end)
-            await upstream.add_host('same', 'v1', FAR, streams_to_end)
-            await upstream.remove_host('first')
+            await upstream.replace_first_host()
             await upstream.drain_host('same')
             await self.break_off(upstream, caller)
 
@@ -333,9 +337,7 @@
     async def test_ends_broken_off_if_the_host_left_earlier(self) -> None:
         async with started_upstream() as upstream:
             caller = await upstream.begin(await upstream.start_gateway('g'), '/twice/1')
-            await upstream.add_host('other', 'v2', NEAR, streams_to_end)
-            await upstream.add_host('same', 'v1', FAR, streams_to_end)
-            await upstream.remove_host('first')
+            await upstream.replace_first_host()
             await upstream.drain_host('same')
             await asyncio.sleep(LEAVE_NOTICE_MS * RESUME_AT_LEAVING_SHARE / 1000)
             upstream.breaking.may_break.set()
@@ -410,9 +412,7 @@
         async with started_upstream() as upstream:
             gateway = await upstream.start_gateway('g')
             await upstream.begin_and_break(gateway)
-            await upstream.add_host('other', 'v2', NEAR, streams_to_end)
-            await upstream.add_host('same', 'v1', FAR, streams_to_end)
-            await upstream.remove_host('first')
+            await upstream.replace_first_host()
             self.check_goes_on(await upstream.resume(gateway), upstream)
 
     @on_loop
@@ -421,9 +421,7 @@
             gateway = await upstream.start_gateway('g')
             another = await upstream.start_gateway('another')
             await upstream.begin_and_break(gateway)
-            await upstream.add_host('other', 'v2', NEAR, streams_to_end)
-            await upstream.add_host('same', 'v1', FAR, streams_to_end)
-            await upstream.remove_host('first')
+            await upstream.replace_first_host()
             self.check_goes_on(await upstream.resume(another), upstream)
 
     @on_loop
@@ -437,9 +435,7 @@
             caller.task.cancel()
             await gateway.stop()
             upstream.gateways.remove(gateway)
-            await upstream.add_host('other', 'v2', NEAR, streams_to_end)
-            await upstream.add_host('same', 'v1', FAR, streams_to_end)
-            await upstream.remove_host('first')
+            await upstream.replace_first_host()
             another = await upstream.start_gateway('another')
             self.check_goes_on(await upstream.resume(another), upstream)
 
