Name the entries' clients of the stand-ins by what they are

`Door` is `EntryClient` now, and `home` and `way` are owner, delay and path in `standin/`, but for the words of the scenario language, which the glossary names. Doc comments begin with "Return" or "Yield" instead of "Give" and "Tell". No statement is changed but for these names.

--- a/pollenwalk/process/stream_origins.py
+++ b/pollenwalk/process/stream_origins.py
@@ -7,8 +7,7 @@
 from pollenwalk.process.clock import Clock
 from pollenwalk.program.streams import StreamOrigin
 
-# More streams than a keeper hears of within the time that callers wait; an entry
-# takes about half a kilobyte.
+# More streams than a keeper hears of within the time that callers wait.
 MAX_ORIGINS = 20_000
 
 
--- a/standin/caller.py
+++ b/standin/caller.py
@@ -14,8 +14,8 @@
 from pollenwalk.errors import ConnectionLost, Outcome, Refusal
 from pollenwalk.process.clock import Clock
 from pollenwalk.program.history import model_history_items, service_history_items
-from standin.door import BeginSpec, CallSpec, Door
 from standin.engine import prompt_digest
+from standin.entry_client import BeginSpec, CallSpec, EntryClient
 from standin.ledger import Ledger
 
 MAX_TRIES = 60
@@ -144,14 +144,14 @@
     def __init__(
         self,
         name: str,
-        door: Door,
+        client: EntryClient,
         clock: Clock,
         rng: random.Random,
         tally: Tally,
     ) -> None:
         """Run under a name that no other caller has."""
         self.name = name
-        self.door = door
+        self.client = client
         self.clock = clock
         self.rng = rng
         self.tally = tally
@@ -183,7 +183,7 @@
             return
         with contextlib.suppress(GaveUp):
             await self.insist(
-                lambda: self.door.end(self.program),
+                lambda: self.client.end(self.program),
                 f'{self.name}/end',
             )
 
@@ -191,7 +191,7 @@
         """Begin, make all calls in turn, and end."""
         budget = CHILD_BUDGET if parent else None
         spec = self.begin_spec(story.declaration, budget, parent)
-        view = await self.insist(lambda: self.door.begin(spec), self.name)
+        view = await self.insist(lambda: self.client.begin(spec), self.name)
         self.program = view['id']
         self.tally.programs.append(self.program)
         self.tally.budgets[self.program] = view['budget']['limit']
@@ -202,7 +202,7 @@
             if step.pause_ms:
                 await self.clock.sleep_ms(step.pause_ms)
         self.verify()
-        await self.insist(lambda: self.door.end(self.program), f'{self.name}/end')
+        await self.insist(lambda: self.client.end(self.program), f'{self.name}/end')
 
     def begin_spec(
         self,
@@ -216,7 +216,7 @@
     async def run_child(self, story: Story) -> None:
         """Run a sub-agent of the same kind, with a share of the budget."""
         name = f'{self.name}.{self.sequence}'
-        child = Caller(name, self.door, self.clock, self.rng, self.tally)
+        child = Caller(name, self.client, self.clock, self.rng, self.tally)
         small = story._replace(turns=(1, 1))
         await child.run(small, self.program)
 
@@ -248,7 +248,7 @@
     async def in_place(self, spec: CallSpec, tag: str) -> dict[str, Any]:
         """Make a call; one that did not run leaves its place to the next."""
         try:
-            return await self.insist(lambda: self.door.call(spec), tag)
+            return await self.insist(lambda: self.client.call(spec), tag)
         except GaveUp:
             not_run = self.tally.last_word.get(tag) == Outcome.NOT_RUN
             if not_run and self.sequence == spec.sequence:
--- a/standin/declarations.py
+++ b/standin/declarations.py
@@ -61,7 +61,7 @@
 
 
 def section_keys(resource_id: ResourceId) -> dict[str, str]:
-    """Give the keys of one declared resource as written."""
+    """Return the keys of one declared resource as written."""
     parser = configparser.ConfigParser(interpolation=None, default_section='')
     parser.read_string(DECLARATIONS)
     return dict(parser[f'{resource_id.kind} {resource_id.name}'])
--- a/standin/demo.py
+++ b/standin/demo.py
@@ -9,8 +9,8 @@
 
 from pollenwalk.connection.http_server import free_port
 from standin.caller import SPARES, TEA_CHEST, Caller, Tally
-from standin.door import HttpDoor
 from standin.engine import EngineShape
+from standin.entry_client import HttpEntryClient
 from standin.system import BOTH, System
 
 IDEMPOTENT = frozenset(('lookup', 'chat'))
@@ -96,26 +96,26 @@
     system = System(BOTH, seed, EngineShape())
     await system.start([free_port(), free_port()])
     rng = random.Random(seed)
-    door = HttpDoor(system.urls, random.Random(seed))
+    client = HttpEntryClient(system.urls, random.Random(seed))
     tally = Tally(system.ledger)
     running = []
     for number in range(programs):
         for story in (SPARES, TEA_CHEST):
             name = f'{story.declaration}-{number}'
             own_rng = random.Random(f'{seed}/{name}')
-            caller = Caller(name, door, system.clock, own_rng, tally)
+            caller = Caller(name, client, system.clock, own_rng, tally)
             running.append(asyncio.ensure_future(caller.run(story)))
             await system.clock.sleep_ms(rng.expovariate(1 / ARRIVAL_MS))
     await asyncio.gather(*running)
     await wait_released(system, tally)
     report = judge(system, tally)
-    await door.close()
+    await client.close()
     await system.stop()
     return report
 
 
 async def wait_released(system: System, tally: Tally) -> None:
-    """Give the last releases a moment to reach the engines."""
+    """Wait a moment until the last releases reach the engines."""
     until_ms = system.clock.now_ms() + RELEASE_WAIT_MS
     while system.held(tally.programs) and system.clock.now_ms() < until_ms:
         await system.clock.sleep_ms(RELEASE_CHECK_MS)
--- a/standin/engine.py
+++ b/standin/engine.py
@@ -71,7 +71,7 @@
 
     @property
     def finished(self) -> bool:
-        """Tell whether all tokens have been generated."""
+        """Return whether all tokens have been generated."""
         return self.cancelled or len(self.stream.texts) >= self.request.max_tokens
 
     def step(self) -> None:
@@ -83,7 +83,7 @@
             self.stream.end()
 
     def answer(self) -> Answer:
-        """Give the whole answer."""
+        """Return the whole answer."""
         return Answer(
             {'text': ''.join(self.stream.texts)},
             len(self.stream.texts),
@@ -218,7 +218,7 @@
         generation: Generation,
         offset: int,
     ) -> AsyncIterator[Tokens | Answer]:
-        """Give tokens as they come, and the answer; cut where due."""
+        """Yield tokens as they come, and the answer; cut where due."""
         async for tokens in generation.stream.follow(offset):
             if self.cut_after is not None:
                 self.cut_after -= 1
@@ -244,7 +244,7 @@
             self.finish(generation)
 
     async def list_cache(self) -> dict[str, int]:
-        """Give the cached tokens by program."""
+        """Return the cached tokens by program."""
         self.check_up()
         return dict(self.cache)
 
--- a/standin/door.py
+++ b/standin/entry_client.py
@@ -1,4 +1,4 @@
-"""How stand-in callers reach the entries."""
+"""Clients of the entries for stand-in callers."""
 
 import random
 from collections.abc import Sequence
@@ -35,8 +35,11 @@
     parent: str | None = None
 
 
-class Door(Protocol):
-    """One way in; raises `Refusal`, or `ConnectionLost` without an answer."""
+class EntryClient(Protocol):
+    """A client of the entries.
+
+    Its methods raise `Refusal`, or `ConnectionLost` if there is no answer.
+    """
 
     async def begin(self, spec: BeginSpec) -> dict[str, Any]:
         """Begin a program."""
@@ -51,7 +54,7 @@
         """End a program."""
 
 
-class HttpDoor:
+class HttpEntryClient:
     """The callers' API of several entries, as behind a balancer."""
 
     def __init__(self, urls: Sequence[str], rng: random.Random) -> None:
--- a/standin/experiments/measure.py
+++ b/standin/experiments/measure.py
@@ -43,7 +43,7 @@
     points: list[tuple[float, float]]
 
     def at(self, where: float) -> float:
-        """Give the line's value."""
+        """Return the line's value."""
         return self.base + self.slope * where
 
 
@@ -63,7 +63,7 @@
 
 
 def cpu_share(before: Reading, after: Reading) -> float:
-    """Give the share of one core that was used between two readings."""
+    """Return the share of one core that was used between two readings."""
     return (after.cpu_s - before.cpu_s) / (after.at_s - before.at_s)
 
 
--- a/standin/experiments/overhead.py
+++ b/standin/experiments/overhead.py
@@ -66,7 +66,7 @@
         self.number = 0
 
     def sidecar_cpu_s(self) -> float:
-        """Give the processor time of both sidecars."""
+        """Return the processor time of both sidecars."""
         return sum(read_process(pid).cpu_s for pid in self.sidecar_pids)
 
     async def begin(self, session: aiohttp.ClientSession) -> str:
@@ -137,7 +137,7 @@
 
 
 async def cpu_of(rig: Rig, work: Callable[[], Awaitable[int]]) -> dict[str, float]:
-    """Give how much one core of the entry and of the sidecar does.
+    """Return how much one core of the entry and of the sidecar does.
 
     Args:
         rig: the system.
--- a/standin/experiments/placement.py
+++ b/standin/experiments/placement.py
@@ -23,7 +23,7 @@
 from standin.caller import Caller, Story, Tally
 from standin.demo import percentiles
 from standin.virtual.loop import run_virtual
-from standin.virtual.world import Shape, World, WorldDoor
+from standin.virtual.world import Shape, World, WorldEntryClient
 
 BASELINES = ('round-robin', 'least-loaded', 'sticky')
 OURS = 'expected-finish'
@@ -150,7 +150,7 @@
 
 
 def deadline_ms() -> float:
-    """Give the time in which a program counts as done by its deadline."""
+    """Return the time in which a program counts as done by its deadline."""
     turns = sum(STORY.turns) / 2
     return DEADLINE_FACTOR * turns * (STORY.pause_ms + 16 * 10.0)
 
@@ -158,7 +158,7 @@
 async def drive(world: World, load: float, seed: int) -> Tally:
     """Begin programs at the rate that makes the load, and wait for all."""
     rng = random.Random(f'arrivals/{seed}/{load}')
-    door = WorldDoor(world, random.Random(seed))
+    client = WorldEntryClient(world, random.Random(seed))
     tally = Tally(world.ledger)
     rate = load * PROGRAMS_PER_ENGINE_SECOND * len(MODELS)
     running = []
@@ -166,7 +166,9 @@
     while world.clock.now_ms() < RUN_MS:
         name = f'place{number}'
         number += 1
-        caller = Caller(name, door, world.clock, random.Random(f'{seed}/{name}'), tally)
+        caller = Caller(
+            name, client, world.clock, random.Random(f'{seed}/{name}'), tally
+        )
         running.append(asyncio.ensure_future(caller.run(STORY)))
         await world.clock.sleep_ms(rng.expovariate(rate / MS_PER_SECOND))
     await asyncio.gather(*running)
@@ -174,7 +176,7 @@
 
 
 def best(outcomes: dict[str, Outcome], field: str) -> float:
-    """Give the best baseline's figure."""
+    """Return the best baseline's figure."""
     return min(getattr(outcomes[name], field) for name in BASELINES)
 
 
--- a/standin/experiments/recovery.py
+++ b/standin/experiments/recovery.py
@@ -15,7 +15,7 @@
 from standin.scenario.script import ScriptedProgram
 from standin.store import Faults
 from standin.virtual.loop import run_virtual
-from standin.virtual.world import Shape, World, WorldDoor
+from standin.virtual.world import Shape, World, WorldEntryClient
 
 ENTRIES = ('rimouski', 'saguenay', 'envigado', 'gatineau')
 HOSTS = ('rimouski', 'saguenay', 'gatineau')
@@ -38,11 +38,11 @@
 
 
 async def takeover_ms(seed: int) -> float:
-    """Kill a home and wait for its program's next answer."""
+    """Kill an owner and wait for its program's next answer."""
     world = await make_world(seed)
-    door = WorldDoor(world, random.Random(seed))
+    client = WorldEntryClient(world, random.Random(seed))
     tally = Tally(world.ledger)
-    program = ScriptedProgram('p', door, world.clock, random.Random(seed), tally)
+    program = ScriptedProgram('p', client, world.clock, random.Random(seed), tally)
     await program.begin(SPARES.declaration, None, None)
     await program.send('a', Step('orders', 'reserve', 0, 0))
     owner = world.owner_of(program.program)
@@ -56,12 +56,12 @@
 
 async def run_load(world: World, count: int, every_ms: float) -> Tally:
     """Run whole programs at a steady rate and wait for all."""
-    door = WorldDoor(world, random.Random(world.shape.seed))
+    client = WorldEntryClient(world, random.Random(world.shape.seed))
     tally = Tally(world.ledger)
     running = []
     for number in range(count):
         name = f'load{number}'
-        caller = Caller(name, door, world.clock, random.Random(name), tally)
+        caller = Caller(name, client, world.clock, random.Random(name), tally)
         running.append(asyncio.ensure_future(caller.run(SPARES)))
         await world.clock.sleep_ms(every_ms)
     await asyncio.gather(*running)
--- a/standin/experiments/slopes.py
+++ b/standin/experiments/slopes.py
@@ -55,13 +55,13 @@
         return f'caller-{self.callers}'
 
     async def cpu(self, work: Callable[[], Awaitable[Any]]) -> float:
-        """Give the entry's share of a core while some work runs."""
+        """Return the entry's share of a core while some work runs."""
         before = read_process(self.pid)
         await work()
         return cpu_share(before, read_process(self.pid))
 
     async def memory(self) -> float:
-        """Give the entry's resident memory once it has settled."""
+        """Return the entry's resident memory once it has settled."""
         await asyncio.sleep(SETTLE_S)
         return float(read_process(self.pid).memory_bytes)
 
--- a/standin/experiments/storm.py
+++ b/standin/experiments/storm.py
@@ -12,7 +12,7 @@
 from pollenwalk.request.retry import RetryBudget
 from standin.caller import SPARES, Caller, Tally
 from standin.virtual.loop import run_virtual
-from standin.virtual.world import Shape, World, WorldDoor
+from standin.virtual.world import Shape, World, WorldEntryClient
 
 PROGRAMS = 40
 EVERY_MS = 100
@@ -25,7 +25,7 @@
     """Run programs through an outage of the plain service."""
     world = World(Shape(seed=seed))
     await world.start()
-    door = WorldDoor(world, random.Random(seed))
+    client = WorldEntryClient(world, random.Random(seed))
     tally = Tally(world.ledger)
     running = []
     services = list(world.services.values())
@@ -34,7 +34,7 @@
             for service in services:
                 service.refuse = MANY
         name = f'storm{number}'
-        caller = Caller(name, door, world.clock, random.Random(name), tally)
+        caller = Caller(name, client, world.clock, random.Random(name), tally)
         running.append(asyncio.ensure_future(caller.run(SPARES)))
         await world.clock.sleep_ms(EVERY_MS)
     await world.clock.sleep_ms(OUTAGE_MS)
--- a/standin/hosts.py
+++ b/standin/hosts.py
@@ -23,7 +23,7 @@
         self.marked_ms[address] = self.clock.now_ms()
 
     async def fetch_leaving(self) -> list[str]:
-        """Give the hosts that the list knows of by now."""
+        """Return the hosts that the list knows of by now."""
         limit_ms = self.clock.now_ms() - LAG_MS
         return [
             address
--- a/standin/ledger.py
+++ b/standin/ledger.py
@@ -62,7 +62,7 @@
         return sum(1 for run in self.executions if run.tag == tag)
 
     def doubled(self, idempotent: frozenset[str]) -> list[str]:
-        """Give the tags of non-idempotent calls that ran more than once."""
+        """Return the tags of non-idempotent calls that ran more than once."""
         runs = Counter(
             run.tag
             for run in self.executions
@@ -71,7 +71,7 @@
         return [tag for tag, count in runs.items() if count > 1]
 
     def out_of_order(self) -> list[str]:
-        """Give the programs whose calls arrived in another order.
+        """Return the programs whose calls arrived in another order.
 
         A repeat of a call that may be repeated is no disorder.
         """
--- a/standin/link.py
+++ b/standin/link.py
@@ -51,9 +51,9 @@
 
 
 class LinkedChannel:
-    """A channel whose frames take the time of their way.
+    """A channel whose frames take some time to arrive.
 
-    Frames travel on their own, so a long way does not slow the sender.
+    Frames travel on their own, so a long delay does not slow the sender.
     """
 
     def __init__(
@@ -71,7 +71,7 @@
         self.reading: asyncio.Task[None] | None = None
 
     async def send(self, frame: bytes) -> None:
-        """Send after the way's time, in order."""
+        """Send after the delay, in order."""
         due_ms = self.network.due_ms(self.network.place, self.target, len(frame))
         if due_ms is None:
             await self.inner.send(frame)
@@ -93,7 +93,7 @@
             await self.inner.send(frame)
 
     async def receive(self) -> bytes:
-        """Receive after the way's time."""
+        """Receive after the delay."""
         if self.network.place.region == self.target.region:
             return await self.inner.receive()
         if self.reading is None:
@@ -136,13 +136,13 @@
         self.clock = clock
 
     def due_ms(self, source: Place, target: Place, size: int) -> float | None:
-        """Give when a message arrives; None for at once."""
+        """Return when a message arrives; None for at once."""
         now_ms = self.clock.now_ms()
         delay_ms = self.where.delay_ms(source, target, size, now_ms)
         return now_ms + delay_ms if delay_ms else None
 
     def place_of(self, address: str) -> Place:
-        """Give where an address is; an unknown one is here."""
+        """Return where an address is; an unknown one is here."""
         return self.where.places.get(address, self.place)
 
     async def connect(self, address: str) -> Channel:
@@ -161,7 +161,7 @@
         return await self.inner.bind(address, handler)
 
     def send_datagram(self, source: str, target: str, payload: bytes) -> None:
-        """Send a datagram after the way's time."""
+        """Send a datagram after the delay."""
         due_ms = self.due_ms(self.place, self.place_of(target), len(payload))
         if due_ms is None:
             self.inner.send_datagram(source, target, payload)
--- a/standin/load.py
+++ b/standin/load.py
@@ -9,7 +9,7 @@
 from pollenwalk.process.clock import MS_PER_SECOND, LoopClock
 from standin.caller import SPARES, TEA_CHEST, Caller, Story, Tally
 from standin.demo import percentiles
-from standin.door import HttpDoor
+from standin.entry_client import HttpEntryClient
 from standin.ledger import Ledger
 
 PROGRESS_MS = 2000
@@ -56,7 +56,7 @@
     rng = random.Random(options['seed'])
     clock = LoopClock()
     tally = Tally(Ledger())
-    door = HttpDoor(options['entries'], random.Random(options['seed']))
+    client = HttpEntryClient(options['entries'], random.Random(options['seed']))
     progress = asyncio.ensure_future(show_progress(tally, clock))
     begun_ms = clock.now_ms()
     running = []
@@ -64,12 +64,12 @@
     for number in range(options['programs']):
         story = pick_story(options['spares_share'], rng)
         name = f'load-{options["seed"]}-{number}'
-        caller = Caller(name, door, clock, random.Random(name), tally)
+        caller = Caller(name, client, clock, random.Random(name), tally)
         running.append(asyncio.ensure_future(caller.run(story)))
         await clock.sleep_ms(next(gaps))
     await asyncio.gather(*running)
     progress.cancel()
-    await door.close()
+    await client.close()
     return figures(tally, clock.now_ms() - begun_ms)
 
 
--- a/standin/memory_disk.py
+++ b/standin/memory_disk.py
@@ -20,7 +20,7 @@
         self.sync_ms = SYNC_MS
 
     def open(self) -> Iterator[bytes]:
-        """Give each record."""
+        """Yield each record."""
         yield from list(self.records)
 
     async def append(self, record: bytes) -> None:
--- a/standin/model.py
+++ b/standin/model.py
@@ -1,6 +1,6 @@
 """An exhaustive check of the takeover protocol on a small model.
 
-It is a model and not the real code: one home with one non-idempotent call, one
+It is a model and not the real code: one owner with one non-idempotent call, one
 successor, two witnesses and one sidecar. Every interleaving of their steps is
 visited, with crashes of each, lost answers of the store, and pauses (a pause
 is a step that comes late). `Variant` takes single mechanisms away, so that it
@@ -37,15 +37,15 @@
     """Everything that matters.
 
     Attributes:
-        slot: the next segment of the home's journal.
-        sent_store: whether the home's write is on its way.
-        sent: witnesses that a batch is on its way to.
+        slot: the next segment of the owner's journal.
+        sent_store: whether the owner's write has been sent but not arrived.
+        sent: witnesses that a batch has been sent to but has not reached.
         acknowledged: witnesses whose acknowledgement has come.
-        stored: whether the home knows that its segment is written.
+        stored: whether the owner knows that its segment is written.
         owner_alive: whether the owner still takes steps.
         dispatched: whether its dispatch has been sent.
         in_flight: whether that dispatch may still arrive.
-        fenced: whether the sidecar refuses the home.
+        fenced: whether the sidecar refuses the owner.
         boot_id: the sidecar's start.
         runs: how often the call has run.
         phase: how far the successor is.
@@ -90,22 +90,22 @@
 
 
 def owner_steps(state: State, variant: Variant) -> Iterator[Step]:
-    """Give what the home may do."""
+    """Yield what the owner may do."""
     if not state.owner_alive:
         return
-    yield 'home crashes', state._replace(owner_alive=False)
+    yield 'owner crashes', state._replace(owner_alive=False)
     if not state.sent_store and not state.stored:
-        yield 'home writes', state._replace(sent_store=True, sent=(True, True))
+        yield 'owner writes', state._replace(sent_store=True, sent=(True, True))
     if state.slot == INTENT and not state.stored:
-        yield 'home learns of its segment', state._replace(stored=True)
+        yield 'owner learns of its segment', state._replace(stored=True)
     committed = state.stored or all(state.acknowledged)
     may_dispatch = committed or not variant.waits_for_commit
     if may_dispatch and not state.dispatched:
-        yield 'home dispatches', state._replace(dispatched=True, in_flight=True)
+        yield 'owner dispatches', state._replace(dispatched=True, in_flight=True)
 
 
 def network_steps(state: State, variant: Variant) -> Iterator[Step]:
-    """Give what may arrive; what is lost simply never does."""
+    """Yield what may arrive; what is lost simply never does."""
     if state.sent_store:
         slot = INTENT if state.slot == EMPTY else state.slot
         yield 'store takes the write', state._replace(sent_store=False, slot=slot)
@@ -118,7 +118,7 @@
 
 
 def witness_steps(state: State, place: int) -> Iterator[Step]:
-    """Give what may happen at one witness."""
+    """Yield what may happen at one witness."""
     witness = state.witnesses[place]
     if not witness.alive:
         return
@@ -141,13 +141,13 @@
 
 
 def sidecar_steps(state: State) -> Iterator[Step]:
-    """Give what may happen to the sidecar."""
+    """Yield what may happen to the sidecar."""
     if state.boot_id == 1:
         yield 'sidecar restarts', state._replace(boot_id=2, fenced=False)
 
 
 def successor_steps(state: State, variant: Variant) -> Iterator[Step]:
-    """Give what the successor may do; it may begin at any time."""
+    """Yield what the successor may do; it may begin at any time."""
     if state.phase == 'idle':
         yield from seal_store(state, variant)
     elif state.phase == 'sealed':
@@ -205,7 +205,7 @@
 
 
 def steps(state: State, variant: Variant) -> Iterator[Step]:
-    """Give every next step of every process."""
+    """Yield every next step of every process."""
     yield from owner_steps(state, variant)
     yield from network_steps(state, variant)
     yield from sidecar_steps(state)
@@ -228,7 +228,7 @@
         variant: the mechanisms in place.
 
     Returns:
-        How many states there are, and the shortest way to a violation.
+        How many states there are, and the shortest path to a violation.
     """
     start = State()
     paths: dict[State, list[str]] = {start: []}
--- a/standin/platform/host.py
+++ b/standin/platform/host.py
@@ -25,7 +25,7 @@
 
     @property
     def id(self) -> str:
-        """Give the request's id."""
+        """Return the request's id."""
         return self.headers.get('x-pollenwalk-request-id', '')
 
 
--- a/standin/platform/store.py
+++ b/standin/platform/store.py
@@ -48,7 +48,7 @@
 
 
 class PlatformStoreApi:
-    """Serves a memory store the platform's way."""
+    """Serves a memory store in the platform's format."""
 
     def __init__(self, store: MemoryStore) -> None:
         """Serve `store`."""
@@ -170,12 +170,12 @@
 
 
 def key_of(request: Request) -> str:
-    """Give the key of the object that a call names."""
+    """Return the key of the object that a call names."""
     return f'{request.path_params["kind"]}/{request.path_params["name"]}'
 
 
 def name_of(stored: StoredObject) -> str:
-    """Give an object's name within its kind."""
+    """Return an object's name within its kind."""
     return stored.key.partition('/')[2]
 
 
--- a/standin/processes.py
+++ b/standin/processes.py
@@ -115,13 +115,13 @@
         self.start(name, 'sidecar', '--config', config)
 
     def tracing(self, name: str) -> str:
-        """Give the settings that keep a process's spans, if they are wanted."""
+        """Return the settings that keep a process's spans, if they are wanted."""
         if not self.traced:
             return ''
         return f'[process]\ntrace_file = {self.spans_of(name)}\ntrace_share = 1\n'
 
     def spans_of(self, name: str) -> Path:
-        """Give where a process's spans are kept."""
+        """Return where a process's spans are kept."""
         return self.folder / f'{name}.spans'
 
     def stop(self, name: str) -> int:
--- a/standin/scenario/language.py
+++ b/standin/scenario/language.py
@@ -19,7 +19,7 @@
 
     @property
     def text(self) -> str:
-        """Give the step as written."""
+        """Return the step as written."""
         return ' '.join(self.words)
 
 
@@ -65,7 +65,7 @@
 
 
 def write_scenario(scenario: Scenario) -> str:
-    """Give a scenario as a file's text."""
+    """Return a scenario as a file's text."""
     shape = scenario.shape
     setup = [
         f'entries {" ".join(shape.entries)}',
--- a/standin/scenario/promises.py
+++ b/standin/scenario/promises.py
@@ -10,7 +10,7 @@
 
 
 def breaches(world: World, tally: Tally) -> list[str]:
-    """Give every broken promise of a finished run."""
+    """Return every broken promise of a finished run."""
     held = world.held(tally.programs)
     found = [*ledger_breaches(world.ledger, tally), *caller_breaches(tally)]
     if held:
@@ -19,7 +19,7 @@
 
 
 def ledger_breaches(ledger: Ledger, tally: Tally) -> Iterator[str]:
-    """Give what the upstreams saw and should not have."""
+    """Yield what the upstreams saw and should not have."""
     for tag in ledger.doubled(IDEMPOTENT):
         yield f'doubled: {tag} ran {ledger.runs_of(tag)} times'
     for program in ledger.out_of_order():
@@ -37,7 +37,7 @@
 
 
 def caller_breaches(tally: Tally) -> Iterator[str]:
-    """Give what the callers were told and should not have been."""
+    """Yield what the callers were told and should not have been."""
     for tag in tally.false_not_run:
         yield f'false not_run: {tag} had run when it was refused'
     for tag in tally.mixed:
--- a/standin/scenario/runner.py
+++ b/standin/scenario/runner.py
@@ -14,7 +14,7 @@
 from standin.scenario.script import Ending, ScriptedProgram
 from standin.store import Faults
 from standin.virtual.loop import run_virtual
-from standin.virtual.world import World, WorldDoor
+from standin.virtual.world import World, WorldEntryClient
 
 ENDING_PATIENCE_MS = 240_000
 RELEASE_PATIENCE_MS = 60_000
@@ -36,7 +36,7 @@
         self.scenario = scenario
         self.world = World(scenario.shape)
         self.clock = self.world.clock
-        self.door = WorldDoor(self.world, random.Random(scenario.shape.seed))
+        self.client = WorldEntryClient(self.world, random.Random(scenario.shape.seed))
         self.tally = Tally(self.world.ledger)
         self.programs: dict[str, ScriptedProgram] = {}
         self.labels: dict[str, ScriptedProgram] = {}
@@ -106,7 +106,7 @@
         """End a scripted program unless it has been refused."""
         try:
             await program.insist(
-                lambda: self.door.end(program.program),
+                lambda: self.client.end(program.program),
                 f'{program.name}/end',
             )
         except GaveUp:
@@ -121,7 +121,7 @@
             await self.clock.sleep_ms(CHECK_MS)
 
     def who(self, name: str) -> str:
-        """Give a process by its name or by its part in a program."""
+        """Return a process by its name or by its part in a program."""
         role, _, program = name.partition(':')
         if not program:
             return name
@@ -133,13 +133,13 @@
         return self.sidecar_with(program_id)
 
     def witness(self, program_id: str, number: int) -> str:
-        """Give a witness of a program's home, counted from 1."""
+        """Return a witness of a program's owner, counted from 1."""
         owner = self.world.entries[self.world.owner_of(program_id)]
         address = owner.entry.journal.effective_witnesses[number - 1].address
         return address.partition(':')[0]
 
     def sidecar_with(self, program_id: str) -> str:
-        """Give the sidecar that runs a call of a program."""
+        """Return the sidecar that runs a call of a program."""
         for name, process in self.world.sidecars.items():
             for call in process.sidecar.executor.calls.by_id.values():
                 if call.message.program == program_id and not call.ended_ms:
@@ -151,7 +151,7 @@
         given = dict(zip(options[::2], options[1::2], strict=True))
         program = ScriptedProgram(
             name,
-            self.door,
+            self.client,
             self.clock,
             random.Random(name),
             self.tally,
@@ -189,7 +189,7 @@
             name = f'run{len(self.background)}'
             caller = Caller(
                 name,
-                self.door,
+                self.client,
                 self.clock,
                 random.Random(f'{self.scenario.shape.seed}/{name}'),
                 self.tally,
@@ -263,7 +263,7 @@
                     self.world.fabric.cut(other, one)
 
     def members(self, name: str) -> list[str]:
-        """Give the processes of a region, or the one of a name."""
+        """Return the processes of a region, or the one of a name."""
         nodes = {'store': self.world.store_node}
         for table in (self.world.entries, self.world.sidecars):
             nodes.update((one, process.node) for one, process in table.items())
@@ -271,7 +271,7 @@
         return inside or [self.who(name)]
 
     async def do_slow(self, source: str, target: str, extra_ms: str) -> None:
-        """`slow WHO WHO MS`: delay one way."""
+        """`slow WHO WHO MS`: delay in one direction."""
         pair = (self.who(source), self.who(target))
         self.world.fabric.slow_ms[pair] = float(extra_ms)
 
@@ -284,7 +284,7 @@
         ]
         away = [name for name in self.world.entries if name not in cut]
         choices = {'cut': cut, 'away': away, 'all': list(self.world.entries)}
-        self.door.reachable = choices.get(where, [where, *others])
+        self.client.reachable = choices.get(where, [where, *others])
 
     async def do_again(self, label: str, where: str) -> None:
         """`again LABEL WHERE`: one more try of an ended call there."""
@@ -293,7 +293,7 @@
         tag = program.tags[label]
         spec = program.specs[tag]
         try:
-            await self.door.call(spec)
+            await self.client.call(spec)
         except Refusal as refusal:
             self.tally.take_word(tag, refusal)
             self.tally.last_word[tag] = 'repeated'
@@ -361,7 +361,7 @@
         check(self, subject, *words[1:])
 
     def ending(self, label: str) -> Ending:
-        """Give how a call ended."""
+        """Return how a call ended."""
         future = self.labels[label].endings[label]
         if not future.done():
             raise AssertionError('it has not ended')
@@ -402,7 +402,7 @@
         """`expect PROGRAM home ENTRY`."""
         owner = self.world.owner_of(self.programs[name].program)
         if owner != entry:
-            raise AssertionError(f'its home is {owner}')
+            raise AssertionError(f'its owner is {owner}')
 
     def expect_quiet(self, name: str) -> None:
         """`expect WHO quiet`: no work taken since the mark."""
--- a/standin/scenario/script.py
+++ b/standin/scenario/script.py
@@ -42,7 +42,7 @@
     ) -> None:
         """Ask until the program has begun."""
         spec = self.begin_spec(declaration, budget, parent)
-        view = await self.insist(lambda: self.door.begin(spec), self.name)
+        view = await self.insist(lambda: self.client.begin(spec), self.name)
         self.program = view['id']
         self.tally.budgets[self.program] = view['budget']['limit']
 
@@ -66,10 +66,10 @@
         await super().take_refusal(refusal, tag)
 
     async def confirmed_view(self) -> dict[str, Any]:
-        """Read the program until its home has confirmed what it shows."""
+        """Read the program until its owner has confirmed what it shows."""
         while True:
             view = await self.insist(
-                lambda: self.door.view(self.program),
+                lambda: self.client.view(self.program),
                 f'{self.name}/view',
             )
             if view['confirmed']:
--- a/standin/service.py
+++ b/standin/service.py
@@ -43,7 +43,7 @@
         operation: str,
         argument: dict[str, Any],
     ) -> dict[str, Any]:
-        """Run an operation: it takes effect half-way through its time."""
+        """Run an operation: it takes effect after half of its time."""
         if self.refuse:
             self.refuse -= 1
             raise Refusal(RefusalCode.UPSTREAM_FAILED, 'not now', retry_after_ms=1)
--- a/standin/store.py
+++ b/standin/store.py
@@ -48,7 +48,7 @@
         self.changed = asyncio.Event()
 
     def after(self, revision: int) -> list[tuple[int, str]]:
-        """Give the changes after a revision."""
+        """Return the changes after a revision."""
         first = bisect.bisect_right(self.entries, revision, key=lambda one: one[0])
         return self.entries[first:]
 
@@ -160,7 +160,7 @@
             return
 
     def since(self, prefix: str, revision: int) -> list[StoredObject]:
-        """Give what has changed below a prefix after a revision."""
+        """Return what has changed below a prefix after a revision."""
         changed = {
             key: version
             for version, key in self.log_of(prefix).after(revision)
@@ -178,7 +178,7 @@
         log.wake()
 
     def log_of(self, key: str) -> FolderLog:
-        """Give the log of the folder that a key or a prefix is in."""
+        """Return the log of the folder that a key or a prefix is in."""
         return self.logs.setdefault(key.partition('/')[0], FolderLog())
 
     def close(self) -> None:
--- a/standin/system.py
+++ b/standin/system.py
@@ -120,15 +120,15 @@
             await self.store.put(desired_key(resource.id), body, None)
 
     def place(self, zone: str) -> Place:
-        """Give a zone's place."""
+        """Return a zone's place."""
         return Place(zone, REGIONS[zone])
 
     def linked(self, zone: str) -> LinkedNetwork:
-        """Give the network as seen from a zone."""
+        """Return the network as seen from a zone."""
         return LinkedNetwork(self.network, self.map, self.place(zone), self.clock)
 
     def new_rng(self) -> random.Random:
-        """Give a process its own randomness."""
+        """Return a process its own randomness."""
         return random.Random(self.rng.getrandbits(64))
 
     async def start_entry(
@@ -225,7 +225,7 @@
             await self.clock.sleep_ms(READY_CHECK_MS)
 
     def sees_all(self, entry: Entry) -> bool:
-        """Tell whether an entry is ready and can use all upstream hosts."""
+        """Return whether an entry is ready and can use all upstream hosts."""
         usable = sum(
             len(entry.fleet.available_hosts(servers.upstream))
             for servers in (*self.layout.models, *self.layout.plains)
--- a/standin/virtual/edges.py
+++ b/standin/virtual/edges.py
@@ -22,13 +22,13 @@
     """The store over a path that takes time and can be cut."""
 
     def __init__(
-        self, inner: MemoryStore, fabric: Fabric, node: Node, home: Node
+        self, inner: MemoryStore, fabric: Fabric, node: Node, location: Node
     ) -> None:
-        """Reach `inner`, which stands at `home`, from `node`."""
+        """Reach `inner`, which is at `location`, from `node`."""
         self.inner = inner
         self.fabric = fabric
         self.node = node
-        self.home = home
+        self.location = location
         self.writes = 0
         self.reads = 0
 
@@ -47,7 +47,7 @@
         The request runs on at the store when this process is killed.
         """
         await self.node.passed()
-        await self.travel(self.node, self.home, size)
+        await self.travel(self.node, self.location, size)
         try:
             answer = await asyncio.shield(self.fabric.tasks.spawn(work(), 'store'))
         except PollenwalkError:
@@ -58,7 +58,7 @@
 
     async def travel_back(self) -> None:
         """Take the time of an answer."""
-        await self.travel(self.home, self.node, 0)
+        await self.travel(self.location, self.node, 0)
         await self.node.passed()
 
     async def get(self, key: str) -> StoredObject | None:
@@ -150,7 +150,7 @@
         await self.inner.cancel(call)
 
     async def list_cache(self) -> dict[str, int]:
-        """Give what is cached."""
+        """Return what is cached."""
         await self.node.passed()
         return await self.inner.list_cache()
 
--- a/standin/virtual/fabric.py
+++ b/standin/virtual/fabric.py
@@ -45,11 +45,11 @@
         self.tasks = TaskSet()
 
     def now_ms(self) -> float:
-        """Give the virtual time."""
+        """Return the virtual time."""
         return asyncio.get_running_loop().time() * MS_PER_SECOND
 
     def cut(self, source: str, target: str) -> None:
-        """Cut the path from one node to another, one way."""
+        """Cut the path from one node to another, in one direction."""
         self.cuts[source, target] = None
 
     def heal(self) -> None:
@@ -58,11 +58,11 @@
         self.slow_ms.clear()
 
     def is_cut(self, source: Node, target: Node) -> bool:
-        """Tell whether a path is cut."""
+        """Return whether a path is cut."""
         return (source.name, target.name) in self.cuts
 
     def delay_ms(self, source: Node, target: Node, size: int) -> float:
-        """Give the time a message takes."""
+        """Return the time a message takes."""
         one_way_ms = self.map.delay_ms(source.place, target.place, size, self.now_ms())
         extra_ms = self.slow_ms.get((source.name, target.name), 0)
         return one_way_ms + extra_ms + LOCAL_MS
@@ -83,7 +83,7 @@
         self.carrying = fabric.tasks.spawn(self.carry(), 'pipe')
 
     def put(self, frame: bytes) -> None:
-        """Send a frame on its way."""
+        """Send a frame to the other side."""
         delay_ms = self.fabric.delay_ms(self.source, self.target, len(frame))
         self.sent.put_nowait((frame, self.fabric.now_ms() + delay_ms))
 
@@ -177,7 +177,7 @@
         return VirtualChannel(self.node, back, there)
 
     def blocked(self, other: Node) -> bool:
-        """Tell whether either way to another node is cut."""
+        """Return whether the path to another node is cut in a direction."""
         fabric = self.fabric
         return fabric.is_cut(self.node, other) or fabric.is_cut(other, self.node)
 
--- a/standin/virtual/loop.py
+++ b/standin/virtual/loop.py
@@ -35,7 +35,7 @@
         super().__init__(self.virtual)
 
     def time(self) -> float:
-        """Give the virtual time in seconds."""
+        """Return the virtual time in seconds."""
         return self.virtual.now_s
 
 
--- a/standin/virtual/node.py
+++ b/standin/virtual/node.py
@@ -29,12 +29,12 @@
 
     @property
     def paused(self) -> bool:
-        """Tell whether the process is frozen."""
+        """Return whether the process is frozen."""
         return not self.running.is_set()
 
     @property
     def dead(self) -> bool:
-        """Tell whether the process has been killed."""
+        """Return whether the process has been killed."""
         return self.killed.is_set()
 
     async def passed(self) -> None:
@@ -53,11 +53,11 @@
         self.node = node
 
     def now_ms(self) -> float:
-        """Give the virtual time in ms."""
+        """Return the virtual time in ms."""
         return asyncio.get_running_loop().time() * MS_PER_SECOND
 
     def wall_ms(self) -> int:
-        """Give the virtual calendar in ms."""
+        """Return the virtual calendar in ms."""
         return CALENDAR_START_MS + int(self.now_ms())
 
     async def sleep_ms(self, duration_ms: float) -> None:
--- a/standin/virtual/world.py
+++ b/standin/virtual/world.py
@@ -20,8 +20,8 @@
 from pollenwalk.process.traces import Tracer
 from pollenwalk.version.resources import parse_resources
 from standin.declarations import DECLARATIONS, REGIONS, section_keys
-from standin.door import BeginSpec, CallSpec
 from standin.engine import EngineShape, ModelEngine
+from standin.entry_client import BeginSpec, CallSpec
 from standin.hosts import ListedHosts
 from standin.ledger import Ledger
 from standin.link import Place
@@ -118,7 +118,7 @@
         return Node(name, Place(zone, REGIONS[zone]))
 
     def address(self, name: str) -> str:
-        """Give a process's address, the same after a restart."""
+        """Return a process's address, the same after a restart."""
         return f'{name}:1'
 
     async def start_entry(self, name: str) -> None:
@@ -181,7 +181,7 @@
         await sidecar.start()
 
     def upstream(self, name: str, node: Node) -> NodeEngine | NodeService:
-        """Give the upstream beside a sidecar."""
+        """Return the upstream beside a sidecar."""
         if name in self.engines:
             return NodeEngine(self.engines[name], node)
         return NodeService(self.services[name], self.fabric, node)
@@ -199,7 +199,7 @@
             await self.clock.sleep_ms(READY_CHECK_MS)
 
     def sees_all(self, entry: Entry) -> bool:
-        """Tell whether an entry is ready and can use all upstream hosts."""
+        """Return whether an entry is ready and can use all upstream hosts."""
         usable = len(entry.fleet.available_hosts('advisory')) + len(
             entry.fleet.available_hosts('orders')
         )
@@ -207,7 +207,7 @@
         return entry.ready and declared and usable == len(self.sidecars)
 
     def process(self, name: str) -> EntryProcess | SidecarProcess:
-        """Give a process by its name."""
+        """Return a process by its name."""
         return self.entries.get(name) or self.sidecars[name]
 
     async def kill(self, name: str) -> None:
@@ -240,12 +240,12 @@
             await self.start_sidecar(name)
 
     def owner_of(self, program: str) -> str:
-        """Give the entry that is a program's home now."""
+        """Return the entry that owns a program now."""
         for name, process in self.entries.items():
             here = program in process.entry.owner.table.programs
             if here and not process.node.dead and not process.entry.journal.fenced:
                 return name
-        raise LookupError(f'nobody is home of {program}')
+        raise LookupError(f'nobody owns {program}')
 
     def held(self, programs: list[str]) -> int:
         """Count engine tokens held for some programs."""
@@ -256,8 +256,8 @@
         )
 
 
-class WorldDoor:
-    """Callers' way into a world, as behind the platform's balancer."""
+class WorldEntryClient:
+    """A client of a world's entries, as behind the platform's balancer."""
 
     def __init__(self, world: World, rng: random.Random) -> None:
         """Pick among the entries that the balancer believes alive."""
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -10,7 +10,7 @@
 
 from pollenwalk.process.clock import LoopClock
 from standin.caller import SPARES, TEA_CHEST, Caller, Tally
-from standin.door import HttpDoor
+from standin.entry_client import HttpEntryClient
 from standin.ledger import Ledger
 from standin.processes import Processes
 
@@ -55,17 +55,17 @@
         """Run programs while something happens to an entry."""
         clock = LoopClock()
         tally = Tally(Ledger())
-        door = HttpDoor(self.processes.urls, random.Random(1))
+        client = HttpEntryClient(self.processes.urls, random.Random(1))
         running = []
         for number in range(PROGRAMS):
             for story in (SPARES, TEA_CHEST):
                 name = f'{story.declaration}-{number}'
-                caller = Caller(name, door, clock, random.Random(name), tally)
+                caller = Caller(name, client, clock, random.Random(name), tally)
                 running.append(asyncio.ensure_future(caller.run(story)))
         await clock.sleep_ms(DISTURB_AFTER_MS)
         await disturb()
         await asyncio.gather(*running)
-        await door.close()
+        await client.close()
         return tally
 
     def check_spans(self) -> None:
