Read and log the limits that hosts name

A host in need names in its answers how many requests a second it takes from all gateways together. The field is decoded now, the line host_limit says when a gateway hears of a limit, of its change or of its end, sent says which limit was known, and a gauge counts the hosts with a limit. Values that are not decimal numbers are logged and leave the former limit in force; of several numbers the least holds.

Nothing acts on it yet.

--- a/pollenwalk/platform/headers.py
+++ b/pollenwalk/platform/headers.py
@@ -1,12 +1,14 @@
 """The platform's HTTP headers: their names, decoding and encoding."""
 
 import math
+import re
 from collections.abc import Iterable, Mapping
 
 from pollenwalk.request.http_messages import (
     AnswerHead,
     Framing,
     Headers,
+    NamedLimit,
     PromptPart,
     RequestMetadata,
 )
@@ -35,6 +37,8 @@
 NOT_EXECUTED = b'x-pollenwalk-not-executed'
 # Running requests, waiting requests and slots of a host, separated by commas.
 SERVER_LOAD = b'x-pollenwalk-server-load'
+# Requests a second that a host in need takes from all gateways together.
+SERVER_LIMIT = b'server-limit'
 RETRY_AFTER = b'retry-after'
 KEEP_ALIVE = b'keep-alive'
 CONTENT_ENCODING = b'content-encoding'
@@ -73,6 +77,9 @@
         b'kv-fetch',
     ),
 )
+DECIMAL_NUMBER = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+')
+# Limits above this are no bound in practice, and too long a number has no value.
+MAX_LIMIT_PER_S = 1e6
 # HTTP status by which a host refuses a request that was meant for another host.
 MISDIRECTED = 421
 
@@ -192,6 +199,7 @@
         load=read_load(found.get(SERVER_LOAD, '')),
         keep_alive_ms=read_keep_alive(found.get(KEEP_ALIVE, '')),
         retry_after_ms=None if retry_s is None else retry_s * MS_PER_SECOND,
+        limit=read_limit(headers),
         framing=read_framing(found),
         is_event_stream=media_type.strip().lower() == EVENT_STREAM,
     )
@@ -216,6 +224,24 @@
     return running, waiting, slots
 
 
+def read_limit(headers: Headers) -> NamedLimit | None:
+    """Return the limit that a host names; None if it names none.
+
+    Of several numbers, the least holds; text between them is ignored.
+    """
+    fields = [
+        field.decode('latin-1') for name, field in headers if name == SERVER_LIMIT
+    ]
+    if not fields:
+        return None
+    numbers = [
+        min(float(part.strip()), MAX_LIMIT_PER_S)
+        for part in ','.join(fields).split(',')
+        if DECIMAL_NUMBER.fullmatch(part.strip())
+    ]
+    return NamedLimit(min(numbers, default=None), ','.join(fields))
+
+
 def read_keep_alive(text: str) -> float | None:
     """Return how long a connection may stay idle, in ms; None if not given."""
     for part in text.split(','):
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -220,6 +220,12 @@
         links = self.links.ordered()
         self.metrics.version.set({}, current.version if current else 0)
         self.metrics.hosts.set({}, len(self.host_table.states))
+        limited = [
+            state
+            for state in self.host_table.states.values()
+            if state.limit_per_s is not None
+        ]
+        self.metrics.limited_hosts.set({}, len(limited))
         self.metrics.keepers.set({}, len(links))
         lost = sum(link.lost_since_ms is not None for link in links)
         self.metrics.keepers_lost.set({}, lost)
--- a/pollenwalk/process/gateway_metrics.py
+++ b/pollenwalk/process/gateway_metrics.py
@@ -56,6 +56,10 @@
             'The version in force; 0 before the first.',
         )
         self.hosts = self.gauge('gateway_upstream_hosts', 'Upstream hosts listed.')
+        self.limited_hosts = self.gauge(
+            'gateway_limited_hosts',
+            'Upstream hosts that have named a limit.',
+        )
         self.keepers = self.gauge('gateway_keepers', 'Keepers listed.')
         self.keepers_lost = self.gauge(
             'gateway_keepers_lost',
--- a/pollenwalk/process/host_table.py
+++ b/pollenwalk/process/host_table.py
@@ -15,6 +15,7 @@
 from pollenwalk.platform.documents import HOSTS_PREFIX, decode_host
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.store import StoredObject
+from pollenwalk.request.http_messages import NamedLimit
 
 # How long a host is kept whose registration may have lapsed. Live hosts have
 # registered again about 2 s after the store recovered.
@@ -34,6 +35,8 @@
 # About one run time of a call. The weight of a load report falls linearly from 1
 # to 0 within twice this time.
 LOAD_REPORT_TRUST_MS = 400.0
+# Characters of an unreadable limit that are logged.
+MAX_LOGGED_LIMIT = 40
 # More versions of an upstream than are replaced while a stream lasts.
 MAX_REMOVED_VERSIONS = 16
 
@@ -51,6 +54,8 @@
         suspected_until_ms: time until which the host is suspected to fail.
         removal_due_at_ms: time at which a host without a registration is removed;
             None for a registered host.
+        limit_per_s: requests a second that the host takes from all gateways together,
+            as its last answer named it; None if it named no limit.
         leaving_since_ms: time at which the host was found to leave; None if it does
             not leave, or did so when it was first seen.
     """
@@ -64,6 +69,7 @@
         self.failures = 0
         self.suspected_until_ms = 0.0
         self.removal_due_at_ms: float | None = None
+        self.limit_per_s: float | None = None
         self.leaving_since_ms: float | None = None
 
     def update(self, registration: UpstreamHost, now_ms: float) -> None:
@@ -86,6 +92,30 @@
         self.other_calls = max(running + waiting - self.in_flight, 0)
         self.reported_at_ms = now_ms
 
+    def record_limit(self, limit: NamedLimit | None) -> None:
+        """Record the limit that the host named with an answer, or that it named none.
+
+        A limit that can't be read leaves the former one in force.
+        """
+        if limit is not None and limit.per_second is None:
+            logger.warning(
+                'host_limit_unreadable',
+                host=self.registration.id,
+                text=limit.text[:MAX_LOGGED_LIMIT],
+                former=self.limit_per_s,
+            )
+            return
+        per_second = None if limit is None else limit.per_second
+        if per_second == self.limit_per_s:
+            return
+        logger.info(
+            'host_limit',
+            host=self.registration.id,
+            limit=per_second,
+            former=self.limit_per_s,
+        )
+        self.limit_per_s = per_second
+
     def load(self, now_ms: float) -> float:
         """Estimate the number of all gateways' calls at the host."""
         age_ms = self.report_age_ms(now_ms)
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -274,6 +274,7 @@
         exchange.head = head
         if head.load is not None:
             state.record_load(head.load, self.context.clock.now_ms())
+        state.record_limit(head.limit)
         if head.refused:
             self.runs -= 1
             await self.skip_refusal_body(exchange)
@@ -311,6 +312,7 @@
             host=state.registration.id,
             load=round(state.load(now_ms), 1),
             load_age_ms=state.report_age_ms(now_ms),
+            limit=state.limit_per_s,
             run=self.runs + 1,
             version=self.call.version,
             software=state.registration.software_version,
--- a/pollenwalk/request/http_messages.py
+++ b/pollenwalk/request/http_messages.py
@@ -89,6 +89,19 @@
     CONNECTION_END = 'connection_end'
 
 
+class NamedLimit(NamedTuple):
+    """The limit that a host in need names in an answer.
+
+    Attributes:
+        per_second: requests a second that the host takes from all gateways
+            together; None if it can't be read.
+        text: the limit as the host wrote it.
+    """
+
+    per_second: float | None
+    text: str
+
+
 class AnswerHead(NamedTuple):
     """Status and headers of an upstream host's answer.
 
@@ -106,6 +119,7 @@
         keep_alive_ms: how long the connection may stay idle; None if not stated.
         retry_after_ms: time after which the host may be tried again, as it states;
             None if not stated.
+        limit: the limit that the host names; None if it names none.
         framing: how the end of the body is marked.
         is_event_stream: whether the body is a stream of events; also true if the
             answer states no content type.
@@ -120,5 +134,6 @@
     load: tuple[int, int, int] | None = None
     keep_alive_ms: float | None = None
     retry_after_ms: float | None = None
+    limit: NamedLimit | None = None
     framing: Framing = Framing.LENGTH
     is_event_stream: bool = True
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -3,6 +3,7 @@
 import testtools
 
 from pollenwalk.platform.headers import (
+    MAX_LIMIT_PER_S,
     added_headers,
     forwardable_headers,
     read_answer_head,
@@ -166,6 +167,33 @@
         self.assertIn((b'content-type', b'text/plain'), head.headers)
         self.assertNotIn((b'content-length', b'3'), head.headers)
 
+    def test_limit_of_a_host(self) -> None:
+        for text, expected in (
+            (b'2.8', 2.8),
+            (b' 3 ', 3),
+            (b'.5', 0.5),
+            (b'0', 0),
+            (b'0.05', 0.05),
+            (b'9' * 400, MAX_LIMIT_PER_S),
+            (b'4, 3', 3),
+            (b'soon, 3', 3),
+        ):
+            head = read_answer_head(200, [(b'server-limit', text)])
+            self.assertEqual(expected, head.limit.per_second, text)
+
+    def test_limit_that_cannot_be_read(self) -> None:
+        for text in (b'', b'nan', b'inf', b'-1', b'1e3', b'1_0', b'3/s', b'\xb2', b'.'):
+            head = read_answer_head(200, [(b'server-limit', text)])
+            self.assertIsNone(head.limit.per_second, text)
+            self.assertEqual(text.decode('latin-1'), head.limit.text)
+
+    def test_no_limit(self) -> None:
+        self.assertIsNone(read_answer_head(200, []).limit)
+
+    def test_least_of_repeated_limits(self) -> None:
+        fields = [(b'server-limit', text) for text in (b'5', b'2', b'x')]
+        self.assertEqual(2, read_answer_head(200, fields).limit.per_second)
+
     def test_proof_that_the_request_did_not_run(self) -> None:
         self.assertTrue(
             read_answer_head(503, [(b'x-pollenwalk-not-executed', b'1')]).refused
