Keep the limits of hosts as a sum over all gateways

What callers saw: nothing yet, but hosts that had named a limit got up to three times as many requests as they bear, and a host in need that is not spared fails.

Cause: a bound on what all gateways do together was kept by none of them. No gateway read the limit, and the choice of a host knew only slots and load.

Now a gateway asks a keeper for a permit before each request to a host with a limit: first sends, retries, resumed streams and calls of tools pass through the same place. Each host has up to three owners among the keepers, by rendezvous hashing, those of its region first. Each owns an equal share of the limit and spaces its permits evenly. The second and the third lend their shares to the first for 1.5 s at a time, so gateways ask one keeper, which has the whole limit. Why the sum holds: a share is used by its owner or by its borrower, never by both. A keeper that starts, or becomes an owner, gives nothing for 2 s, longer than any lease. A gateway that reaches no owner has no share of its own and sends nothing there.

Gateways tell all keepers when a host names, changes or ends its limit, and ask the nearest one every 0.5 s, so they hear of it before their first request and after their last. Limits belong to one start of a host; of two reports the later answer holds.

A call takes the host that is expected to finish first, the wait for a permit included. It waits only if its permit is known to come in time, else it is refused at once (host_limits) with a Retry-After from the rate of the limits. Calls of begun programs may take permits further ahead than new programs, urgent ones further than others. Admission knows the usual wait for permits.

--- a/pollenwalk/connection/hosts.py
+++ b/pollenwalk/connection/hosts.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from pollenwalk.connection.limit_messages import HostStart
+
 
 class UpstreamHost(NamedTuple):
     """An upstream host as it registered itself after a start.
@@ -28,3 +30,8 @@
     warm_up_ms: float
     started_ms: int
     software_version: str = ''
+
+    @property
+    def start(self) -> HostStart:
+        """Return what tells this start of the host from others."""
+        return HostStart(self.id, self.zone, self.started_ms, self.software_version)
--- a/pollenwalk/connection/wire.py
+++ b/pollenwalk/connection/wire.py
@@ -12,6 +12,15 @@
 
 import msgspec
 
+from pollenwalk.connection.limit_messages import (
+    BorrowShares,
+    ExchangeLimits,
+    KnownLimits,
+    LentShares,
+    PermitDecision,
+    RequestPermit,
+    TellLimits,
+)
 from pollenwalk.errors import Outcome, Refusal, RefusalBody, RefusalCode
 from pollenwalk.program.streams import (
     FindStreamOrigin,
@@ -468,6 +477,13 @@
     StreamOrigin,
     FindStreamOrigin,
     FoundStreamOrigin,
+    RequestPermit,
+    PermitDecision,
+    TellLimits,
+    ExchangeLimits,
+    KnownLimits,
+    BorrowShares,
+    LentShares,
 )
 DECODERS = {
     message_type.__name__: msgspec.msgpack.Decoder(message_type)
--- a/pollenwalk/errors.py
+++ b/pollenwalk/errors.py
@@ -64,6 +64,7 @@
     TOO_LARGE = 'too_large'
     OVERLOADED = 'overloaded'
     NO_UPSTREAM = 'no_upstream'
+    HOST_LIMITS = 'host_limits'
     STOPPING = 'stopping'
     STORE_UNAVAILABLE = 'store_unavailable'
     HOME_UNREACHABLE = 'home_unreachable'
--- a/pollenwalk/policy/host_choice.py
+++ b/pollenwalk/policy/host_choice.py
@@ -28,6 +28,8 @@
         cached_tokens: estimated tokens of the call's prompt in the host's cache.
         warm_up_ms: how long the host will still be slow after its start.
         suspected: whether the host has failed recently.
+        permit_wait_ms: estimated time until a permit for the host is free; 0 if the
+            host has no limit.
     """
 
     host: str
@@ -38,6 +40,7 @@
     cached_tokens: int
     warm_up_ms: float
     suspected: bool
+    permit_wait_ms: float = 0
 
 
 class CallCost(NamedTuple):
@@ -112,10 +115,18 @@
     return queued * cost.run_ms / slots
 
 
+def wait_ms(candidate: Candidate, cost: CallCost) -> float:
+    """Return the expected wait in ms at the gateway and at the host.
+
+    While a call waits for a permit, others finish at the host.
+    """
+    return max(queue_wait_ms(candidate, cost), candidate.permit_wait_ms)
+
+
 def finish_ms(candidate: Candidate, cost: CallCost) -> float:
     """Estimate in how many ms a host would finish a call, less its idle run time.
 
-    The estimate is the sum of the round trip, the wait for a slot, the slowdown
+    The estimate is the sum of the round trip, the wait for a permit or a slot, the slowdown
     by other calls and the prefill of uncached tokens. The run time at an idle
     host is left out, as it is the same everywhere.
     """
@@ -123,5 +134,5 @@
     slowdown_ms = cost.run_ms * FULL_HOST_SLOWDOWN * min(load_share, 1)
     uncached_tokens = max(cost.prompt_tokens - candidate.cached_tokens, 0)
     prefill_ms = uncached_tokens * cost.prefill_ms_per_token
-    total_wait_ms = round_trip_ms(candidate) + queue_wait_ms(candidate, cost)
+    total_wait_ms = round_trip_ms(candidate) + wait_ms(candidate, cost)
     return total_wait_ms + slowdown_ms + prefill_ms
--- a/pollenwalk/policy/program_admission.py
+++ b/pollenwalk/policy/program_admission.py
@@ -23,6 +23,13 @@
 # priority, as a share of the route's latency target. Its first call should begin
 # to be answered within that target.
 MAX_WAIT_SHARE = 1.0
+# The longest wait for a permit of a call that begins no program, as a share of its
+# remaining time: the rest is for the run, or for another attempt. The share is that
+# of the most urgent priority; one step less urgent gives up some of it, so that
+# urgent calls find permits when the others find none.
+MAX_PERMIT_WAIT_SHARE = 0.5
+PERMIT_WAIT_STEP_PER_LEVEL = 0.1
+MIN_PERMIT_WAIT_SHARE = 0.1
 # Retry-After is drawn between these shares of the caller's remaining time: late
 # enough for a slot to become free, early enough to be served before the deadline.
 MIN_RETRY_SHARE = 0.25
@@ -65,7 +72,26 @@
         priority: priority of the route; 0 is the most urgent and accepts the
             longest wait.
     """
-    return wait_ms <= target_ms * MAX_WAIT_SHARE / (1 + priority)
+    return wait_ms <= max_program_wait_ms(target_ms, priority)
+
+
+def max_program_wait_ms(target_ms: float, priority: int) -> float:
+    """Return the longest wait in ms at which a gateway admits a new program."""
+    return target_ms * MAX_WAIT_SHARE / (1 + priority)
+
+
+def max_permit_wait_ms(remaining_ms: float, priority: int) -> float:
+    """Return the longest wait for a permit of a call that begins no program.
+
+    Calls of begun programs may take permits far ahead, which new programs may not.
+    So new ones are refused first when a host's limit is used up.
+
+    Args:
+        remaining_ms: time until the call's deadline.
+        priority: priority of the route; 0 is the most urgent.
+    """
+    share = MAX_PERMIT_WAIT_SHARE - PERMIT_WAIT_STEP_PER_LEVEL * priority
+    return max(remaining_ms, 0) * max(share, MIN_PERMIT_WAIT_SHARE)
 
 
 def draw_retry_after_ms(remaining_ms: float, rng: random.Random) -> float:
--- a/pollenwalk/process/call_placer.py
+++ b/pollenwalk/process/call_placer.py
@@ -1,13 +1,16 @@
 """Chooses an upstream host for a call from this gateway's estimates."""
 
+import math
 from collections.abc import Iterable, Iterator
 
 from pollenwalk.policy.host_choice import (
+    TIE_TOLERANCE_MS,
     CallCost,
     Candidate,
     HostChoice,
-    queue_wait_ms,
+    finish_ms,
     round_trip_ms,
+    wait_ms,
 )
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.host_table import SMOOTHING, HostState, HostTable
@@ -110,15 +113,47 @@
         if there is no such host.
         """
         now_ms = self.clock.now_ms()
-        states = self.host_table.available_hosts(call.upstream)
-        candidates = (self.candidate(state, now_ms) for state in states)
+        candidates = (
+            self.candidate(state, now_ms)._replace(
+                permit_wait_ms=self.host_table.usual_permit_wait_ms(state, now_ms)
+            )
+            for state in self.host_table.available_hosts(call.upstream)
+        )
         waits = (
-            round_trip_ms(candidate) + queue_wait_ms(candidate, cost)
+            round_trip_ms(candidate) + wait_ms(candidate, cost)
             for candidate in candidates
             if not candidate.suspected
         )
         return min(waits, default=0)
 
+    def useful_wait_ms(
+        self, state: HostState, call: Call, cost: CallCost, avoid: set[str]
+    ) -> float:
+        """Return the longest wait at a host after which it still finishes first.
+
+        Args:
+            state: the host.
+            call: the call; its upstream determines the other hosts.
+            cost: the expected cost of the call.
+            avoid: ids of hosts that are not considered.
+
+        Returns:
+            The wait in ms; infinite if no other host can be used.
+        """
+        now_ms = self.clock.now_ms()
+        hosts = self.host_table.available_hosts(call.upstream)
+        others = [
+            self.candidate(other, now_ms)
+            for other in without(hosts, avoid | {state.registration.id})
+        ]
+        finishes = [finish_ms(one, cost) for one in others if not one.suspected]
+        if not finishes:
+            return math.inf
+        own = self.candidate(state, now_ms)
+        without_wait = own._replace(permit_wait_ms=0)
+        gain_ms = min(finishes) - finish_ms(without_wait, cost)
+        return max(gain_ms, own.permit_wait_ms + TIE_TOLERANCE_MS)
+
     def candidate(self, state: HostState, now_ms: float) -> Candidate:
         """Return a host in the form in which the policy compares hosts."""
         registration = state.registration
@@ -132,6 +167,7 @@
             cached_tokens=0,
             warm_up_ms=registration.warm_up_ms,
             suspected=state.suspected_until_ms > now_ms,
+            permit_wait_ms=self.host_table.permit_wait_ms(state, now_ms),
         )
 
     def record_refusal(self, state: HostState, _reason: str) -> None:
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -19,6 +19,7 @@
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_links import KeeperLinks
 from pollenwalk.process.keeper_members import KEEPERS_PREFIX
+from pollenwalk.process.permit_client import PermitClient
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
 from pollenwalk.process.store import ObjectStore
 from pollenwalk.process.stream_registry import StreamRegistry
@@ -124,6 +125,7 @@
             self.tasks,
             settings.tolerated_losses,
         )
+        self.permits = PermitClient(self.keepers, self.host_table, self.metrics)
         self.forwarding_context = ForwardingContext(
             clock,
             self.pool,
@@ -131,6 +133,7 @@
             self.metrics,
             rng,
             StreamRegistry(self.keepers),
+            self.permits,
         )
 
     @property
@@ -149,7 +152,7 @@
         return current.limits.max_body_bytes if current else STARTUP_MAX_BODY_BYTES
 
     async def start(self) -> None:
-        """Start to watch the configuration, the hosts and the keepers."""
+        """Start to watch the store's objects and to exchange limits."""
         relay = self.keepers.read_prefix
         configuration = WatchHandlers(
             self.active_configuration.apply,
@@ -174,6 +177,7 @@
         self.spawn_watcher(CONFIGURATION_PREFIX, configuration, wait_ms)
         self.spawn_watcher(HOSTS_PREFIX, hosts, membership_wait_ms)
         self.spawn_watcher(KEEPERS_PREFIX, keepers, membership_wait_ms)
+        self.tasks.spawn(self.permits.exchange_limits(), 'exchange_limits')
 
     def spawn_watcher(
         self,
@@ -220,12 +224,9 @@
         links = self.links.ordered()
         self.metrics.version.set({}, current.version if current else 0)
         self.metrics.hosts.set({}, len(self.host_table.states))
-        limited = [
-            state
-            for state in self.host_table.states.values()
-            if state.limit_per_s is not None
-        ]
-        self.metrics.limited_hosts.set({}, len(limited))
+        limits = self.host_table.limits
+        self.metrics.limited_hosts.set({}, len(limits.limited()))
+        self.metrics.limits_per_second.set({}, limits.total_per_second())
         self.metrics.keepers.set({}, len(links))
         lost = sum(link.lost_since_ms is not None for link in links)
         self.metrics.keepers_lost.set({}, lost)
--- a/pollenwalk/process/gateway_metrics.py
+++ b/pollenwalk/process/gateway_metrics.py
@@ -60,6 +60,14 @@
             'gateway_limited_hosts',
             'Upstream hosts that have named a limit.',
         )
+        self.limits_per_second = self.gauge(
+            'gateway_limits_per_second',
+            'Sum of the limits of all hosts, in requests a second.',
+        )
+        self.permits_total = self.counter(
+            'gateway_permits_total',
+            'Permits for hosts with a limit, by what came of asking for them.',
+        )
         self.keepers = self.gauge('gateway_keepers', 'Keepers listed.')
         self.keepers_lost = self.gauge(
             'gateway_keepers_lost',
@@ -91,6 +99,10 @@
         """Count an attempt to send a call to a host, by its outcome."""
         self.sends_total.inc({'outcome': outcome})
 
+    def count_permit(self, outcome: str) -> None:
+        """Count a permit that was asked for, by its outcome."""
+        self.permits_total.inc({'outcome': outcome})
+
     def count_store_failure(self, what: str) -> None:
         """Count a read of the store that was not answered, by what was read."""
         self.store_losses_total.inc({'what': what})
--- a/pollenwalk/process/host_table.py
+++ b/pollenwalk/process/host_table.py
@@ -14,8 +14,8 @@
 from pollenwalk.errors import MalformedObject
 from pollenwalk.platform.documents import HOSTS_PREFIX, decode_host
 from pollenwalk.process.clock import Clock
+from pollenwalk.process.host_limits import HostLimits
 from pollenwalk.process.store import StoredObject
-from pollenwalk.request.http_messages import NamedLimit
 
 # How long a host is kept whose registration may have lapsed. Live hosts have
 # registered again about 2 s after the store recovered.
@@ -24,6 +24,10 @@
 STORE_RECOVERY_MS = 4000.0
 # Weight of a new run time in the exponential moving average of a route.
 SMOOTHING = 0.1
+# Weight of a new wait in the moving average of a host's waits for permits, and the time
+# after which the average is forgotten if no keeper has been asked.
+WAIT_SMOOTHING = 0.2
+WAIT_FADE_MS = 2000.0
 # How long a host is suspected after a failure. The time doubles with each
 # consecutive failure up to the maximum, as a crashed process restarts within
 # seconds.
@@ -35,12 +39,35 @@
 # About one run time of a call. The weight of a load report falls linearly from 1
 # to 0 within twice this time.
 LOAD_REPORT_TRUST_MS = 400.0
-# Characters of an unreadable limit that are logged.
-MAX_LOGGED_LIMIT = 40
 # More versions of an upstream than are replaced while a stream lasts.
 MAX_REMOVED_VERSIONS = 16
 
 
+class RecentMean:
+    """The moving average of numbers, which fades while none is added.
+
+    Attributes:
+        mean: the average as of the last number.
+        updated_at_ms: time of the last number.
+    """
+
+    def __init__(self) -> None:
+        """Create an average of nothing, which is 0."""
+        self.mean = 0.0
+        self.updated_at_ms = 0.0
+
+    def add(self, number: float, now_ms: float) -> None:
+        """Add a number."""
+        former = self.estimate(now_ms)
+        self.mean = former + (number - former) * WAIT_SMOOTHING
+        self.updated_at_ms = now_ms
+
+    def estimate(self, now_ms: float) -> float:
+        """Return the average, less the part that has faded since the last number."""
+        age_ms = now_ms - self.updated_at_ms
+        return self.mean * max(0.0, 1 - age_ms / WAIT_FADE_MS)
+
+
 class HostState:
     """The load and failures of one upstream host, since the host's last start.
 
@@ -54,8 +81,9 @@
         suspected_until_ms: time until which the host is suspected to fail.
         removal_due_at_ms: time at which a host without a registration is removed;
             None for a registered host.
-        limit_per_s: requests a second that the host takes from all gateways together,
-            as its last answer named it; None if it named no limit.
+        next_permit_at_ms: time from which a permit for the host was free when a keeper
+            was last asked; of no meaning while the host has no limit.
+        permit_waits: the waits for permits that keepers have told lately.
         leaving_since_ms: time at which the host was found to leave; None if it does
             not leave, or did so when it was first seen.
     """
@@ -69,7 +97,8 @@
         self.failures = 0
         self.suspected_until_ms = 0.0
         self.removal_due_at_ms: float | None = None
-        self.limit_per_s: float | None = None
+        self.next_permit_at_ms = 0.0
+        self.permit_waits = RecentMean()
         self.leaving_since_ms: float | None = None
 
     def update(self, registration: UpstreamHost, now_ms: float) -> None:
@@ -92,30 +121,6 @@
         self.other_calls = max(running + waiting - self.in_flight, 0)
         self.reported_at_ms = now_ms
 
-    def record_limit(self, limit: NamedLimit | None) -> None:
-        """Record the limit that the host named with an answer, or that it named none.
-
-        A limit that can't be read leaves the former one in force.
-        """
-        if limit is not None and limit.per_second is None:
-            logger.warning(
-                'host_limit_unreadable',
-                host=self.registration.id,
-                text=limit.text[:MAX_LOGGED_LIMIT],
-                former=self.limit_per_s,
-            )
-            return
-        per_second = None if limit is None else limit.per_second
-        if per_second == self.limit_per_s:
-            return
-        logger.info(
-            'host_limit',
-            host=self.registration.id,
-            limit=per_second,
-            former=self.limit_per_s,
-        )
-        self.limit_per_s = per_second
-
     def load(self, now_ms: float) -> float:
         """Estimate the number of all gateways' calls at the host."""
         age_ms = self.report_age_ms(now_ms)
@@ -146,6 +151,7 @@
 
     Attributes:
         states: the state of each host, by its id.
+        limits: the limits that hosts have named.
         removed_versions: for each upstream, the software versions of removed hosts
             and the time at which the last one of each was removed.
         loaded: whether the hosts have been read from the store.
@@ -159,6 +165,7 @@
         """Create an empty table."""
         self.clock = clock
         self.states: dict[str, HostState] = {}
+        self.limits = HostLimits(clock)
         self.removed_versions: dict[str, dict[str, float]] = {}
         self.loaded = False
         self.store_unavailable_since_ms: float | None = None
@@ -270,6 +277,39 @@
             version for version, at_ms in removed.items() if at_ms >= since_ms
         }
 
+    def is_listed(self, state: HostState) -> bool:
+        """Return whether a host is still listed and has not started again."""
+        return self.states.get(state.registration.id) is state
+
+    def limit_of(self, state: HostState) -> float | None:
+        """Return a host's limit in requests a second; None if it has none."""
+        return self.limits.limit_of(state.registration.start)
+
+    def limited_hosts(self, upstream: str) -> list[HostState]:
+        """Return the hosts of an upstream that have a limit and don't leave."""
+        return [
+            state
+            for state in self.available_hosts(upstream)
+            if self.limit_of(state) is not None
+        ]
+
+    def permit_wait_ms(self, state: HostState, now_ms: float) -> float:
+        """Return the least time until a permit for a host is free.
+
+        It is 0 without a limit. Other gateways may have taken permits since a keeper
+        was last asked, so the host is worth asking for, but not sure to be free.
+        """
+        if self.limit_of(state) is None:
+            return 0
+        return max(state.next_permit_at_ms - now_ms, 0)
+
+    def usual_permit_wait_ms(self, state: HostState, now_ms: float) -> float:
+        """Estimate the wait for a permit from what keepers have told lately."""
+        if self.limit_of(state) is None:
+            return 0
+        least_ms = self.permit_wait_ms(state, now_ms)
+        return max(least_ms, state.permit_waits.estimate(now_ms))
+
     def available_hosts(self, upstream: str) -> Iterator[HostState]:
         """Yield the hosts of an upstream that are not leaving."""
         return (
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -13,14 +13,30 @@
 from loguru import logger
 
 from pollenwalk.connection.channel import Listener, StreamNetwork
+from pollenwalk.connection.limit_messages import (
+    BorrowShares,
+    ExchangeLimits,
+    LimitNews,
+    RequestPermit,
+    TellLimits,
+)
 from pollenwalk.connection.peer import PeerServer
 from pollenwalk.connection.wire import Done, Hello
-from pollenwalk.errors import Refusal, RefusalCode, StoreUnavailable
+from pollenwalk.errors import (
+    PollenwalkError,
+    Refusal,
+    RefusalCode,
+    StoreUnavailable,
+)
 from pollenwalk.process.clock import MS_PER_SECOND, Clock
 from pollenwalk.process.keeper_links import KeeperLinks
 from pollenwalk.process.keeper_members import KEEPERS_PREFIX, Member
 from pollenwalk.process.keeper_metrics import KeeperMetrics
 from pollenwalk.process.keeper_state import KeeperState
+from pollenwalk.process.permit_allocator import (
+    RENEWAL_INTERVAL_MS,
+    PermitAllocator,
+)
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
 from pollenwalk.process.store import Backoff, ObjectStore
 from pollenwalk.process.stream_origins import StreamOrigins
@@ -51,6 +67,7 @@
 MAX_BATCH_RECORDS = 64
 REGISTRATION_CHECK_INTERVAL_MS = 100.0
 EXPIRE_INTERVAL_MS = 5000.0
+LimitMessage = RequestPermit | TellLimits | ExchangeLimits | BorrowShares
 
 
 class KeeperSettings(NamedTuple):
@@ -81,6 +98,7 @@
     Attributes:
         own_member: this keeper's object in the store, as it should be.
         stream_origins: where the latest streams began, in memory only.
+        permits: gives permits for hosts with a limit, in memory only.
         was_member: whether the store listed this keeper when it started.
         retired: whether all records have been copied to other keepers, so that
             this one must not be listed.
@@ -112,6 +130,9 @@
             settings.regions,
         )
         self.stream_origins = StreamOrigins(clock)
+        self.permits = PermitAllocator(
+            clock, settings.name, self.links.members, settings.regions
+        )
         self.server = PeerServer(clock, self.answer, settings.name, 0)
         self.own_member = Member(settings.name, settings.address, settings.zone)
         self.was_member = False
@@ -137,6 +158,7 @@
         self.tasks.spawn(watcher.run(), 'follow_keepers')
         self.tasks.spawn(self.keep_registered(), 'register')
         self.tasks.spawn(self.expire(), 'expire')
+        self.tasks.spawn(self.borrow_shares(), 'borrow_shares')
 
     async def stop(self) -> None:
         """Cancel all tasks and close the connections and the log."""
@@ -176,6 +198,8 @@
         self.metrics.turn_bytes.set({}, self.state.turns.size_bytes)
         self.metrics.accounts.set({}, len(self.state.ledger.accounts))
         self.metrics.complete.set({}, int(self.state.complete))
+        limits = self.permits.limits
+        self.metrics.limits_per_second.set({}, limits.total_per_second())
 
     def records_to_restore(self, lost: list[str]) -> Iterator[bytes]:
         """Yield the encoded accounts, and the turns that have too few copies.
@@ -204,20 +228,54 @@
             return Missing([turn for turn in message.turns if turn not in turns])
         if isinstance(message, ReadPrefix):
             return await self.read_prefix(message.prefix)
-        if isinstance(message, StreamOrigin | FindStreamOrigin):
-            return self.answer_about_stream(message)
+        if isinstance(message, StreamOrigin | FindStreamOrigin | LimitMessage):
+            return self.answer_from_memory(message)
         await self.store_records(message)
         return Stored(self.state.complete)
 
-    def answer_about_stream(
-        self, message: StreamOrigin | FindStreamOrigin
-    ) -> Done | FoundStreamOrigin:
-        """Remember where a stream began, or return what is remembered of one."""
+    def answer_from_memory(
+        self, message: StreamOrigin | FindStreamOrigin | LimitMessage
+    ) -> Any:
+        """Return the answer to a message about what is not on disk."""
+        if isinstance(message, LimitMessage):
+            return self.answer_about_limits(message)
         if isinstance(message, StreamOrigin):
             self.stream_origins.add(message)
             return Done()
         return FoundStreamOrigin(self.stream_origins.find(message.request))
 
+    def answer_about_limits(self, message: LimitMessage) -> Any:
+        """Return the answer to a message about limits, and count permits."""
+        answer = self.permits.answer(message)
+        if isinstance(message, RequestPermit):
+            outcome = 'granted' if answer.granted else 'refused'
+            self.metrics.permits_total.inc({'outcome': outcome})
+        return answer
+
+    async def borrow_shares(self) -> None:
+        """Borrow the shares of the hosts whose first owner this keeper is."""
+        while True:
+            await self.clock.sleep_ms(RENEWAL_INTERVAL_MS)
+            wanted = self.permits.shares_to_borrow()
+            await asyncio.gather(
+                *(self.borrow_from(name, limits) for name, limits in wanted.items())
+            )
+
+    async def borrow_from(self, lender: str, limits: list[LimitNews]) -> None:
+        """Borrow the shares of one other owner, if it answers in time."""
+        member = self.links.members.by_name.get(lender)
+        if member is None:
+            return
+        request = BorrowShares(self.settings.name, limits)
+        asked_at_ms = self.clock.now_ms()
+        try:
+            async with self.clock.timeout_ms(RENEWAL_INTERVAL_MS):
+                answer = await self.links.request(self.links.link(member), request)
+        except (PollenwalkError, TimeoutError) as error:
+            logger.debug('share_not_lent', keeper=lender, reason=str(error))
+            return
+        self.permits.record_loans(lender, request, answer, asked_at_ms)
+
     async def store_records(self, message: Any) -> None:
         """Store the records of a message on disk.
 
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -100,6 +100,11 @@
             for task in pending:
                 task.cancel()
 
+    async def tell_all(self, message: Any) -> None:
+        """Send a message to all keepers, and wait for those that answer."""
+        pending = [self.links.request(link, message) for link in self.links.ordered()]
+        await asyncio.gather(*map(answer_or_none, pending))
+
     async def store_turn(self, record: TurnRecord) -> list[str]:
         """Store a turn on enough disks.
 
@@ -220,8 +225,7 @@
         await self.clock.sleep_ms(SETTLE_INTERVAL_MS)
         message = Settlements(self.queued_settlements)
         self.queued_settlements = []
-        pending = [self.links.request(link, message) for link in self.links.ordered()]
-        await asyncio.gather(*map(answer_or_none, pending))
+        await self.tell_all(message)
 
 
 async def answer_or_none(pending: Any) -> Any:
--- a/pollenwalk/process/keeper_metrics.py
+++ b/pollenwalk/process/keeper_metrics.py
@@ -24,3 +24,11 @@
             'keeper_complete',
             'Whether the keeper can answer for the past: 0 or 1.',
         )
+        self.limits_per_second = self.gauge(
+            'keeper_limits_per_second',
+            'Sum of the limits of all hosts, in requests a second.',
+        )
+        self.permits_total = self.counter(
+            'keeper_permits_total',
+            'Permits for hosts with a limit, by whether they were given.',
+        )
--- /dev/null
+++ b/pollenwalk/process/permit_allocator.py
@@ -0,0 +1,239 @@
+"""Permits for hosts with a limit, as a keeper gives them to all gateways.
+
+Each host has up to three owners among the keepers. Each owns an equal share of the
+host's limit and gives permits at that rate, so the sum never exceeds the limit,
+whichever of them can be reached. The second and the third lend their shares to the
+first, for LEASE_MS at a time, so that gateways as a rule ask one keeper that has the
+whole limit. If the first dies, the others use their own shares once the leases have
+ended; if a lender dies, its share is unused until it is back.
+
+A keeper that starts, or that becomes an owner as the list of keepers changes, gives
+no permits for SETTLE_MS. Within that time the leases that it may have granted end, and
+the former owners learn of the change.
+"""
+
+import secrets
+from collections.abc import Mapping
+
+from pollenwalk.connection.limit_messages import (
+    BorrowShares,
+    ExchangeLimits,
+    HostStart,
+    KnownLimits,
+    LentShares,
+    LimitNews,
+    PermitDecision,
+    RequestPermit,
+    TellLimits,
+)
+from pollenwalk.policy.permit_schedule import PermitSchedule
+from pollenwalk.process.clock import Clock
+from pollenwalk.process.directory import rendezvous
+from pollenwalk.process.host_limits import HostLimits
+from pollenwalk.process.keeper_members import Member, Members
+
+MAX_OWNERS = 3
+LEASE_MS = 1500.0
+# Part of a lease that the borrower does not use, as clocks run at different speeds.
+LEASE_MARGIN_MS = 100.0
+# Interval at which leases are renewed: a lost renewal does not end a lease.
+RENEWAL_INTERVAL_MS = 400.0
+# Longer than a lease, and than the time until a change of the list is known.
+SETTLE_MS = 2000.0
+# Wait that is told to gateways while no permit can be given here.
+UNAVAILABLE_WAIT_MS = RENEWAL_INTERVAL_MS
+BOOT_ID_BYTES = 6
+
+
+def rank_owners(
+    host: HostStart, members: Mapping[str, Member], regions: Mapping[str, str]
+) -> list[str]:
+    """Return the names of a host's owners, the one to ask first in front.
+
+    Keepers in the host's region go first, as most requests come from there.
+    """
+    ranked = rendezvous(host.id, members)
+    region = regions.get(host.zone)
+    ranked.sort(key=lambda name: regions.get(members[name].zone) != region)
+    return ranked[:MAX_OWNERS]
+
+
+class HostShare:
+    """The share of one host's limit that a keeper owns.
+
+    Attributes:
+        schedule: the permits given.
+        lent_until_ms: time until which the share is lent.
+        borrowed_until_ms: time until which the share of another owner is borrowed,
+            by the name of that owner.
+    """
+
+    def __init__(self, now_ms: float) -> None:
+        """Create a share that is not lent and has given no permit yet."""
+        self.schedule = PermitSchedule(now_ms)
+        self.lent_until_ms = 0.0
+        self.borrowed_until_ms: dict[str, float] = {}
+
+
+class PermitAllocator:
+    """Gives the permits of one keeper.
+
+    Attributes:
+        limits: what this keeper knows of limits.
+        shares: its shares, by the start of the host.
+        current: the keepers listed at the last message.
+        settled: the keepers listed before the list began to change.
+        changed_at_ms: time of the last change of the list.
+        boot_id: identifies this start of the keeper.
+    """
+
+    def __init__(
+        self, clock: Clock, name: str, members: Members, regions: dict[str, str]
+    ) -> None:
+        """Create the allocator of the keeper `name`, which starts now."""
+        self.clock = clock
+        self.name = name
+        self.members = members
+        self.regions = regions
+        self.limits = HostLimits(clock)
+        self.shares: dict[HostStart, HostShare] = {}
+        self.current: dict[str, Member] = {}
+        self.settled: dict[str, Member] = {}
+        self.changed_at_ms = clock.now_ms()
+        self.boot_id = secrets.token_hex(BOOT_ID_BYTES)
+
+    def answer(
+        self, message: RequestPermit | TellLimits | ExchangeLimits | BorrowShares
+    ) -> PermitDecision | KnownLimits | LentShares:
+        """Return the answer to a message about limits."""
+        if isinstance(message, RequestPermit):
+            return self.decide(message)
+        if isinstance(message, BorrowShares):
+            return self.lend(message)
+        self.learn_all(message.limits)
+        if isinstance(message, TellLimits):
+            return KnownLimits([], self.boot_id, self.limits.revision)
+        since = message.since if message.boot_id == self.boot_id else 0
+        changed = self.limits.news_since(since)
+        return KnownLimits(changed, self.boot_id, self.limits.revision)
+
+    def learn_all(self, limits: list[LimitNews]) -> None:
+        """Record what another process has heard of limits."""
+        for news in limits:
+            self.limits.learn(news, 'message')
+
+    def decide(self, request: RequestPermit) -> PermitDecision:
+        """Give a permit if this keeper has one in time."""
+        host = request.news.host
+        self.limits.learn(request.news, 'message')
+        news = self.limits.news_of(host) or request.news
+        if news.per_second is None:
+            return PermitDecision(True, 0, 0, 1, news)
+        part = self.usable_part(host)
+        if not part:
+            return PermitDecision(False, 0, UNAVAILABLE_WAIT_MS, 0, news)
+        now_ms = self.clock.now_ms()
+        schedule = self.share_of(host).schedule
+        per_second = news.per_second * part
+        wait_ms = schedule.take(per_second, now_ms, request.max_wait_ms)
+        next_wait_ms = schedule.wait_ms(per_second, now_ms)
+        return PermitDecision(
+            wait_ms is not None, wait_ms or 0, next_wait_ms, part, news
+        )
+
+    def share_of(self, host: HostStart) -> HostShare:
+        """Return this keeper's share of a host's limit."""
+        share = self.shares.get(host)
+        if share is None:
+            share = HostShare(self.clock.now_ms())
+            self.shares[host] = share
+        return share
+
+    def usable_part(self, host: HostStart) -> float:
+        """Return the part of a host's limit that this keeper may use now, 0 to 1."""
+        owners = self.owners(host)
+        if not self.is_settled_owner(host, owners):
+            return 0
+        now_ms = self.clock.now_ms()
+        share = self.share_of(host)
+        if share.lent_until_ms > now_ms:
+            return 0
+        borrowed = sum(share.borrowed_until_ms.get(name, 0) > now_ms for name in owners)
+        return (1 + borrowed) / len(owners)
+
+    def owners(self, host: HostStart) -> list[str]:
+        """Return the owners of a host by the present list of keepers."""
+        self.note_members()
+        return rank_owners(host, self.current, self.regions)
+
+    def note_members(self) -> None:
+        """Note the time if the list of keepers has changed."""
+        if self.members.by_name == self.current:
+            return
+        now_ms = self.clock.now_ms()
+        if self.is_list_settled(now_ms):
+            self.settled = self.current
+        self.current = dict(self.members.by_name)
+        self.changed_at_ms = now_ms
+
+    def is_list_settled(self, now_ms: float) -> bool:
+        """Return whether the list of keepers has not changed lately."""
+        return now_ms - self.changed_at_ms >= SETTLE_MS
+
+    def is_settled_owner(self, host: HostStart, owners: list[str]) -> bool:
+        """Return whether this keeper is one of the owners, and not only since lately."""
+        if self.name not in owners:
+            return False
+        if self.is_list_settled(self.clock.now_ms()):
+            return True
+        return self.name in rank_owners(host, self.settled, self.regions)
+
+    def lend(self, request: BorrowShares) -> LentShares:
+        """Lend the shares of those hosts whose first owner asks for them."""
+        self.learn_all(request.limits)
+        return LentShares(
+            [self.lend_share(news.host, request.borrower) for news in request.limits]
+        )
+
+    def lend_share(self, host: HostStart, borrower: str) -> bool:
+        """Lend the share of one host; return whether it is lent."""
+        owners = self.owners(host)
+        if borrower == self.name or borrower not in owners[:1]:
+            return False
+        if not self.is_settled_owner(host, owners):
+            return False
+        self.share_of(host).lent_until_ms = self.clock.now_ms() + LEASE_MS
+        return True
+
+    def shares_to_borrow(self) -> dict[str, list[LimitNews]]:
+        """Return the limited hosts whose first owner this keeper is, by lender."""
+        self.limits.remove_old()
+        self.forget_shares()
+        wanted: dict[str, list[LimitNews]] = {}
+        for news in self.limits.limited():
+            owners = self.owners(news.host)
+            if owners[:1] == [self.name]:
+                for lender in owners[1:]:
+                    wanted.setdefault(lender, []).append(news)
+        return wanted
+
+    def forget_shares(self) -> None:
+        """Forget the shares of hosts whose limits are forgotten."""
+        for host in self.shares.keys() - self.limits.by_start.keys():
+            self.shares.pop(host)
+
+    def record_loans(
+        self, lender: str, request: BorrowShares, answer: LentShares, asked_at_ms: float
+    ) -> None:
+        """Record which shares another keeper has lent.
+
+        Args:
+            lender: name of that keeper.
+            request: what it was asked for.
+            answer: its answer.
+            asked_at_ms: when the request was sent, as the leases may have begun then.
+        """
+        until_ms = asked_at_ms + LEASE_MS - LEASE_MARGIN_MS
+        for news, lent in zip(request.limits, answer.lent, strict=True):
+            if lent:
+                self.share_of(news.host).borrowed_until_ms[lender] = until_ms
--- /dev/null
+++ b/pollenwalk/process/permit_client.py
@@ -0,0 +1,209 @@
+"""The part of a gateway that keeps the limits of hosts together with all others.
+
+Before each request to a host with a limit, it asks a keeper for a permit. Without one
+it sends nothing to that host: a gateway that no keeper answers has no share of its
+own. It tells keepers what hosts say of their limits, and asks one of them regularly,
+so that it hears of limits before its first request and of their end after its last.
+"""
+
+from typing import Any, NamedTuple
+
+from loguru import logger
+
+from pollenwalk.connection.limit_messages import (
+    ExchangeLimits,
+    KnownLimits,
+    LimitNews,
+    PermitDecision,
+    RequestPermit,
+    TellLimits,
+)
+from pollenwalk.policy.return_times import ReturnTimes
+from pollenwalk.process.gateway_metrics import GatewayMetrics
+from pollenwalk.process.host_table import HostState, HostTable
+from pollenwalk.process.keeper_group import KeeperGroup, answer_or_none
+from pollenwalk.process.keeper_links import KeeperLink
+from pollenwalk.process.permit_allocator import rank_owners
+from pollenwalk.request.http_messages import NamedLimit
+
+# Timeout of one question for a permit: two round trips between regions, as a new
+# connection takes.
+PERMIT_TIMEOUT_MS = 200.0
+# How long a keeper is not asked for permits after one that it did not answer in time.
+SILENCE_MS = 500.0
+# Interval of the exchanges of limits with the nearest keeper.
+EXCHANGE_INTERVAL_MS = 500.0
+# Expected wait for a permit if no keeper could give one.
+NO_KEEPER_WAIT_MS = 300.0
+# Characters of an unreadable limit that are logged.
+MAX_LOGGED_LIMIT = 40
+
+
+class Exchanged(NamedTuple):
+    """How far limits have been exchanged with one keeper.
+
+    Attributes:
+        boot_id: the start of the keeper.
+        received: the keeper's revision at the last exchange.
+        sent: this gateway's revision then.
+    """
+
+    boot_id: str = ''
+    received: int = 0
+    sent: int = 0
+
+
+class PermitClient:
+    """Asks keepers for permits and exchanges limits with them.
+
+    Attributes:
+        return_times: spreads the returns of callers that found no permit.
+        silent_until_ms: time until which a keeper is not asked, by its name.
+        exchanged: how far limits have been exchanged, by the name of the keeper.
+    """
+
+    def __init__(
+        self, group: KeeperGroup, host_table: HostTable, metrics: GatewayMetrics
+    ) -> None:
+        """Create a client of the keepers of `group`."""
+        self.group = group
+        self.host_table = host_table
+        self.metrics = metrics
+        self.clock = group.clock
+        self.return_times = ReturnTimes()
+        self.silent_until_ms: dict[str, float] = {}
+        self.exchanged: dict[str, Exchanged] = {}
+
+    def record_answer(self, state: HostState, named: NamedLimit | None) -> None:
+        """Record what a host has said of its limit with an answer.
+
+        A limit that can't be read leaves the former one in force. All keepers are
+        told of a change, without waiting for them.
+        """
+        host = state.registration.start
+        limits = self.host_table.limits
+        if named is not None and named.per_second is None:
+            logger.warning(
+                'host_limit_unreadable',
+                host=host.id,
+                text=named.text[:MAX_LOGGED_LIMIT],
+                former=limits.limit_of(host),
+            )
+            return
+        news = LimitNews(host, None if named is None else named.per_second, 0)
+        if limits.learn(news, 'answer'):
+            self.group.tasks.spawn(self.tell_keepers(news), 'tell_limit')
+
+    async def tell_keepers(self, news: LimitNews) -> None:
+        """Tell all keepers of a limit."""
+        await self.group.tell_all(TellLimits([news]))
+
+    async def request(self, state: HostState, max_wait_ms: float) -> float | None:
+        """Ask for a permit to send one request to a host with a limit.
+
+        Args:
+            state: the host.
+            max_wait_ms: the longest wait after which the permit is still of use.
+
+        Returns:
+            The time from now until the request may be sent; None if there is no
+            permit in time. The estimate of the host's next permit is updated.
+        """
+        earliest_ms = None
+        for link in self.owner_links(state):
+            decision = await self.ask(link, state, max_wait_ms)
+            if decision is None:
+                continue
+            if decision.granted:
+                self.expect_next_permit(state, decision.next_wait_ms)
+                state.permit_waits.add(decision.wait_ms, self.clock.now_ms())
+                return decision.wait_ms
+            next_wait_ms = decision.next_wait_ms
+            earliest_ms = min(earliest_ms or next_wait_ms, next_wait_ms)
+            if decision.share == 1:
+                break
+        wait_ms = NO_KEEPER_WAIT_MS if earliest_ms is None else earliest_ms
+        self.expect_next_permit(state, wait_ms)
+        state.permit_waits.add(wait_ms, self.clock.now_ms())
+        return None
+
+    def expect_next_permit(self, state: HostState, wait_ms: float) -> None:
+        """Update the estimate of when a permit for a host is free."""
+        state.next_permit_at_ms = self.clock.now_ms() + wait_ms
+
+    def owner_links(self, state: HostState) -> list[KeeperLink]:
+        """Return the connections to the keepers that give permits for a host.
+
+        Keepers that are lost or have been silent are left out.
+        """
+        links = self.group.links
+        members = links.members.by_name
+        owners = rank_owners(state.registration.start, members, links.regions)
+        now_ms = self.clock.now_ms()
+        answering = (
+            name for name in owners if self.silent_until_ms.get(name, 0) <= now_ms
+        )
+        owner_links = [links.link(members[name]) for name in answering]
+        return [link for link in owner_links if link.lost_since_ms is None]
+
+    async def ask(
+        self, link: KeeperLink, state: HostState, max_wait_ms: float
+    ) -> PermitDecision | None:
+        """Ask one keeper for a permit; return None if it does not answer in time."""
+        news = self.host_table.limits.news_of(state.registration.start)
+        if news is None:
+            return None
+        pending = self.group.links.request(link, RequestPermit(news, max_wait_ms))
+        decision = await self.answer_in_time(link, pending)
+        if decision is not None:
+            self.host_table.limits.learn(decision.news, 'keeper')
+        return decision
+
+    async def answer_in_time(self, link: KeeperLink, pending: Any) -> Any:
+        """Return the answer of a keeper; None if it takes too long or fails."""
+        try:
+            async with self.clock.timeout_ms(PERMIT_TIMEOUT_MS):
+                return await answer_or_none(pending)
+        except TimeoutError:
+            until_ms = self.clock.now_ms() + SILENCE_MS
+            self.silent_until_ms[link.member.name] = until_ms
+            logger.warning('permit_timeout', keeper=link.member.name)
+            return None
+
+    def retry_after_ms(self, upstream: str) -> float:
+        """Return the Retry-After of a caller that found no permit of an upstream."""
+        now_ms = self.clock.now_ms()
+        states = self.host_table.limited_hosts(upstream)
+        first_ms = min((state.next_permit_at_ms for state in states), default=now_ms)
+        per_second = sum(self.host_table.limit_of(state) or 0 for state in states)
+        return self.return_times.retry_after_ms(upstream, first_ms, per_second, now_ms)
+
+    async def exchange_limits(self) -> None:
+        """Exchange limits with the nearest keeper at regular intervals."""
+        while True:
+            self.host_table.limits.remove_old()
+            nearest = next(iter(self.group.links.ordered()), None)
+            if nearest is not None:
+                await self.exchange_with(nearest)
+            await self.clock.sleep_ms(EXCHANGE_INTERVAL_MS)
+
+    async def exchange_with(self, link: KeeperLink) -> None:
+        """Exchange limits with one keeper, if it answers."""
+        limits = self.host_table.limits
+        name = link.member.name
+        former = self.exchanged.get(name, Exchanged())
+        revision = limits.revision
+        message = ExchangeLimits(
+            limits.news_since(former.sent), former.boot_id, former.received
+        )
+        known: KnownLimits | None = await answer_or_none(
+            self.group.links.request(link, message)
+        )
+        if known is None:
+            return
+        for news in known.limits:
+            limits.learn(news, 'keeper')
+        is_same_start = known.boot_id == former.boot_id
+        # A keeper that has started again has forgotten what it was told.
+        sent = revision if is_same_start else 0
+        self.exchanged[name] = Exchanged(known.boot_id, known.revision, sent)
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import math
 import random
 from typing import NamedTuple
 
@@ -15,12 +16,17 @@
 from pollenwalk.errors import BrokenAnswer, NotSent, Outcome, Refusal, RefusalCode
 from pollenwalk.platform.headers import added_headers, resume_header
 from pollenwalk.policy.host_choice import CallCost
-from pollenwalk.policy.program_admission import draw_retry_after_ms, is_wait_acceptable
+from pollenwalk.policy.program_admission import (
+    draw_retry_after_ms,
+    is_wait_acceptable,
+)
 from pollenwalk.process.call_placer import CallPlacer
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.host_table import HostState
+from pollenwalk.process.permit_client import PermitClient
 from pollenwalk.process.stream_registry import StreamRegistry
+from pollenwalk.request.call_permits import CallPermits
 from pollenwalk.request.exchange import Exchange
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.request.http_messages import Headers
@@ -51,6 +57,7 @@
         metrics: the gateway's metrics.
         rng: the process's random number generator.
         streams: records and finds where streams began.
+        permits: obtains permits for hosts with a limit.
     """
 
     clock: Clock
@@ -59,6 +66,7 @@
     metrics: GatewayMetrics
     rng: random.Random
     streams: StreamRegistry
+    permits: PermitClient
 
 
 class CallSender:
@@ -77,6 +85,7 @@
             hosts may be tried again.
         software_version: version of the software that a host must run; None for
             any, as long as no event has been shown.
+        permits: obtains the call's permits for hosts with a limit.
     """
 
     def __init__(self, context: ForwardingContext, call: Call, body: bytes) -> None:
@@ -93,6 +102,9 @@
         )
         self.tried_hosts: set[str] = set()
         self.software_version: str | None = None
+        self.permits = CallPermits(
+            context.permits, context.call_placer, context.metrics, call
+        )
 
     @property
     def admits_new_program(self) -> bool:
@@ -113,6 +125,8 @@
         call = self.call
         remaining_ms = call.remaining_ms(self.context.clock.now_ms())
         retry_after_ms = draw_retry_after_ms(remaining_ms, self.context.rng)
+        if self.are_all_hosts_limited:
+            retry_after_ms = self.context.permits.retry_after_ms(call.upstream)
         logger.info(
             'turned_back',
             request=call.id,
@@ -129,6 +143,14 @@
             retry_after_ms=round(retry_after_ms),
         )
 
+    @property
+    def are_all_hosts_limited(self) -> bool:
+        """Return whether each host of the upstream has a limit."""
+        host_table = self.context.call_placer.host_table
+        upstream = self.call.upstream
+        limited = len(host_table.limited_hosts(upstream))
+        return limited == sum(1 for _ in host_table.available_hosts(upstream))
+
     def record_run_time(self) -> None:
         """Record the time since the last send, once the answer is complete.
 
@@ -189,7 +211,9 @@
         while True:
             state = self.best_host()
             if state is not None:
-                return state
+                if await self.obtain_permit(state):
+                    return state
+                continue
             if (
                 not self.tried_hosts
                 or clock.now_ms() + HOST_RETRY_INTERVAL_MS > self.give_up_at_ms
@@ -202,10 +226,24 @@
         """Return the best host that has not been tried; None if there is none."""
         call_placer = self.context.call_placer
         if self.software_version is None:
-            return call_placer.choose_host(self.call, self.cost, self.tried_hosts)
+            return call_placer.choose_host(self.call, self.cost, self.avoided_hosts)
         return call_placer.choose_host_of_version(
-            self.call, self.cost, self.tried_hosts, self.software_version
+            self.call, self.cost, self.avoided_hosts, self.software_version
+        )
+
+    @property
+    def avoided_hosts(self) -> set[str]:
+        """Return the ids of the hosts that must not be chosen now."""
+        return self.tried_hosts | self.permits.hosts_without_permit
+
+    async def obtain_permit(self, state: HostState) -> bool:
+        """Wait until the call may be sent to a host; False if another must be chosen."""
+        if self.software_version is not None:
+            return await self.permits.obtain(state, math.inf)
+        useful_ms = self.context.call_placer.useful_wait_ms(
+            state, self.call, self.cost, self.avoided_hosts
         )
+        return await self.permits.obtain(state, useful_ms)
 
     def no_host_refusal(self) -> Refusal:
         """Return the refusal of a call that no host accepts."""
@@ -215,6 +253,8 @@
                 'no other upstream host accepts the call',
                 Outcome.UNKNOWN,
             )
+        if self.permits.hosts_without_permit:
+            return self.permits.refusal()
         if not self.tried_hosts and self.software_version is not None:
             return Refusal(
                 RefusalCode.NO_UPSTREAM,
@@ -274,7 +314,7 @@
         exchange.head = head
         if head.load is not None:
             state.record_load(head.load, self.context.clock.now_ms())
-        state.record_limit(head.limit)
+        self.context.permits.record_answer(state, head.limit)
         if head.refused:
             self.runs -= 1
             await self.skip_refusal_body(exchange)
@@ -312,7 +352,7 @@
             host=state.registration.id,
             load=round(state.load(now_ms), 1),
             load_age_ms=state.report_age_ms(now_ms),
-            limit=state.limit_per_s,
+            limit=self.context.call_placer.host_table.limit_of(state),
             run=self.runs + 1,
             version=self.call.version,
             software=state.registration.software_version,
--- a/pollenwalk/request/streaming.py
+++ b/pollenwalk/request/streaming.py
@@ -134,6 +134,7 @@
     """
     if turn.begins_program and not sender.admits_new_program:
         await turn.confirm_beginning()
+    sender.permits.begins_program = turn.begins_program
     if turn.begins_program:
         sender.check_program_admission()
 
@@ -166,13 +167,33 @@
             BrokenAnswer: the stream broke off and may not be resumed.
             Refusal: no host began to answer, or the turn may not go on.
         """
-        exchange = await self.sender.open_exchange()
+        exchange = await self.open_first_exchange()
         while not await self.try_forward_answer(exchange):
             exchange = await self.sender.open_exchange(self.last_event_id)
             self.check_resumed_status(exchange)
         if exchange.succeeded:
             self.sender.record_run_time()
 
+    async def open_first_exchange(self) -> Exchange:
+        """Send the call until a host begins to answer.
+
+        A turn that finds no permit as the first of its program is refused only on the
+        answers of a majority of the keepers, as others may know earlier turns.
+
+        Raises:
+            Refusal: no host accepts the call.
+        """
+        try:
+            return await self.sender.open_exchange()
+        except Refusal as refusal:
+            if refusal.code != RefusalCode.HOST_LIMITS or not self.turn.begins_program:
+                raise
+            await self.turn.confirm_beginning()
+            if self.turn.begins_program:
+                raise
+        self.sender.permits.treat_as_begun()
+        return await self.sender.open_exchange()
+
     def check_resumed_status(self, exchange: Exchange) -> None:
         """Check that a host resumes a stream that the caller has a part of.
 
--- a/test/request/test_forwarding.py
+++ b/test/request/test_forwarding.py
@@ -18,6 +18,7 @@
 from pollenwalk.process.host_table import HostTable
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_links import KeeperLinks
+from pollenwalk.process.permit_client import PermitClient
 from pollenwalk.process.stream_registry import StreamRegistry
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.request.call_sender import ForwardingContext
@@ -193,13 +194,16 @@
             state.record_load((number * 4, 0, 4), clock.now_ms())
         choice = EarliestFinish(random.Random(1))
         call_placer = CallPlacer(clock, host_table, choice, 'here', {'here': 'east'})
+        group = make_group(clock)
+        metrics = GatewayMetrics()
         return ForwardingContext(
             clock,
             ConnectionPool(clock),
             call_placer,
-            GatewayMetrics(),
+            metrics,
             random.Random(1),
-            make_registry(clock),
+            StreamRegistry(group),
+            PermitClient(group, host_table, metrics),
         )
 
     def request_counts(self) -> list[int]:
@@ -207,11 +211,11 @@
         return [len(host.received) for host in self.hosts]
 
 
-def make_registry(clock: Clock) -> StreamRegistry:
-    """Return the registry of a gateway without keepers."""
+def make_group(clock: Clock) -> KeeperGroup:
+    """Return the part of a gateway that uses keepers, of which there are none."""
     tasks = TaskSet()
     links = KeeperLinks(TcpNetwork(), clock, tasks, 'here', {'here': 'east'})
-    return StreamRegistry(KeeperGroup(links, clock, tasks, 1))
+    return KeeperGroup(links, clock, tasks, 1)
 
 
 def make_call(route: Route) -> Call:
--- a/test/request/test_program_turn.py
+++ b/test/request/test_program_turn.py
@@ -18,6 +18,8 @@
 from pollenwalk.process.host_table import HostTable
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_members import Member
+from pollenwalk.process.permit_client import PermitClient
+from pollenwalk.process.stream_registry import StreamRegistry
 from pollenwalk.program.turns import SettleTokens
 from pollenwalk.request.call_sender import ForwardingContext
 from pollenwalk.request.event_stream import Event
@@ -28,7 +30,7 @@
 from pollenwalk.request.streaming import run_stream
 from test.helper import Fields, logged, virtual
 from test.process.test_keepers import KeeperCluster, make_record
-from test.request.test_forwarding import STREAM, RecordedReply, make_registry
+from test.request.test_forwarding import STREAM, RecordedReply, make_group
 
 HISTORY_ROUTE = STREAM._replace(keeps_history=True)
 MAX_TOKENS = 28
@@ -265,8 +267,12 @@
         choice = EarliestFinish(rng)
         call_placer = CallPlacer(clock, host_table, choice, 'a', {'a': 'east'})
         metrics = GatewayMetrics()
-        registry = make_registry(clock)
-        return ForwardingContext(clock, pool, call_placer, metrics, rng, registry)
+        group = make_group(clock)
+        registry = StreamRegistry(group)
+        permits = PermitClient(group, host_table, metrics)
+        return ForwardingContext(
+            clock, pool, call_placer, metrics, rng, registry, permits
+        )
 
     @virtual
     async def test_endless_events_do_not_fill_the_memory(self) -> None:
