Give permits at once on a keeper whose list of members is old

The tests of what callers get, which play the load over loopback, found two faults of the permits. A keeper noted the list of keepers only with the first message about a limit, took it for a change and gave no permits for 2 s. It notes changes regularly now. And a call asked a keeper that gives no permits up to twelve times in a row, since the wait it was told seemed in time; such a host is given up for the call at once, and no keeper is asked while all permits in time are known to be taken.

--- a/pollenwalk/commands/experiment.py
+++ b/pollenwalk/commands/experiment.py
@@ -9,7 +9,7 @@
 
 from pollenwalk.process.logs import set_up_logs
 
-EXPERIMENTS = ('overhead', 'placement', 'recovery', 'slopes', 'storm')
+EXPERIMENTS = ('limits', 'overhead', 'placement', 'recovery', 'slopes', 'storm')
 INDENT = 2
 
 
--- a/pollenwalk/process/permit_allocator.py
+++ b/pollenwalk/process/permit_allocator.py
@@ -206,7 +206,12 @@
         return True
 
     def shares_to_borrow(self) -> dict[str, list[LimitNews]]:
-        """Return the limited hosts whose first owner this keeper is, by lender."""
+        """Return the limited hosts whose first owner this keeper is, by lender.
+
+        It is called regularly, so that changes of the list of keepers are noted in
+        time.
+        """
+        self.note_members()
         self.limits.remove_old()
         self.forget_shares()
         wanted: dict[str, list[LimitNews]] = {}
--- a/pollenwalk/process/permit_client.py
+++ b/pollenwalk/process/permit_client.py
@@ -6,6 +6,7 @@
 so that it hears of limits before its first request and of their end after its last.
 """
 
+import math
 from typing import Any, NamedTuple
 
 from loguru import logger
@@ -53,6 +54,19 @@
     sent: int = 0
 
 
+class PermitAnswer(NamedTuple):
+    """What came of asking for a permit.
+
+    Attributes:
+        granted: whether the request may be sent.
+        wait_ms: time from now until it may be sent; if it is not granted, until the
+            next permit is free, or infinite if no keeper gives permits now.
+    """
+
+    granted: bool
+    wait_ms: float
+
+
 class PermitClient:
     """Asks keepers for permits and exchanges limits with them.
 
@@ -98,34 +112,31 @@
         """Tell all keepers of a limit."""
         await self.group.tell_all(TellLimits([news]))
 
-    async def request(self, state: HostState, max_wait_ms: float) -> float | None:
+    async def request(self, state: HostState, max_wait_ms: float) -> PermitAnswer:
         """Ask for a permit to send one request to a host with a limit.
 
+        The estimate of the host's next permit is updated.
+
         Args:
             state: the host.
             max_wait_ms: the longest wait after which the permit is still of use.
-
-        Returns:
-            The time from now until the request may be sent; None if there is no
-            permit in time. The estimate of the host's next permit is updated.
         """
-        earliest_ms = None
+        earliest_ms = math.inf
         for link in self.owner_links(state):
             decision = await self.ask(link, state, max_wait_ms)
-            if decision is None:
+            if decision is None or not decision.share:
                 continue
             if decision.granted:
                 self.expect_next_permit(state, decision.next_wait_ms)
                 state.permit_waits.add(decision.wait_ms, self.clock.now_ms())
-                return decision.wait_ms
-            next_wait_ms = decision.next_wait_ms
-            earliest_ms = min(earliest_ms or next_wait_ms, next_wait_ms)
+                return PermitAnswer(True, decision.wait_ms)
+            earliest_ms = min(earliest_ms, decision.next_wait_ms)
             if decision.share == 1:
                 break
-        wait_ms = NO_KEEPER_WAIT_MS if earliest_ms is None else earliest_ms
+        wait_ms = NO_KEEPER_WAIT_MS if math.isinf(earliest_ms) else earliest_ms
         self.expect_next_permit(state, wait_ms)
         state.permit_waits.add(wait_ms, self.clock.now_ms())
-        return None
+        return PermitAnswer(False, earliest_ms)
 
     def expect_next_permit(self, state: HostState, wait_ms: float) -> None:
         """Update the estimate of when a permit for a host is free."""
--- a/pollenwalk/request/call_permits.py
+++ b/pollenwalk/request/call_permits.py
@@ -1,5 +1,7 @@
 """Permits of one call for hosts that limit what they take from all gateways."""
 
+import math
+
 from loguru import logger
 
 from pollenwalk.errors import Refusal, RefusalCode
@@ -7,14 +9,14 @@
 from pollenwalk.process.call_placer import CallPlacer
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.host_table import HostState
-from pollenwalk.process.permit_client import PermitClient
+from pollenwalk.process.permit_client import PermitAnswer, PermitClient
 from pollenwalk.request.gateway_call import Call
 
 # After this many refused permits, a call no longer compares the waits at several
 # hosts, as their estimates don't settle; it takes any permit that comes in time.
-MAX_COMPARED_PERMITS = 6
+MAX_COMPARED_PERMITS = 4
 # After this many, each host that refuses one more is given up.
-MAX_REFUSED_PERMITS = 12
+MAX_REFUSED_PERMITS = 8
 
 
 class CallPermits:
@@ -69,12 +71,19 @@
         longest_ms = self.longest_wait_ms()
         if self.refused >= MAX_COMPARED_PERMITS:
             useful_ms = longest_ms
-        wait_ms = await self.client.request(state, min(longest_ms, useful_ms))
-        if wait_ms is None:
-            self.handle_refusal(state, longest_ms)
+        permit = await self.request(state, min(longest_ms, useful_ms))
+        if not permit.granted:
+            self.handle_refusal(state, permit.wait_ms, longest_ms)
             return False
-        self.metrics.count_permit('waited' if wait_ms else 'granted')
-        return not wait_ms or await self.wait(state, wait_ms)
+        self.metrics.count_permit('waited' if permit.wait_ms else 'granted')
+        return not permit.wait_ms or await self.wait(state, permit.wait_ms)
+
+    async def request(self, state: HostState, max_wait_ms: float) -> PermitAnswer:
+        """Ask for a permit, unless all within `max_wait_ms` are known to be taken."""
+        wait_ms = self.host_table.permit_wait_ms(state, self.clock.now_ms())
+        if wait_ms > max_wait_ms:
+            return PermitAnswer(False, wait_ms)
+        return await self.client.request(state, max_wait_ms)
 
     def longest_wait_ms(self) -> float:
         """Return the longest wait for a permit after which the call is in time."""
@@ -99,15 +108,17 @@
         is_listed = self.host_table.is_listed(state)
         return is_listed and state.registration.leaving == was_leaving
 
-    def handle_refusal(self, state: HostState, longest_ms: float) -> None:
+    def handle_refusal(
+        self, state: HostState, wait_ms: float, longest_ms: float
+    ) -> None:
         """Exclude a host that gave no permit, unless its next one comes in time.
 
         Args:
             state: the host.
+            wait_ms: time until its next permit; infinite if no keeper gives any now.
             longest_ms: the longest wait after which the call is in time.
         """
         self.refused += 1
-        wait_ms = self.host_table.permit_wait_ms(state, self.clock.now_ms())
         in_time = wait_ms <= longest_ms and self.refused < MAX_REFUSED_PERMITS
         if not in_time:
             self.hosts_without_permit.add(state.registration.id)
@@ -117,7 +128,7 @@
             request=self.call.id,
             host=state.registration.id,
             limit=self.host_table.limit_of(state),
-            next_wait_ms=round(wait_ms),
+            next_wait_ms=None if math.isinf(wait_ms) else round(wait_ms),
             longest_ms=round(longest_ms),
             excluded=not in_time,
         )
--- a/test/process/test_permits.py
+++ b/test/process/test_permits.py
@@ -128,11 +128,11 @@
     async def call(self) -> None:
         """Make one call, as soon as there is a permit."""
         if self.limit is not None:
-            wait_ms = await self.client.request(self.state, MAX_WAIT_MS)
-            if wait_ms is None:
+            permit = await self.client.request(self.state, MAX_WAIT_MS)
+            if not permit.granted:
                 self.refused += 1
                 return
-            await self.clock.sleep_ms(wait_ms)
+            await self.clock.sleep_ms(permit.wait_ms)
         self.send()
 
     def send(self) -> None:
