--- a/pollenwalk/request/call_permits.py
+++ b/pollenwalk/request/call_permits.py
@@ -13,9 +13,8 @@
 from pollenwalk.request.gateway_call import Call
 
 # After this many refused permits, a call no longer compares the waits at several
-# hosts, as each question takes time. It takes a host without a limit, or else any
-# permit that comes in time.
-MAX_COMPARED_PERMITS = 3
+# hosts, as their estimates don't settle; it takes any permit that comes in time.
+MAX_COMPARED_PERMITS = 4
 # After this many, each host that refuses one more is given up.
 MAX_REFUSED_PERMITS = 8
 
@@ -50,11 +49,6 @@
         self.hosts_without_permit: set[str] = set()
         self.refused = 0
 
-    @property
-    def has_compared(self) -> bool:
-        """Return whether the waits at enough hosts have been compared."""
-        return self.refused >= MAX_COMPARED_PERMITS
-
     def treat_as_begun(self) -> None:
         """Hold the call to the wait of a begun program from now on."""
         self.begins_program = False
@@ -75,7 +69,7 @@
         if limit is None:
             return True
         longest_ms = self.longest_wait_ms()
-        if self.has_compared:
+        if self.refused >= MAX_COMPARED_PERMITS:
             useful_ms = longest_ms
         permit = await self.request(state, min(longest_ms, useful_ms))
         if not permit.granted:
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -223,28 +223,12 @@
             self.tried_hosts.clear()
 
     def best_host(self) -> HostState | None:
-        """Return the best host that has not been tried; None if there is none.
-
-        A call that has compared the waits at several hosts with a limit takes one
-        without a limit, if there is one.
-        """
-        if self.permits.has_compared:
-            limited = self.context.call_placer.host_table.limited_hosts(
-                self.call.upstream
-            )
-            ids = {state.registration.id for state in limited}
-            state = self.best_host_except(self.avoided_hosts | ids)
-            if state is not None:
-                return state
-        return self.best_host_except(self.avoided_hosts)
-
-    def best_host_except(self, avoid: set[str]) -> HostState | None:
-        """Return the best host that is not to be avoided; None if there is none."""
+        """Return the best host that has not been tried; None if there is none."""
         call_placer = self.context.call_placer
         if self.software_version is None:
-            return call_placer.choose_host(self.call, self.cost, avoid)
+            return call_placer.choose_host(self.call, self.cost, self.avoided_hosts)
         return call_placer.choose_host_of_version(
-            self.call, self.cost, avoid, self.software_version
+            self.call, self.cost, self.avoided_hosts, self.software_version
         )
 
     @property
