Take a limit only from the host that is meant, and a Retry-After that lasts

Found by reading: an answer 421 comes from another host that has the address by now, and its limit, or the want of one, was taken for the host before it; an answer without a host's signature ended a limit. Only a signed answer or a refusal of the host itself counts now. And where all hosts of an upstream have limits, a new program was told to come back after the wait at the last question, which may long have passed, so at once; now it is told the usual wait at least.

The test with an answer of another host failed before (run on the code without the check). That an unsigned answer leaves the limit is kept by the signature check that stood before in the send, and by this one.

--- a/pollenwalk/platform/headers.py
+++ b/pollenwalk/platform/headers.py
@@ -195,6 +195,7 @@
         request=found.get(REQUEST_ID, ''),
         signed=SIGNATURE in found,
         refused=NOT_EXECUTED in found or status == MISDIRECTED,
+        misdirected=status == MISDIRECTED,
         encoded=CONTENT_ENCODING in found,
         load=read_load(found.get(SERVER_LOAD, '')),
         keep_alive_ms=read_keep_alive(found.get(KEEP_ALIVE, '')),
--- a/pollenwalk/process/permit_client.py
+++ b/pollenwalk/process/permit_client.py
@@ -185,7 +185,10 @@
         """Return the Retry-After of a caller that found no permit of an upstream."""
         now_ms = self.clock.now_ms()
         states = self.host_table.limited_hosts(upstream)
-        first_ms = min((state.next_permit_at_ms for state in states), default=now_ms)
+        waits_ms = (
+            self.host_table.usual_permit_wait_ms(state, now_ms) for state in states
+        )
+        first_ms = now_ms + min(waits_ms, default=0)
         per_second = sum(self.host_table.limit_of(state) or 0 for state in states)
         return self.return_times.retry_after_ms(upstream, first_ms, per_second, now_ms)
 
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -314,7 +314,8 @@
         exchange.head = head
         if head.load is not None:
             state.record_load(head.load, self.context.clock.now_ms())
-        self.context.permits.record_answer(state, head.limit)
+        if head.speaks_for_host:
+            self.context.permits.record_answer(state, head.limit)
         if head.refused:
             self.runs -= 1
             await self.skip_refusal_body(exchange)
--- a/pollenwalk/request/http_messages.py
+++ b/pollenwalk/request/http_messages.py
@@ -113,6 +113,8 @@
             value is not checked.
         refused: whether the host states that it did not run the request, or that
             the request was meant for another host.
+        misdirected: whether the request was meant for another host, which had the
+            address before.
         encoded: whether the body has a content encoding; a plain one is expected.
         load: calls running at the host, calls waiting there, and its slots; None
             if not stated.
@@ -130,6 +132,7 @@
     request: str = ''
     signed: bool = False
     refused: bool = False
+    misdirected: bool = False
     encoded: bool = False
     load: tuple[int, int, int] | None = None
     keep_alive_ms: float | None = None
@@ -137,3 +140,8 @@
     limit: NamedLimit | None = None
     framing: Framing = Framing.LENGTH
     is_event_stream: bool = True
+
+    @property
+    def speaks_for_host(self) -> bool:
+        """Return whether the answer is the word of the host that was meant."""
+        return not self.misdirected and (self.signed or self.refused)
--- a/test/process/test_limited_hosts.py
+++ b/test/process/test_limited_hosts.py
@@ -90,12 +90,16 @@
 
     Attributes:
         field: the value of the header with the limit; None for no header.
+        status: the status of answers that are no streams.
+        more: headers of these answers besides the limit.
         arrivals_s: when requests arrived, on the loop's clock.
     """
 
     def __init__(self, field: str | None) -> None:
         """Name a limit from the first answer on."""
         self.field = field
+        self.status = '200 OK'
+        self.more = SIGNED
         self.arrivals_s: list[float] = []
 
     async def __call__(self, line: Line, request: Received) -> None:
@@ -108,7 +112,7 @@
             head = stream_head(request)[: -len(LINE_END)] + named + LINE_END
             line.say(head + chunk(event(1)) + chunk(b''))
         else:
-            line.say(answer(request, more=SIGNED + named))
+            line.say(answer(request, status=self.status, more=self.more + named))
 
 
 class LimitedUpstream(Upstream):
@@ -252,6 +256,37 @@
         codes = {one.error.code for one in refused}
         self.assertEqual({RefusalCode.HOST_LIMITS}, codes)
 
+    @on_loop
+    async def test_limit_in_an_answer_of_another_host(self) -> None:
+        for more in (b'X-Pollenwalk-Not-Executed: 1\r\n', b''):
+            async with started(None) as upstream:
+                gateway = await upstream.start_gateway('g')
+                upstream.script.status = '421 Misdirected Request'
+                upstream.script.more = more
+                upstream.script.field = '1'
+                await upstream.call(gateway, upstream.make_request('/safe/1', 'r'))
+                self.assertEqual([], gateway.host_table.limits.limited())
+
+    @on_loop
+    async def test_unsigned_answer_does_not_end_a_limit(self) -> None:
+        async with started('5') as upstream:
+            gateway = await upstream.start_gateway('g')
+            await upstream.call(gateway, upstream.make_request('/safe/1', 'r1'))
+            upstream.script.more = b''
+            upstream.script.field = None
+            await asyncio.sleep(SETTLE_MS / 1000)
+            await upstream.call(gateway, upstream.make_request('/safe/1', 'r2'))
+            self.assertEqual(1, len(gateway.host_table.limits.limited()))
+
+    @on_loop
+    async def test_refusal_names_a_limit(self) -> None:
+        async with started('5') as upstream:
+            gateway = await upstream.start_gateway('g')
+            upstream.script.status = '503 Service Unavailable'
+            upstream.script.more = b'X-Pollenwalk-Not-Executed: 1\r\n'
+            await upstream.call(gateway, upstream.make_request('/safe/1', 'r1'))
+            self.assertEqual(1, len(gateway.host_table.limits.limited()))
+
     @on_loop
     async def test_refused_callers_return_one_after_the_other(self) -> None:
         async with started(str(LIMIT_PER_S)) as upstream:
