Make the test of unsigned answers reach the host

The test passed with and without the check that it is about: its call found no permit yet, as its keeper had only started. It waits for permits now, checks that its request arrived, and fails without the check.

--- a/test/process/test_limited_hosts.py
+++ b/test/process/test_limited_hosts.py
@@ -274,8 +274,9 @@
             await upstream.call(gateway, upstream.make_request('/safe/1', 'r1'))
             upstream.script.more = b''
             upstream.script.field = None
-            await asyncio.sleep(SETTLE_MS / 1000)
+            await asyncio.sleep(SETTLE_MS / 1000 + NEWS_S)
             await upstream.call(gateway, upstream.make_request('/safe/1', 'r2'))
+            self.assertTrue(len(upstream.script.arrivals_s) > 1)
             self.assertEqual(1, len(gateway.host_table.limits.limited()))
 
     @on_loop
