--- a/test/process/test_host_limits.py
+++ b/test/process/test_host_limits.py
@@ -8,8 +8,8 @@
     LIMIT_RETENTION_MS,
     HostLimits,
 )
+from standin.experiments.limits import SetClock
 from test.helper import logged
-from test.process.test_permit_allocator import SetClock
 
 HOST = HostStart('i-1', 'a', 1, 'v1')
 
--- a/test/process/test_permit_allocator.py
+++ b/test/process/test_permit_allocator.py
@@ -26,30 +26,18 @@
     PermitAllocator,
     rank_owners,
 )
+from standin.experiments.limits import WINDOW_MS, SetClock, most_in_window
 
 REGIONS = {'a': 'east', 'b': 'east', 'c': 'west', 'd': 'east'}
 HOST = HostStart('i-1', 'a', 1, 'v1')
 LIMIT_PER_S = 6.0
 STEP_MS = 50.0
-WINDOW_MS = 4000.0
 # One saved permit of each owner, and one for the credit of unused time.
 SAVED = MAX_OWNERS + 1
 SEEDS = 40
 RUN_MS = 30_000
 
 
-class SetClock:
-    """A clock that the test sets."""
-
-    def __init__(self) -> None:
-        """Start at a time that is not 0."""
-        self.time_ms = 1000.0
-
-    def now_ms(self) -> float:
-        """Return the time that was set."""
-        return self.time_ms
-
-
 class Keepers:
     """Allocators that are asked for as many permits as they give.
 
@@ -114,20 +102,13 @@
             for name in self.allocators:
                 self.ask(name)
 
-    def most_in_window(self) -> int:
-        """Return the most permits given within WINDOW_MS."""
-        return max(
-            sum(begin_ms <= at_ms < begin_ms + WINDOW_MS for at_ms in self.given_ms)
-            for begin_ms in self.given_ms
-        )
-
 
 class SharesTest(testtools.TestCase):
     """The sum of what all owners give."""
 
     def check_sum(self, keepers: Keepers) -> None:
         """Check that all owners together never gave more than the limit."""
-        most = keepers.most_in_window()
+        most = most_in_window(keepers.given_ms)
         allowed = LIMIT_PER_S * WINDOW_MS / 1000 + SAVED
         self.assertTrue(most <= allowed, (most, allowed))
 
--- a/test/process/test_permits.py
+++ b/test/process/test_permits.py
@@ -17,11 +17,11 @@
 from pollenwalk.process.permit_allocator import LEASE_MS, SETTLE_MS
 from pollenwalk.process.permit_client import EXCHANGE_INTERVAL_MS, PermitClient
 from pollenwalk.request.http_messages import NamedLimit
+from standin.experiments.limits import WINDOW_MS, most_in_window
 from test.helper import virtual
 from test.process.test_keepers import KeeperCluster
 
 LIMIT_PER_S = 2.9
-WINDOW_MS = 4000.0
 # Time from the first answer with a limit until the limit must be kept.
 CONTACT_MS = 4000.0
 # Time for which a gateway has known a limit until its requests count.
@@ -68,14 +68,7 @@
     def most_in_window(self, since_ms: float) -> int:
         """Return the most counted arrivals within WINDOW_MS, from a time on."""
         counted = [one.at_ms for one in self.arrivals if one.counts]
-        counted = [at_ms for at_ms in counted if at_ms >= since_ms]
-        return max(
-            (
-                sum(begin_ms <= at_ms < begin_ms + WINDOW_MS for at_ms in counted)
-                for begin_ms in counted
-            ),
-            default=0,
-        )
+        return most_in_window([at_ms for at_ms in counted if at_ms >= since_ms])
 
     def rate_per_s(self, begin_ms: float, end_ms: float) -> float:
         """Return how many requests a second arrived within a time."""
--- a/test/process/test_stream_versions.py
+++ b/test/process/test_stream_versions.py
@@ -116,11 +116,14 @@
     """A store, a keeper, gateways, and hosts of several versions.
 
     Attributes:
+        host_type: what hosts are.
         breaking: the script of the host that begins the streams.
         hosts: the hosts by name.
         gateways: the gateways that have been started.
     """
 
+    host_type = ScriptedHost
+
     def __init__(self) -> None:
         """Create a system without processes."""
         self.clock = LoopClock()
@@ -153,7 +156,7 @@
         self, name: str, version: str, zone: str, script: Script, service: str = 'up'
     ) -> None:
         """Start a host and register it."""
-        host = ScriptedHost(name, script)
+        host = self.host_type(name, script)
         self.hosts[name] = host
         self.documents[name] = {
             'service': service,
