Give a request that arrives as the servers close the rest of the grace

Cause: a stopping gateway waits 2.5 s for the load balancer, then until no request is in progress, then closes its servers.

Why it works: the server for callers closes within what is left of the time for requests, which ends 0.7 s before the grace period does. The other two have no requests that last.

--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -157,12 +157,26 @@
         await self.clock.sleep_ms(min(BALANCER_REMOVAL_MS, deadline_at_ms - started_ms))
         while self.app.in_progress and self.clock.now_ms() < deadline_at_ms:
             await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
-        for server in self.servers():
-            await server.stop(CLOSE_GRACE_S)
+        await self.close_servers(deadline_at_ms)
         await self.gateway.stop()
         await self.store.close()
         logger.info('stop', role='gateway', unfinished=self.app.in_progress)
 
+    async def close_servers(self, deadline_at_ms: float) -> None:
+        """Close all servers.
+
+        A request may have arrived after the last check that none is in progress. It
+        gets what is left of the time for requests.
+
+        Args:
+            deadline_at_ms: when that time ends, on the process's clock.
+        """
+        remaining_ms = max(deadline_at_ms - self.clock.now_ms(), 0)
+        caller_server, *others = self.servers()
+        await caller_server.stop(remaining_ms / MS_PER_SECOND + CLOSE_GRACE_S)
+        for server in others:
+            await server.stop(CLOSE_GRACE_S)
+
     async def watch_settings(self) -> None:
         """Reload the settings whenever their file has changed."""
         current = self.path.read_bytes()
