Go on following the store beside an entry that can't be read

What could happen: one entry of another writer, nested some thousand deep, made the JSON decoder raise RecursionError for its whole page. Nothing caught it, so the task that follows the hosts, keepers, configuration or retirements ended and the process went on with its old list for good. A port out of range raised OverflowError, and one of 5,000 digits or an address with an empty label ValueError, when a connection was opened; the call failed as an internal error, also where it could have gone to another host. Numbers of 400 digits, 0 and negative slots were taken as valid. The fields of a keeper's entry were taken by their order.

Cause: decoders let through what is well-formed but can't be, and errors other than 'not JSON of this form' were not expected of them.

A keeper whose own entry was overwritten writes it again. One log line and a count for each unreadable object and change. A truncated page without a readable name ends in 'unavailable', as the next page can't be asked for; before, the rest of the listing was dropped and its entries were taken as deleted.

Ruled out: an unknown field of moderate depth or any size of number does no harm; such an entry is used.

--- a/pollenwalk/connection/tcp_network.py
+++ b/pollenwalk/connection/tcp_network.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from pollenwalk.connection.addresses import split_address
+from pollenwalk.connection.addresses import CONNECT_ERRORS, split_address
 from pollenwalk.connection.channel import Channel, ChannelHandler, Listener
 from pollenwalk.connection.keepalive import enable_keepalive
 from pollenwalk.errors import ConnectionLost
@@ -85,10 +85,9 @@
         Raises:
             ConnectionLost: the address can't be reached.
         """
-        host, port = split_address(address)
         try:
-            reader, writer = await asyncio.open_connection(host, port)
-        except OSError as error:
+            reader, writer = await asyncio.open_connection(*split_address(address))
+        except CONNECT_ERRORS as error:
             raise ConnectionLost(f'{address}: {error}') from error
         return TcpChannel(reader, writer)
 
--- a/pollenwalk/connection/upstream_connection.py
+++ b/pollenwalk/connection/upstream_connection.py
@@ -13,7 +13,7 @@
 
 import h11
 
-from pollenwalk.connection.addresses import split_address
+from pollenwalk.connection.addresses import CONNECT_ERRORS, split_address
 from pollenwalk.connection.keepalive import enable_keepalive
 from pollenwalk.errors import BrokenAnswer, NotSent
 from pollenwalk.platform import headers as platform_headers
@@ -345,11 +345,11 @@
         NotSent: the connection could not be made within `timeout_s`.
     """
     loop = asyncio.get_running_loop()
-    ip, port = split_address(address)
     try:
+        ip, port = split_address(address)
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(UpstreamConnection, ip, port)
-    except (OSError, TimeoutError) as error:
+    except CONNECT_ERRORS as error:
         raise NotSent(f'{address}: {error!r}') from error
     sock: socket.socket = connection.transport.get_extra_info('socket')
     enable_keepalive(sock)
--- a/pollenwalk/platform/documents.py
+++ b/pollenwalk/platform/documents.py
@@ -1,11 +1,13 @@
 """Decoders of the store's objects that the operator and upstream hosts write."""
 
-from typing import Any, NotRequired, TypedDict
+from typing import Annotated, Any, NotRequired, TypedDict
 
 import msgspec
 
+from pollenwalk.connection.addresses import is_ip_and_port
 from pollenwalk.connection.hosts import UpstreamHost
 from pollenwalk.errors import MalformedObject
+from pollenwalk.platform.pages import UNREADABLE
 from pollenwalk.version.routes import (
     CallerLimits,
     CallKind,
@@ -23,6 +25,17 @@
 RETIREMENTS_PREFIX = 'retirements/'
 
 MS_PER_SECOND = 1000
+# Bounds of numbers that other processes write. What lies beyond them is a mistake of
+# the writer, and could overflow where it is used.
+MAX_SLOTS = 65_535
+MAX_DURATION_MS = 1e10
+MAX_DURATION_S = 1e7
+MAX_COUNT = 1_000_000_000_000_000
+Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Weight = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
+DurationMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
+DurationS = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_S)]
 CALL_KINDS = {
     'safe': CallKind.SAFE,
     'unsafe': CallKind.UNSAFE,
@@ -36,7 +49,7 @@
     """An entry of `traffic_split`."""
 
     service: str
-    weight: float
+    weight: Weight
 
 
 class WireRoute(TypedDict):
@@ -50,44 +63,44 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: NotRequired[float]
-    gap_aim_ms: NotRequired[float]
-    priority: NotRequired[int]
+    timeout_ms: DurationMs
+    target_latency_ms: NotRequired[DurationMs]
+    gap_aim_ms: NotRequired[DurationMs]
+    priority: NotRequired[Count]
     service: NotRequired[str | None]
     traffic_split: NotRequired[list[WireShare] | None]
-    max_attempts: NotRequired[int]
+    max_attempts: NotRequired[Count]
     resumable: NotRequired[bool]
     retain_history: NotRequired[bool]
-    retention_s: NotRequired[float]
+    retention_s: NotRequired[DurationS]
 
 
 class WireEngine(TypedDict):
     """The `engine` of a service; `kv_capacity` is in tokens."""
 
-    slots: int
-    kv_capacity: int
-    tokens_per_event: int
+    slots: Count
+    kv_capacity: Count
+    tokens_per_event: Count
 
 
 class WireService(TypedDict):
     """An entry of `services`, as the operator writes it."""
 
     name: str
-    max_conns: int
+    max_conns: Count
     engine: NotRequired[WireEngine]
 
 
 class WireLimits(TypedDict):
     """The limits of callers' requests."""
 
-    max_body_bytes: int
+    max_body_bytes: Count
 
 
 class WireConfiguration(TypedDict):
     """The object `config/main`."""
 
-    version: int
+    version: Count
     routes: list[WireRoute]
     services: list[WireService]
     limits: WireLimits
@@ -104,11 +117,11 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Slots
     state: str
     version: NotRequired[str]
-    cold_left_ms: NotRequired[float]
-    born: NotRequired[int]
+    cold_left_ms: NotRequired[DurationMs]
+    born: NotRequired[Count]
 
 
 class WireRetirement(TypedDict):
@@ -117,7 +130,7 @@
     A keeper that retires first copies its records to other keepers.
     """
 
-    duration_s: float
+    duration_s: DurationS
 
 
 CONFIGURATION_DECODER = msgspec.json.Decoder(WireConfiguration)
@@ -129,11 +142,12 @@
     """Decode the body of an object.
 
     Raises:
-        MalformedObject: the body is not JSON of the expected form.
+        MalformedObject: the body is not JSON of the expected form, is nested too
+            deeply, or holds a number out of range.
     """
     try:
         return decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except UNREADABLE as error:
         raise MalformedObject(f'{key}: {error}') from error
 
 
@@ -217,8 +231,7 @@
     """
     wire: WireServer = decode(SERVER_DECODER, key, body)
     leaving = LEAVING_BY_STATE.get(wire['state'])
-    address, _, port = wire['address'].rpartition(':')
-    if leaving is None or not address or not port.isdecimal():
+    if leaving is None or not is_ip_and_port(wire['address']):
         raise MalformedObject(f'{key}: unknown state or malformed address')
     return UpstreamHost(
         id=key.removeprefix(HOSTS_PREFIX),
--- a/pollenwalk/platform/objects.py
+++ b/pollenwalk/platform/objects.py
@@ -6,7 +6,7 @@
 
 import socket
 from http import HTTPStatus
-from typing import Any, NotRequired, TypedDict
+from typing import Any, TypedDict
 from urllib.parse import quote
 
 import aiohttp
@@ -15,6 +15,14 @@
 from pollenwalk.connection.http_client import HttpClient
 from pollenwalk.connection.keepalive import enable_keepalive
 from pollenwalk.errors import StoreConflict, StoreHistoryGone, StoreUnavailable
+from pollenwalk.platform.pages import (
+    WireList,
+    decode_event,
+    decode_events,
+    decode_items,
+    decode_list,
+    decode_object,
+)
 from pollenwalk.process.store import ABSENT, WATCH_TIMEOUT_MS, Changes, StoredObject
 
 OBJECTS = '/v1/objects/'
@@ -28,47 +36,6 @@
 )
 
 
-class WireMetadata(TypedDict):
-    """The metadata of an object; the store sets the revision."""
-
-    name: str
-    revision: int
-
-
-class WireObject(TypedDict):
-    """An object; its `spec` stays encoded for the decoder of its kind."""
-
-    metadata: WireMetadata
-    spec: NotRequired[msgspec.Raw]
-
-
-class WireList(TypedDict):
-    """One page of a list; if `truncated` is set, more pages follow."""
-
-    items: list[msgspec.Raw]
-    truncated: NotRequired[bool]
-    store_revision: int
-
-
-class WireEvent(TypedDict):
-    """A change of an object; if `tombstone` is set, the object was deleted."""
-
-    object: NotRequired[msgspec.Raw]
-    tombstone: NotRequired[bool]
-
-
-class WireEvents(TypedDict):
-    """The answer to a watch: the changes after the watched revision."""
-
-    events: list[WireEvent]
-    store_revision: int
-
-
-OBJECT_DECODER = msgspec.json.Decoder(WireObject)
-LIST_DECODER = msgspec.json.Decoder(WireList)
-EVENTS_DECODER = msgspec.json.Decoder(WireEvents)
-
-
 class StoreAnswer(TypedDict):
     """The HTTP status and the body of the store's answer."""
 
@@ -179,16 +146,22 @@
 
         The revision is that of the first page, so that a watch from there
         misses no change that was made while the other pages were read.
+
+        Raises:
+            StoreUnavailable: a page can't be read, so that the next one can't be
+                asked for.
         """
         kind = prefix.rstrip('/')
         found: list[StoredObject] = []
         revision = 0
         path = quote(kind)
         while path:
-            page: WireList = decode_page(await self.request('GET', path))
-            found.extend(decode_items(prefix, page['items']))
+            answer = await self.request('GET', path)
+            page = decode_list(answer['body'])
+            objects = decode_items(prefix, page['items'])
+            found.extend(objects)
             revision = revision or page['store_revision']
-            path = next_page_path(kind, page, found)
+            path = next_page_path(kind, page, objects)
         return Changes(revision, found)
 
     async def watch(
@@ -217,10 +190,7 @@
             f'{kind}?watch={revision}&wait_ms={wait_ms}',
             timeout_s=wait_ms / MS_PER_SECOND + RESPONSE_TIMEOUT_S,
         )
-        try:
-            page: WireEvents = EVENTS_DECODER.decode(answer['body'])
-        except msgspec.DecodeError as error:
-            raise StoreUnavailable(f'watch of {kind}: {error}') from error
+        page = decode_events(kind, answer['body'])
         changed = [decode_event(prefix, event) for event in page['events']]
         return Changes(page['store_revision'], [stored for stored in changed if stored])
 
@@ -246,75 +216,21 @@
         raise StoreUnavailable(f'{method} {path}: status {status}')
 
 
-def decode_object(key: str, body: bytes) -> StoredObject:
-    """Decode the answer to a request for one object.
-
-    Raises:
-        StoreUnavailable: the answer is not an object.
-    """
-    try:
-        wire: WireObject = OBJECT_DECODER.decode(body)
-    except msgspec.DecodeError as error:
-        raise StoreUnavailable(f'{key}: {error}') from error
-    return to_stored_object(key, wire)
-
-
-def to_stored_object(key: str, wire: WireObject) -> StoredObject:
-    """Convert a decoded object; one without `spec` gets the body `null`."""
-    spec = wire.get('spec')
-    body = b'null' if spec is None else bytes(spec)
-    return StoredObject(key, body, wire['metadata']['revision'])
-
-
-def decode_page(answer: StoreAnswer) -> WireList:
-    """Decode one page of a list.
-
-    Raises:
-        StoreUnavailable: the answer is not a page.
-    """
-    try:
-        return LIST_DECODER.decode(answer['body'])
-    except msgspec.DecodeError as error:
-        raise StoreUnavailable(f'list: {error}') from error
-
-
-def next_page_path(kind: str, page: WireList, found: list[StoredObject]) -> str:
+def next_page_path(kind: str, page: WireList, objects: list[StoredObject]) -> str:
     """Return the path of the next page; empty after the last page.
 
     Args:
         kind: the kind of the listed objects.
         page: the page that was read last.
-        found: all objects that were read so far.
+        objects: the objects of that page whose metadata could be read.
+
+    Raises:
+        StoreUnavailable: more pages follow, but no entry of this one names the
+            place from which to go on.
     """
-    if not page.get('truncated') or not found:
+    if not page.get('truncated'):
         return ''
-    last = found[-1].key.partition('/')[2]
+    if not objects:
+        raise StoreUnavailable(f'no entry of a page of {kind} can be read')
+    last = objects[-1].key.partition('/')[2]
     return f'{quote(kind)}?after={quote(last)}'
-
-
-def decode_items(prefix: str, items: list[msgspec.Raw]) -> list[StoredObject]:
-    """Decode the objects of a page; those with unreadable metadata are left out."""
-    wires = (decode_metadata(raw) for raw in items)
-    return [
-        to_stored_object(f'{prefix}{wire["metadata"]["name"]}', wire)
-        for wire in wires
-        if wire
-    ]
-
-
-def decode_metadata(raw: msgspec.Raw) -> WireObject | None:
-    """Decode an object but not its `spec`; None if its metadata is unreadable."""
-    try:
-        return OBJECT_DECODER.decode(raw)
-    except msgspec.DecodeError:
-        return None
-
-
-def decode_event(prefix: str, event: WireEvent) -> StoredObject | None:
-    """Decode a change; None if it is unreadable. Deleted objects have no body."""
-    raw = event.get('object')
-    wire = None if raw is None else decode_metadata(raw)
-    if wire is None:
-        return None
-    stored = to_stored_object(f'{prefix}{wire["metadata"]["name"]}', wire)
-    return stored._replace(body=b'') if event.get('tombstone') else stored
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -232,6 +232,13 @@
         links = self.links.ordered()
         self.metrics.version.set({}, current.version if current else 0)
         self.metrics.hosts.set({}, len(self.host_table.states))
+        unreadable = {
+            'configuration': self.active_configuration.unreadable,
+            'hosts': self.host_table.unreadable,
+            'keepers': self.links.members.unreadable,
+        }
+        for what, objects in unreadable.items():
+            self.metrics.unreadable.set({'what': what}, objects.total)
         limits = self.host_table.limits
         self.metrics.limited_hosts.set({}, len(limits.limited()))
         self.metrics.limits_per_second.set({}, limits.total_per_second())
--- a/pollenwalk/process/gateway_metrics.py
+++ b/pollenwalk/process/gateway_metrics.py
@@ -35,6 +35,10 @@
             'gateway_store_losses_total',
             'Answers that the store did not give, by what was asked.',
         )
+        self.unreadable = self.gauge(
+            'gateway_unreadable_objects',
+            'Objects of the store that could not be decoded so far, by what they are.',
+        )
         self.request_seconds = self.histogram(
             'gateway_request_seconds',
             'Time of whole requests.',
--- a/pollenwalk/process/host_table.py
+++ b/pollenwalk/process/host_table.py
@@ -16,6 +16,7 @@
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.host_limits import HostLimits
 from pollenwalk.process.store import StoredObject
+from pollenwalk.process.unreadable_objects import UnreadableObjects
 
 # How long a host is kept whose registration may have lapsed. Live hosts have
 # registered again about 2 s after the store recovered.
@@ -172,6 +173,7 @@
         limits: the limits that hosts have named.
         removed_versions: for each upstream, the software versions of removed hosts
             and the time at which the last one of each was removed.
+        unreadable: the registrations that could not be decoded.
         loaded: whether the hosts have been read from the store.
         store_unavailable_since_ms: time of the first read without an answer;
             None while the store answers, directly or through a relay.
@@ -185,6 +187,7 @@
         self.states: dict[str, HostState] = {}
         self.limits = HostLimits(clock)
         self.removed_versions: dict[str, dict[str, float]] = {}
+        self.unreadable = UnreadableObjects()
         self.loaded = False
         self.store_unavailable_since_ms: float | None = None
         self.store_recovered_at_ms: float | None = None
@@ -193,13 +196,15 @@
         """Apply a changed or deleted registration; ignore an unreadable one."""
         name = stored.key.removeprefix(HOSTS_PREFIX)
         if not stored.body:
+            self.unreadable.remove(stored.key)
             self.deregister(name, stored.version)
             return
         try:
             registration = decode_host(stored.key, stored.body)
         except MalformedObject as error:
-            logger.warning('upstream_host_unreadable', host=name, reason=error.message)
+            self.unreadable.add(stored, error)
             return
+        self.unreadable.remove(stored.key)
         self.register(registration, stored.version)
 
     def register(self, registration: UpstreamHost, version: int) -> None:
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -196,6 +196,7 @@
         """Update the gauges."""
         self.metrics.turns.set({}, len(self.state.turns.records))
         self.metrics.turn_bytes.set({}, self.state.turns.size_bytes)
+        self.metrics.unreadable.set({}, self.links.members.unreadable.total)
         self.metrics.accounts.set({}, len(self.state.ledger.accounts))
         self.metrics.complete.set({}, int(self.state.complete))
         limits = self.permits.limits
@@ -345,6 +346,7 @@
             backoff = Backoff(self.clock)
             logger.info('registered', keeper=self.own_member.name)
             self.links.members.by_name[self.own_member.name] = self.own_member
+            self.links.members.unreadable.remove(self.own_member.key)
 
     def needs_registration(self) -> bool:
         """Return whether this keeper's object in the store must be written.
@@ -352,9 +354,12 @@
         A keeper that still fetches records is not listed, as it can't tell
         whether a record exists.
         """
-        listed = self.links.members.by_name.get(self.own_member.name)
+        members = self.links.members
+        name = self.own_member.name
+        is_listed = members.by_name.get(name) == self.own_member
         should_be_listed = self.state.complete and not self.retired
-        return should_be_listed and listed != self.own_member
+        overwritten = self.own_member.key in members.unreadable.versions
+        return should_be_listed and (overwritten or not is_listed)
 
     async def remove_member(self, member: Member) -> None:
         """Delete a keeper's object in the store; retry until the store answers."""
--- a/pollenwalk/process/keeper_members.py
+++ b/pollenwalk/process/keeper_members.py
@@ -1,11 +1,15 @@
 """The list of keepers in the store."""
 
-from typing import NamedTuple
+from typing import NamedTuple, NotRequired, TypedDict
 
 import msgspec
 from loguru import logger
 
+from pollenwalk.connection.addresses import has_valid_port
+from pollenwalk.errors import MalformedObject
+from pollenwalk.platform.documents import decode
 from pollenwalk.process.store import StoredObject
+from pollenwalk.process.unreadable_objects import UnreadableObjects
 
 KEEPERS_PREFIX = 'keepers/'
 
@@ -35,25 +39,54 @@
         return msgspec.json.encode(self._asdict())
 
 
+class MemberObject(TypedDict):
+    """The object of a keeper in the store; see `Member` for the fields."""
+
+    name: str
+    address: str
+    zone: str
+    retiring: NotRequired[bool]
+
+
+MEMBER_DECODER = msgspec.json.Decoder(MemberObject)
+
+
+def decode_member(key: str, body: bytes) -> Member:
+    """Decode the object of a keeper.
+
+    Raises:
+        MalformedObject: the body is not valid, or is that of another keeper.
+    """
+    fields: MemberObject = decode(MEMBER_DECODER, key, body)
+    member = Member(**fields)
+    if member.key != key or not has_valid_port(member.address):
+        raise MalformedObject(f'{key}: another name or a malformed address')
+    return member
+
+
 class Members:
     """The keepers that the store lists.
 
     Attributes:
         by_name: the keepers by their names.
+        unreadable: the objects that could not be decoded. A keeper that was listed
+            under the key of one before still is.
         loaded: whether the list has been read from the store.
     """
 
     def __init__(self) -> None:
         """Create an empty list that has not been read from the store."""
         self.by_name: dict[str, Member] = {}
+        self.unreadable = UnreadableObjects()
         self.loaded = False
 
     def apply_change(self, stored: StoredObject) -> None:
         """Apply a changed or deleted object of one keeper."""
         name = stored.key.removeprefix(KEEPERS_PREFIX)
         if stored.body:
-            self.add(name, stored.body)
+            self.add(name, stored)
         else:
+            self.unreadable.remove(stored.key)
             self.by_name.pop(name, None)
         logger.info(
             'keepers',
@@ -62,15 +95,14 @@
             revision=stored.version,
         )
 
-    def add(self, name: str, body: bytes) -> None:
+    def add(self, name: str, stored: StoredObject) -> None:
         """Add or replace a keeper; log and ignore an unreadable object."""
         try:
-            self.by_name[name] = msgspec.convert(
-                tuple(msgspec.json.decode(body).values()),
-                Member,
-            )
-        except (msgspec.DecodeError, msgspec.ValidationError, AttributeError) as error:
-            logger.error('keeper_unreadable', keeper=name, reason=str(error))
+            self.by_name[name] = decode_member(stored.key, stored.body)
+        except MalformedObject as error:
+            self.unreadable.add(stored, error)
+        else:
+            self.unreadable.remove(stored.key)
 
     def mark_loaded(self) -> None:
         """Record that the list has been read from the store."""
--- a/pollenwalk/process/keeper_metrics.py
+++ b/pollenwalk/process/keeper_metrics.py
@@ -13,6 +13,10 @@
             'keeper_messages_total',
             'Messages answered, by kind.',
         )
+        self.unreadable = self.gauge(
+            'keeper_unreadable_objects',
+            'Entries of the list of keepers that could not be decoded so far.',
+        )
         self.answer_seconds = self.histogram(
             'keeper_answer_seconds',
             'Time until an answer, syncs included, by kind.',
--- a/pollenwalk/process/prefix_watcher.py
+++ b/pollenwalk/process/prefix_watcher.py
@@ -10,6 +10,8 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+from loguru import logger
+
 from pollenwalk.errors import StoreHistoryGone, StoreUnavailable
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.store import (
@@ -97,10 +99,22 @@
     def notify(self, changed: list[StoredObject]) -> None:
         """Call the handlers for the objects that were read."""
         for stored in changed:
-            self.handlers.on_object(stored)
+            self.pass_on(stored)
         if self.handlers.on_read is not None:
             self.handlers.on_read()
 
+    def pass_on(self, stored: StoredObject) -> None:
+        """Call the handler for one object; log its failure."""
+        try:
+            self.handlers.on_object(stored)
+        except Exception as error:  # noqa: BLE001
+            # Anyone may write objects, and one must not hide the others.
+            logger.opt(exception=error).error(
+                'object_not_applied',
+                key=stored.key,
+                revision=stored.version,
+            )
+
     async def read_via_relay(self) -> None:
         """List the prefix through the relay, if there is one."""
         if self.handlers.relay is None:
--- a/pollenwalk/version/active_configuration.py
+++ b/pollenwalk/version/active_configuration.py
@@ -8,6 +8,7 @@
     decode_configuration,
 )
 from pollenwalk.process.store import StoredObject
+from pollenwalk.process.unreadable_objects import UnreadableObjects
 from pollenwalk.version.routes import RoutingConfiguration
 
 
@@ -16,11 +17,13 @@
 
     Attributes:
         current: the configuration in force; None until the first is read.
+        unreadable: the configurations that could not be decoded.
     """
 
     def __init__(self) -> None:
         """Start without a configuration."""
         self.current: RoutingConfiguration | None = None
+        self.unreadable = UnreadableObjects()
 
     def apply(self, stored: StoredObject) -> None:
         """Put a stored configuration in force if its version is newer.
@@ -33,8 +36,9 @@
         try:
             received = decode_configuration(stored.key, stored.body)
         except MalformedObject as error:
-            logger.error('configuration_unreadable', reason=error.message)
+            self.unreadable.add(stored, error)
             return
+        self.unreadable.remove(stored.key)
         previous_version = self.current.version if self.current else None
         is_newer = previous_version is None or received.version > previous_version
         if is_newer:
--- a/test/process/test_keepers.py
+++ b/test/process/test_keepers.py
@@ -311,6 +311,18 @@
         listed = {key.partition('/')[2] for key in cluster.store.objects}
         self.assertEqual({'a', 'b', 'c', 'd'}, listed)
 
+    @virtual
+    async def test_overwritten_keeper_registers_again(self) -> None:
+        cluster = KeeperCluster()
+        group = await cluster.start_three_with_group()
+        for odd in (b'[' * 100_000, b'{"name":"b","address":"b:99999","zone":"b"}'):
+            await cluster.store.put('keepers/b', odd, None)
+            await cluster.wait(1000)
+            self.assertEqual(
+                cluster.keepers['b'].own_member, group.links.members.by_name['b']
+            )
+            self.assertNotEqual(odd, cluster.store.objects['keepers/b'].body)
+
     @virtual
     async def test_retired_keeper_is_not_needed(self) -> None:
         cluster = KeeperCluster()
