Refuse requests that come too late in a planned stop

On a body that was still being read the connection was closed without an answer.

Cause: after the signal a gateway was not ready and told callers to close, but nothing looked at the time that was left when a request came over a connection that had been idle, or as the body of an earlier one ended.

Now a request is taken only if it may end in time: its deadline or five times its route's average time, with the present wait at the hosts, must lie before the end (policy/drain_admission.py). Otherwise it is refused at once as not run, with the connection closed and a Retry-After at which another gateway takes it. A body that is still being read at the end gets the same answer.

Ruled out: refusing everything from some moment on. Callers whose requests are short would be turned away for seconds without need.

--- a/pollenwalk/connection/gateway_app.py
+++ b/pollenwalk/connection/gateway_app.py
@@ -167,7 +167,7 @@
         arrived_ms = self.clock.now_ms()
         reply = AsgiReply(send, self.must_close)
         try:
-            body = await read_body(receive, self.max_body_bytes())
+            body = await self.read_body_until_stop(receive)
         except Refusal as refusal:
             self.count_refusal(refusal)
             await refuse(read_request(scope, b'', arrived_ms), refusal, reply)
@@ -177,6 +177,20 @@
         request = read_request(scope, body, arrived_ms)
         await self.answer_while_connected(request, receive, reply)
 
+    async def read_body_until_stop(self, receive: Receive) -> bytes | None:
+        """Read the body of a request; None if the caller disconnected.
+
+        Raises:
+            Refusal: the body is too long, or the server ends before its end.
+        """
+        try:
+            return await read_body(receive, self.max_body_bytes())
+        except asyncio.CancelledError as error:
+            raise Refusal(
+                RefusalCode.STOPPING,
+                'the gateway stopped before the request was complete',
+            ) from error
+
     async def answer_while_connected(
         self, request: Request, receive: Receive, reply: AsgiReply
     ) -> None:
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -11,8 +11,10 @@
 from pollenwalk.connection.connection_pool import ConnectionPool
 from pollenwalk.errors import Outcome, Refusal, RefusalCode, StoreUnavailable
 from pollenwalk.platform.documents import CONFIGURATION_PREFIX, HOSTS_PREFIX
-from pollenwalk.policy.host_choice import EarliestFinish
+from pollenwalk.policy.drain_admission import may_finish
+from pollenwalk.policy.host_choice import CallCost, EarliestFinish
 from pollenwalk.policy.own_load import OwnLoad
+from pollenwalk.policy.program_admission import draw_elsewhere_retry_ms
 from pollenwalk.process.call_placer import CallPlacer
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.gateway_metrics import GatewayMetrics
@@ -85,7 +87,12 @@
 
 
 class Gateway:
-    """One gateway process."""
+    """One gateway process.
+
+    Attributes:
+        stop_at_ms: when requests in progress are cut, once the gateway was told to
+            stop; None before that.
+    """
 
     def __init__(
         self,
@@ -103,7 +110,7 @@
         self.active_configuration = ActiveConfiguration()
         self.host_table = HostTable(clock)
         self.pool = ConnectionPool(clock)
-        self.stopping = False
+        self.stop_at_ms: float | None = None
         self.own_load = OwnLoad()
         call_placer = CallPlacer(
             clock,
@@ -148,7 +155,7 @@
         loaded = loaded and self.links.members.loaded
         majority_ok = self.links.without_majority_ms < MAX_WITHOUT_MAJORITY_MS
         has_room = self.own_load.accepts_callers(self.clock.now_ms())
-        return loaded and majority_ok and has_room and not self.stopping
+        return loaded and majority_ok and has_room and self.stop_at_ms is None
 
     def sends_callers_away(self) -> bool:
         """Return whether callers should open their next connection elsewhere."""
@@ -262,6 +269,7 @@
         call = self.prepare_call(request)
         outcome = 'refused'
         try:
+            self.check_can_finish(call)
             await self.run_until_deadline(call, reply)
             outcome = 'answered'
         except asyncio.CancelledError as error:
@@ -279,6 +287,34 @@
                 took_ms=round(took_ms),
             )
 
+    def check_can_finish(self, call: Call) -> None:
+        """Refuse a call that may not end before this gateway stops.
+
+        Raises:
+            Refusal: the gateway stops too soon; the call has not run.
+        """
+        if self.stop_at_ms is None:
+            return
+        now_ms = self.clock.now_ms()
+        placer = self.forwarding_context.call_placer
+        cost = CallCost(placer.expected_run_ms(call))
+        expected_ms = cost.run_ms + placer.min_wait_ms(call, cost)
+        left_ms = self.stop_at_ms - now_ms
+        if may_finish(call.remaining_ms(now_ms), expected_ms, left_ms):
+            return
+        logger.info(
+            'too_late',
+            request=call.id,
+            route=call.route.name,
+            left_ms=round(left_ms),
+            expected_ms=round(expected_ms),
+        )
+        raise Refusal(
+            RefusalCode.STOPPING,
+            'this gateway stops before the call may have ended',
+            retry_after_ms=round(draw_elsewhere_retry_ms(self.forwarding_context.rng)),
+        )
+
     async def run_until_deadline(self, call: Call, reply: Reply) -> None:
         """Run a call until its deadline.
 
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -156,18 +156,19 @@
     async def drain(self, grace_ms: float) -> None:
         """Finish the requests in progress within the grace period, then stop.
 
-        Requests are still accepted at first, as the load balancer needs time to
-        notice that the gateway is not ready. Answers that begin from now on tell
-        the caller to close the connection.
+        Requests are still accepted if they can be expected to end in time, as the
+        load balancer needs time to notice that the gateway is not ready and callers
+        still have connections. Answers that begin from now on tell the caller to
+        close the connection.
 
         Args:
             grace_ms: time from the signal until the process must have stopped.
         """
         started_ms = self.clock.now_ms()
         logger.info('stopping', in_progress=self.app.in_progress)
-        self.gateway.stopping = True
-        self.app.close_connections = True
         deadline_at_ms = started_ms + max(grace_ms - CLOSE_RESERVE_MS, 0)
+        self.gateway.stop_at_ms = deadline_at_ms
+        self.app.close_connections = True
         await self.clock.sleep_ms(min(BALANCER_REMOVAL_MS, deadline_at_ms - started_ms))
         while self.app.in_progress and self.clock.now_ms() < deadline_at_ms:
             await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
--- a/test/process/test_gateway_daemon.py
+++ b/test/process/test_gateway_daemon.py
@@ -1,7 +1,9 @@
 """Tests of a gateway's planned stop, over loopback."""
 
 import asyncio
+import json
 from pathlib import Path
+from typing import NamedTuple
 
 import testtools
 
@@ -12,8 +14,18 @@
     GatewayProcess,
 )
 from pollenwalk.process.settings import Settings
+from pollenwalk.process.store import StoredObject
 from pollenwalk.request.http_messages import Request
 from pollenwalk.request.reply import Reply
+from standin.platform.host import (
+    Line,
+    Received,
+    ScriptedHost,
+    answer,
+    chunk,
+    event,
+    stream_head,
+)
 from test.connection.test_gateway_app import REQUEST, exchange
 from test.helper import on_loop
 
@@ -81,3 +93,171 @@
         await process.drain(BALANCER_REMOVAL_MS + LEFT_MS + CLOSE_RESERVE_MS)
         answered = await closing.answers
         self.assertTrue(answered.endswith(b'whole'), answered)
+
+
+ROUTE = {
+    'host': 'h',
+    'timeout_ms': 6000,
+    'target_latency_ms': 300,
+    'service': 'up',
+    'max_attempts': 1,
+}
+CONFIGURATION = {
+    'version': 1,
+    'routes': [
+        {**ROUTE, 'name': 'once', 'path_prefix': '/once/', 'kind': 'unsafe'},
+        {**ROUTE, 'name': 'again', 'path_prefix': '/again/', 'kind': 'safe'},
+        {**ROUTE, 'name': 'stream', 'path_prefix': '/stream/', 'kind': 'streaming'},
+    ],
+    'services': [{'name': 'up', 'max_conns': 100}],
+    'limits': {'max_body_bytes': 1000},
+}
+# More than there are requests at once, so that none waits.
+SLOTS = 100
+# How long the host works on each request, and the grace period of the stops.
+WORK_S = 0.9
+GRACE_MS = BALANCER_REMOVAL_MS + CLOSE_RESERVE_MS + 1500.0
+
+
+async def work(line: Line, request: Received) -> None:
+    """Answer after WORK_S, a stream with its first event at once."""
+    if request.target.startswith('/stream/'):
+        line.say(stream_head(request) + chunk(event(1)))
+        await asyncio.sleep(WORK_S)
+        line.say(chunk(event(2)) + chunk(b''))
+        return
+    await asyncio.sleep(WORK_S)
+    line.say(answer(request))
+
+
+class CallerAnswer(NamedTuple):
+    """What a caller received.
+
+    Attributes:
+        sent_ms: when the request was sent, after the stop signal.
+        raw: all bytes until the gateway closed the connection.
+    """
+
+    sent_ms: float
+    raw: bytes
+
+    @property
+    def refused(self) -> bool:
+        """Return whether the caller was told that the request has not run."""
+        return self.raw.startswith(b'HTTP/1.1 503 ')
+
+    @property
+    def whole(self) -> bool:
+        """Return whether the caller received the host's whole answer."""
+        ended = self.raw.endswith((b'\r\n\r\nhello', b'0\r\n\r\n'))
+        return self.raw.startswith(b'HTTP/1.1 200 ') and ended
+
+
+class PlannedStop:
+    """A gateway process with one host that is stopped while callers send.
+
+    Attributes:
+        answers: what callers received, each a future until then.
+    """
+
+    def __init__(self) -> None:
+        """Create the process; nothing runs yet."""
+        self.port = free_port()
+        self.process = make_process(self.port)
+        self.host = ScriptedHost('host', work)
+        self.answers: list[asyncio.Task[CallerAnswer]] = []
+        self.began_ms = 0.0
+
+    async def start(self) -> None:
+        """Start the host and the servers, and measure one call of each route."""
+        gateway = self.process.gateway
+        body = json.dumps(CONFIGURATION).encode()
+        gateway.active_configuration.apply(StoredObject('config/main', body, 1))
+        listed = await self.host.start()
+        gateway.host_table.register(listed._replace(slots=SLOTS), 1)
+        await self.process.caller_server.start()
+        paths = ('/once/0', '/again/0', '/stream/0')
+        await asyncio.gather(*(self.exchange(path) for path in paths))
+
+    async def exchange(self, path: str, pause_s: float = 0) -> CallerAnswer:
+        """Send a request, its body after a pause, and read until the end."""
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        sent_ms = self.process.clock.now_ms() - self.began_ms
+        head = (
+            f'POST {path} HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n'
+            f'X-Pollenwalk-Request-Id: {path}\r\nConnection: close\r\n\r\n'
+        )
+        writer.write(head.encode())
+        await asyncio.sleep(pause_s)
+        writer.write(b'{}')
+        raw = await reader.read()
+        writer.close()
+        return CallerAnswer(sent_ms, raw)
+
+    def send_at(self, delay_ms: float, path: str, pause_s: float = 0) -> None:
+        """Send a request some time after the signal."""
+
+        async def later() -> CallerAnswer:  # noqa: WPS430
+            await asyncio.sleep(delay_ms / 1000)
+            return await self.exchange(path, pause_s)
+
+        self.answers.append(asyncio.ensure_future(later()))
+
+    async def stop(self) -> list[CallerAnswer]:
+        """Stop the gateway as SIGTERM does; return what callers received."""
+        self.began_ms = self.process.clock.now_ms()
+        await self.process.drain(GRACE_MS)
+        received = await asyncio.gather(*self.answers, return_exceptions=True)
+        self.host.stop()
+        return [one for one in received if isinstance(one, CallerAnswer)]
+
+
+class LateRequestTest(testtools.TestCase):
+    """Requests that come late in the grace period of a planned stop."""
+
+    @on_loop
+    async def test_late_request_is_not_cut(self) -> None:
+        stop = PlannedStop()
+        await stop.start()
+        last_ms = int(GRACE_MS - CLOSE_RESERVE_MS)
+        for kind in ('once', 'again', 'stream'):
+            for sent_ms in range(0, last_ms, 150):
+                stop.send_at(sent_ms, f'/{kind}/{sent_ms}')
+        received = await stop.stop()
+        cut = [one for one in received if not (one.whole or one.refused)]
+        self.assertEqual([], [one for one in cut if one.raw])
+        reached = stop.host.received
+        self.assertTrue(len(reached) > 20)
+        self.assertTrue(any(one.refused for one in received))
+        refused = {one for one in received if one.refused}
+        for one in refused:
+            self.assertIn(b'connection: close', one.raw.lower())
+            self.assertIn(b'retry-after: ', one.raw.lower())
+        # Whatever reached the host was answered whole.
+        self.assertEqual(len(reached), 3 + sum(one.whole for one in received))
+
+    @on_loop
+    async def test_early_requests_are_served(self) -> None:
+        stop = PlannedStop()
+        await stop.start()
+        for kind in ('once', 'again', 'stream'):
+            for sent_ms in (0, 400):
+                stop.send_at(sent_ms, f'/{kind}/{sent_ms}')
+        received = await stop.stop()
+        self.assertEqual([], [one.raw for one in received if not one.whole])
+
+    @on_loop
+    async def test_slow_body_that_ends_late_is_refused(self) -> None:
+        stop = PlannedStop()
+        await stop.start()
+        pause_s = (GRACE_MS - CLOSE_RESERVE_MS) / 1000 - 0.3
+        stop.send_at(0, '/once/slow', pause_s)
+        never = asyncio.ensure_future(stop.exchange('/once/never', 7))
+        stop.send_at(0, '/again/1')
+        slow, again = await stop.stop()
+        self.assertTrue(slow.refused)
+        self.assertTrue(again.whole)
+        self.assertTrue((await never).refused)
+        targets = {request.target for request in stop.host.received}
+        self.assertNotIn('/once/slow', targets)
+        self.assertNotIn('/once/never', targets)
