--- a/pollenwalk/platform/json_parts.py
+++ b/pollenwalk/platform/json_parts.py
@@ -18,17 +18,25 @@
 def split_parts(text: bytes) -> Iterator[bytes]:
     """Yield the elements of an array, or the members of an object, as raw text.
 
+    Nothing is yielded for a text that has been cut off: its last part may be missing.
+
     Args:
         text: JSON text of an array or an object.
     """
     bounds = list(part_bounds(text))
-    spans = zip(bounds, bounds[1:], strict=False)
-    parts = (text[start + 1 : end].strip() for start, end in spans)
-    return (part for part in parts if part)
+    if not bounds or text[bounds[-1] :].strip() not in CLOSING:
+        return
+    for start, end in zip(bounds, bounds[1:], strict=False):
+        part = text[start + 1 : end].strip()
+        if part:
+            yield part
 
 
 def part_bounds(text: bytes) -> Iterator[int]:
-    """Yield the positions of the outermost brackets and of the commas between parts."""
+    """Yield the positions of the outermost brackets and of the commas between parts.
+
+    The last one is that of the outermost closing bracket, if there is one.
+    """
     depth = 0
     for token in TOKEN.finditer(text):
         mark = token.group()
--- a/test/platform/test_odd_entries.py
+++ b/test/platform/test_odd_entries.py
@@ -21,6 +21,7 @@
     decode_host,
     decode_retirement,
 )
+from pollenwalk.platform.json_parts import split_elements, split_members
 from pollenwalk.platform.objects import PlatformStore
 from pollenwalk.process.clock import LoopClock
 from pollenwalk.process.gateway import Gateway, GatewaySettings
@@ -288,3 +289,20 @@
         await store.close()
         memory.closing = True
         await server.stop()
+
+
+class JsonPartsTest(testtools.TestCase):
+    """Splitting of JSON text that can't be decoded as a whole."""
+
+    def test_parts(self) -> None:
+        text = rb' {"a": [1, {"b": "]},"}], "c\"": NaN, "d":{} } '
+        expected = {b'a': b'[1, {"b": "]},"}]', rb'c\"': b'NaN', b'd': b'{}'}
+        self.assertEqual(expected, split_members(text))
+        self.assertEqual([b'1', b'{"b": "]},"}'], split_elements(expected[b'a']))
+        self.assertEqual([], split_elements(b'[]'))
+
+    def test_cut_text_has_no_parts(self) -> None:
+        text = b'{"a": [1, 2], "b": {"c": "x"}}'
+        beginnings = (text[:length] for length, _ in enumerate(text))
+        for cut in (*beginnings, b'%b{}' % text):
+            self.assertEqual({}, split_members(cut), cut)
