Follow the store through the first keeper of the region

Now the first keeper by name of each region that answers watches what is asked for and passes changes on over connections that exist. It says until when it knows all changes; an answer that is too old, or a listing older than what is known, is not taken. If it does not answer, can't reach the store or lags, the next keeper is asked, then the store, as before. It tells when the store has failed, since deletions are then doubtful. Keepers follow their list and the requests to retire in the same way.

Ruled out: longer watches (a stalled one would be noticed later than a change must be in force), and reads that may be stale (they bind nothing).

--- a/pollenwalk/connection/wire.py
+++ b/pollenwalk/connection/wire.py
@@ -21,6 +21,12 @@
     RequestPermit,
     TellLimits,
 )
+from pollenwalk.connection.store_messages import (
+    FollowedPrefix,
+    FollowPrefix,
+    Listing,
+    ReadPrefix,
+)
 from pollenwalk.errors import Outcome, Refusal, RefusalBody, RefusalCode
 from pollenwalk.program.streams import (
     FindStreamOrigin,
@@ -31,11 +37,9 @@
     Chain,
     FindChain,
     FindMissing,
-    Listing,
     Missing,
     PullRecords,
     PushRecords,
-    ReadPrefix,
     RecordBatch,
     ReserveTokens,
     Settlements,
@@ -473,6 +477,8 @@
     PullRecords,
     PushRecords,
     ReadPrefix,
+    FollowPrefix,
+    FollowedPrefix,
     RecordBatch,
     StreamOrigin,
     FindStreamOrigin,
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -19,6 +19,7 @@
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.host_table import HostTable
+from pollenwalk.process.keeper_feed import KeeperFeed
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_links import KeeperLinks
 from pollenwalk.process.keeper_members import KEEPERS_PREFIX
@@ -135,6 +136,9 @@
             self.tasks,
             settings.tolerated_losses,
         )
+        self.feed = KeeperFeed(
+            store, self.links, clock, self.host_table.record_store_failure
+        )
         self.permits = PermitClient(self.keepers, self.host_table, self.metrics)
         self.forwarding_context = ForwardingContext(
             clock,
@@ -208,7 +212,7 @@
             wait_ms: longest duration of one watch.
         """
         watcher = PrefixWatcher(
-            self.store,
+            self.feed,
             self.clock,
             prefix,
             handlers,
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -21,6 +21,10 @@
     TellLimits,
 )
 from pollenwalk.connection.peer import PeerServer
+from pollenwalk.connection.store_messages import (
+    FollowPrefix,
+    ReadPrefix,
+)
 from pollenwalk.connection.wire import Done, Hello
 from pollenwalk.errors import (
     PollenwalkError,
@@ -29,6 +33,7 @@
     StoreUnavailable,
 )
 from pollenwalk.process.clock import MS_PER_SECOND, Clock
+from pollenwalk.process.keeper_feed import KeeperFeed
 from pollenwalk.process.keeper_links import KeeperLinks
 from pollenwalk.process.keeper_members import KEEPERS_PREFIX, Member
 from pollenwalk.process.keeper_metrics import KeeperMetrics
@@ -39,6 +44,7 @@
 )
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
 from pollenwalk.process.store import Backoff, ObjectStore
+from pollenwalk.process.store_mirror import StoreMirrors
 from pollenwalk.process.stream_origins import StreamOrigins
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.program.streams import (
@@ -49,12 +55,9 @@
 from pollenwalk.program.turns import (
     FindChain,
     FindMissing,
-    ListedObject,
-    Listing,
     Missing,
     PullRecords,
     PushRecords,
-    ReadPrefix,
     RecordBatch,
     ReserveTokens,
     Settlements,
@@ -67,7 +70,11 @@
 MAX_BATCH_RECORDS = 64
 REGISTRATION_CHECK_INTERVAL_MS = 100.0
 EXPIRE_INTERVAL_MS = 5000.0
+# Longest duration of a watch. A keeper is given at least several seconds to retire, and
+# a stalled watch must end well before.
+WATCH_WAIT_MS = 2500
 LimitMessage = RequestPermit | TellLimits | ExchangeLimits | BorrowShares
+MemoryMessage = LimitMessage | StreamOrigin | FindStreamOrigin
 
 
 class KeeperSettings(NamedTuple):
@@ -97,12 +104,13 @@
 
     Attributes:
         own_member: this keeper's object in the store, as it should be.
+        mirrors: the parts of the store that this keeper follows for others.
+        feed: follows the store through the first keeper of the region.
         stream_origins: where the latest streams began, in memory only.
         permits: gives permits for hosts with a limit, in memory only.
         was_member: whether the store listed this keeper when it started.
         retired: whether all records have been copied to other keepers, so that
             this one must not be listed.
-        store_unavailable: whether the last read of the list of keepers failed.
         log_writer: the task that writes the record log.
     """
 
@@ -129,6 +137,10 @@
             settings.zone,
             settings.regions,
         )
+        self.mirrors = StoreMirrors(store, clock, self.tasks)
+        self.feed = KeeperFeed(
+            store, self.links, clock, do_nothing, self.mirrors, settings.name
+        )
         self.stream_origins = StreamOrigins(clock)
         self.permits = PermitAllocator(
             clock, settings.name, self.links.members, settings.regions
@@ -137,7 +149,6 @@
         self.own_member = Member(settings.name, settings.address, settings.zone)
         self.was_member = False
         self.retired = False
-        self.store_unavailable = False
         self.listener: Listener | None = None
         self.log_writer: asyncio.Task[None] | None = None
 
@@ -154,7 +165,9 @@
             self.on_keepers_read,
             self.on_store_unavailable,
         )
-        watcher = PrefixWatcher(self.store, self.clock, KEEPERS_PREFIX, handlers)
+        watcher = PrefixWatcher(
+            self.feed, self.clock, KEEPERS_PREFIX, handlers, WATCH_WAIT_MS
+        )
         self.tasks.spawn(watcher.run(), 'follow_keepers')
         self.tasks.spawn(self.keep_registered(), 'register')
         self.tasks.spawn(self.expire(), 'expire')
@@ -227,16 +240,14 @@
         if isinstance(message, FindMissing):
             turns = self.state.turns.records
             return Missing([turn for turn in message.turns if turn not in turns])
-        if isinstance(message, ReadPrefix):
-            return await self.read_prefix(message.prefix)
-        if isinstance(message, StreamOrigin | FindStreamOrigin | LimitMessage):
+        if isinstance(message, FollowPrefix | ReadPrefix):
+            return await self.mirrors.answer(message)
+        if isinstance(message, MemoryMessage):
             return self.answer_from_memory(message)
         await self.store_records(message)
         return Stored(self.state.complete)
 
-    def answer_from_memory(
-        self, message: StreamOrigin | FindStreamOrigin | LimitMessage
-    ) -> Any:
+    def answer_from_memory(self, message: MemoryMessage) -> Any:
         """Return the answer to a message about what is not on disk."""
         if isinstance(message, LimitMessage):
             return self.answer_about_limits(message)
@@ -295,27 +306,9 @@
         else:
             raise Refusal(RefusalCode.PROTOCOL, 'not a message for a keeper')
 
-    async def read_prefix(self, prefix: str) -> Listing:
-        """List a prefix of the store for a process that can't reach the store.
-
-        Raises:
-            Refusal: this keeper can't reach the store either.
-        """
-        if self.store_unavailable:
-            raise Refusal(
-                RefusalCode.STORE_UNAVAILABLE,
-                'this keeper cannot reach the store either',
-            )
-        try:
-            changes = await self.store.scan(prefix)
-        except StoreUnavailable as error:
-            raise Refusal(RefusalCode.STORE_UNAVAILABLE, error.message) from error
-        objects = [ListedObject(*stored) for stored in changes.objects]
-        return Listing(changes.revision, objects)
-
     def on_store_unavailable(self, error: StoreUnavailable) -> None:
         """Record that the store did not answer."""
-        self.store_unavailable = True
+        self.mirrors.store_unavailable = True
         log_store_unavailable(error)
 
     def on_keepers_read(self) -> None:
@@ -323,7 +316,7 @@
 
         After the first read, also record whether this keeper was listed.
         """
-        self.store_unavailable = False
+        self.mirrors.store_unavailable = False
         if not self.links.members.loaded:
             self.links.members.mark_loaded()
             self.was_member = self.settings.name in self.links.members.by_name
@@ -383,10 +376,15 @@
         """Remove expired records from memory and compact the log at regular intervals."""
         while True:
             await self.clock.sleep_ms(EXPIRE_INTERVAL_MS)
+            self.mirrors.stop_unused()
             self.state.expire()
             await self.state.compact()
 
 
+def do_nothing() -> None:
+    """Ignore that the store has failed, as a keeper removes no entry for it."""
+
+
 def batched(records: Iterable[bytes]) -> Iterator[list[bytes]]:
     """Yield records in batches, at least one, of which the last may be empty."""
     batch: list[bytes] = []
--- /dev/null
+++ b/pollenwalk/process/keeper_feed.py
@@ -0,0 +1,190 @@
+"""Follows parts of the store through a keeper instead of calling the store.
+
+All processes of a region ask the same keeper, the first by name that answers. If it
+does not answer, can't reach the store or is behind, the next one is asked, then the
+store itself. So while keepers fail, a process follows the store as if there were none.
+"""
+
+from collections.abc import Awaitable, Callable
+
+from loguru import logger
+
+from pollenwalk.connection.store_messages import FollowedPrefix, FollowPrefix
+from pollenwalk.errors import PollenwalkError, StoreHistoryGone
+from pollenwalk.process.clock import Clock
+from pollenwalk.process.keeper_links import KeeperLink, KeeperLinks
+from pollenwalk.process.store import (
+    WATCH_TIMEOUT_MS,
+    Changes,
+    FollowedStore,
+    StoredObject,
+)
+from pollenwalk.process.store_mirror import StoreMirrors
+
+# Keepers that are asked before the store is.
+MAX_KEEPERS_ASKED = 2
+# Longest duration of one question: a keeper that dies without a word is noticed then.
+MAX_WAIT_MS = 1500
+# Time for the way to a keeper and back, besides the time for which it may wait.
+TRANSIT_MS = 700.0
+# A keeper's watch may be as long as the question. What it knows may then be as old as
+# two watches in a row and the way to the store.
+MAX_AGE_WAITS = 2
+MAX_AGE_SLACK_MS = 300.0
+
+
+class KeeperFeed:
+    """Implements `FollowedStore` through keepers, with the store as the last resort.
+
+    Attributes:
+        on_trouble: called when a keeper tells that the store has failed to answer it.
+        mirrors: this process's own copies, if it is a keeper itself.
+        own_name: name of this process, if it is a keeper.
+        confirmed_at_ms: for each prefix, the time until which all changes are known.
+        trouble_at_ms: time of the latest failure of the store that was told of.
+        sources: for each prefix, who answered last, for the log.
+    """
+
+    def __init__(
+        self,
+        store: FollowedStore,
+        links: KeeperLinks,
+        clock: Clock,
+        on_trouble: Callable[[], None],
+        mirrors: StoreMirrors | None = None,
+        own_name: str = '',
+    ) -> None:
+        """Create a feed that has asked nobody yet."""
+        self.store = store
+        self.links = links
+        self.clock = clock
+        self.on_trouble = on_trouble
+        self.mirrors = mirrors
+        self.own_name = own_name
+        self.confirmed_at_ms: dict[str, float] = {}
+        self.trouble_at_ms = 0.0
+        self.sources: dict[str, str] = {}
+
+    async def scan(self, prefix: str) -> Changes:
+        """Return all objects below a prefix, as a keeper or the store knows them.
+
+        Raises:
+            StoreUnavailable: neither answered.
+        """
+        answer = await self.ask_keepers(FollowPrefix(prefix, None, MAX_WAIT_MS))
+        if answer is None:
+            return await self.call_store(prefix, self.store.scan(prefix))
+        return to_changes(answer)
+
+    async def watch(
+        self,
+        prefix: str,
+        revision: int,
+        wait_ms: int = WATCH_TIMEOUT_MS,
+    ) -> Changes:
+        """Wait for changes below a prefix after a revision.
+
+        Raises:
+            StoreHistoryGone: the changes since then are not known any more.
+            StoreUnavailable: neither a keeper nor the store answered.
+        """
+        question = FollowPrefix(prefix, revision, min(wait_ms, MAX_WAIT_MS))
+        answer = await self.ask_keepers(question)
+        if answer is None:
+            watching = self.store.watch(prefix, revision, wait_ms)
+            return await self.call_store(prefix, watching)
+        if answer.history_gone:
+            raise StoreHistoryGone(f'{prefix} before {answer.revision}')
+        return to_changes(answer)
+
+    async def call_store(self, prefix: str, call: Awaitable[Changes]) -> Changes:
+        """Make a call of the store, and note until when all changes are known.
+
+        Raises:
+            StoreUnavailable: the store did not answer.
+        """
+        began_ms = self.clock.now_ms()
+        changes = await call
+        self.confirm(prefix, began_ms, 'store')
+        return changes
+
+    def confirm(self, prefix: str, at_ms: float, source: str) -> None:
+        """Note until when all changes are known; log a change of the source."""
+        self.confirmed_at_ms[prefix] = max(self.confirmed_at_ms.get(prefix, 0), at_ms)
+        if self.sources.get(prefix) != source:
+            self.sources[prefix] = source
+            logger.info('store_followed_by', prefix=prefix, source=source)
+
+    async def ask_keepers(self, question: FollowPrefix) -> FollowedPrefix | None:
+        """Ask some keepers, one after the other, until one knows enough.
+
+        Returns:
+            The first answer that is recent enough; None if there is none.
+        """
+        for link in self.links.of_region()[:MAX_KEEPERS_ASKED]:
+            if link.lost_since_ms is not None:
+                return None
+            asked_at_ms = self.clock.now_ms()
+            answer = await self.ask(link, question)
+            if answer is not None and self.accepts(question, answer, asked_at_ms, link):
+                return answer
+        return None
+
+    async def ask(
+        self, link: KeeperLink, question: FollowPrefix
+    ) -> FollowedPrefix | None:
+        """Ask one keeper, or this process itself; None if it has no answer."""
+        try:
+            if self.mirrors is not None and link.member.name == self.own_name:
+                return await self.mirrors.follow(question)
+            return await self.links.request(
+                link, question, question.wait_ms + TRANSIT_MS
+            )
+        except PollenwalkError as error:
+            logger.debug('feed_failed', keeper=link.member.name, reason=error.message)
+            return None
+
+    def accepts(
+        self,
+        question: FollowPrefix,
+        answer: FollowedPrefix,
+        asked_at_ms: float,
+        link: KeeperLink,
+    ) -> bool:
+        """Return whether an answer is recent enough; note what it says of the store.
+
+        An answer with all objects replaces what is known, so it must not be older.
+        """
+        now_ms = self.clock.now_ms()
+        transit_ms = max(now_ms - asked_at_ms - answer.held_ms, 0)
+        age_ms = answer.age_ms + transit_ms
+        max_age_ms = question.wait_ms * MAX_AGE_WAITS + MAX_AGE_SLACK_MS
+        known_until_ms = self.confirmed_at_ms.get(question.prefix, 0)
+        lags = question.revision is None and now_ms - age_ms < known_until_ms
+        if age_ms > max_age_ms or lags:
+            logger.info(
+                'feed_behind',
+                keeper=link.member.name,
+                prefix=question.prefix,
+                age_ms=round(age_ms),
+            )
+            return False
+        self.note_trouble(answer, now_ms - transit_ms)
+        self.confirm(question.prefix, now_ms - age_ms, link.member.name)
+        return True
+
+    def note_trouble(self, answer: FollowedPrefix, answered_at_ms: float) -> None:
+        """Pass on that the store has failed since the last answer, if it has."""
+        if answer.failure_age_ms is None:
+            return
+        failed_at_ms = answered_at_ms - answer.failure_age_ms
+        # The same failure gives nearly the same time in each answer.
+        if failed_at_ms > self.trouble_at_ms + TRANSIT_MS:
+            self.trouble_at_ms = failed_at_ms
+            self.on_trouble()
+
+
+def to_changes(answer: FollowedPrefix) -> Changes:
+    """Return the objects of an answer as those of the store."""
+    objects = [StoredObject(*listed) for listed in answer.objects]
+    return Changes(answer.revision, objects)
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -12,6 +12,7 @@
 
 from loguru import logger
 
+from pollenwalk.connection.store_messages import Listing, ReadPrefix
 from pollenwalk.errors import PollenwalkError, Refusal, RefusalCode
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.keeper_links import KeeperLink, KeeperLinks
@@ -23,8 +24,6 @@
 from pollenwalk.program.turns import (
     Chain,
     FindChain,
-    Listing,
-    ReadPrefix,
     Settlements,
     SettleTokens,
     TurnRecord,
--- a/pollenwalk/process/keeper_links.py
+++ b/pollenwalk/process/keeper_links.py
@@ -83,6 +83,20 @@
             ),
         )
 
+    def of_region(self) -> list[KeeperLink]:
+        """Return all connections in an order that is the same in the whole region.
+
+        Answering keepers come first, those of this region before others.
+        """
+        return sorted(
+            self.ordered(),
+            key=lambda link: (
+                link.lost_since_ms is not None,
+                link.distance == OTHER_REGION,
+                link.member.name,
+            ),
+        )
+
     def link(self, member: Member) -> KeeperLink:
         """Return the connection to a keeper; a new one if its address has changed."""
         link = self.by_name.get(member.name)
@@ -125,9 +139,19 @@
         since_ms = max(self.lost_times_ms(), default=self.clock.now_ms())
         return self.clock.now_ms() - since_ms
 
-    async def request(self, link: KeeperLink, message: Any) -> Any:
+    async def request(
+        self,
+        link: KeeperLink,
+        message: Any,
+        timeout_ms: float = REQUEST_TIMEOUT_MS,
+    ) -> Any:
         """Send a message to one keeper and return its answer.
 
+        Args:
+            link: the connection to the keeper.
+            message: the message.
+            timeout_ms: time after which the keeper is regarded as lost.
+
         Raises:
             ConnectionLost: the keeper is lost, or did not answer in time.
             PollenwalkError: the keeper refused.
@@ -137,7 +161,7 @@
                 f'keeper {link.member.name} has not answered and is being probed'
             )
         try:
-            return await link.peer.request(message, REQUEST_TIMEOUT_MS)
+            return await link.peer.request(message, timeout_ms)
         except ConnectionLost as error:
             self.mark_lost(link, error)
             raise
--- a/pollenwalk/process/prefix_watcher.py
+++ b/pollenwalk/process/prefix_watcher.py
@@ -18,7 +18,7 @@
     WATCH_TIMEOUT_MS,
     Backoff,
     Changes,
-    ObjectStore,
+    FollowedStore,
     StoredObject,
 )
 
@@ -51,12 +51,14 @@
             objects have to be listed.
         answered_revision: latest revision of the store in any answer. Listings
             of a relay that are older than this are ignored.
+        confirmed_at_ms: time until which all changes are known: when the latest call
+            that was answered began. None before the first.
         known_keys: keys of the objects that exist, to find deleted ones.
     """
 
     def __init__(
         self,
-        store: ObjectStore,
+        store: FollowedStore,
         clock: Clock,
         prefix: str,
         handlers: WatchHandlers,
@@ -79,12 +81,14 @@
         self.wait_ms = int(wait_ms)
         self.next_revision: int | None = None
         self.answered_revision = 0
+        self.confirmed_at_ms: float | None = None
         self.known_keys: set[str] = set()
 
     async def run(self) -> None:
         """Watch until cancelled; use the relay while the store does not answer."""
         backoff = Backoff(self.clock)
         while True:
+            began_ms = self.clock.now_ms()
             try:
                 changed = await self.read()
             except StoreUnavailable as error:
@@ -94,6 +98,7 @@
                 await backoff.pause()
                 continue
             backoff = Backoff(self.clock)
+            self.confirmed_at_ms = began_ms
             self.notify(changed)
 
     def notify(self, changed: list[StoredObject]) -> None:
@@ -178,7 +183,7 @@
 
 
 async def watch_prefix(
-    store: ObjectStore,
+    store: FollowedStore,
     clock: Clock,
     prefix: str,
     on_object: Callable[[StoredObject], None],
--- a/pollenwalk/process/retirement.py
+++ b/pollenwalk/process/retirement.py
@@ -17,7 +17,12 @@
     decode_retirement,
     retirement_status,
 )
-from pollenwalk.process.keeper import Keeper, batched, log_store_unavailable
+from pollenwalk.process.keeper import (
+    WATCH_WAIT_MS,
+    Keeper,
+    batched,
+    log_store_unavailable,
+)
 from pollenwalk.process.keeper_members import Member
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
 from pollenwalk.process.store import ObjectStore, StoredObject
@@ -28,9 +33,6 @@
     TurnRecord,
 )
 
-# Longest duration of a watch of the requests. A keeper is given at least
-# several seconds to retire, and a stalled watch must end well before.
-WATCH_WAIT_MS = 2500
 RETRY_INTERVAL_MS = 200.0
 
 
@@ -64,7 +66,7 @@
         """Watch the requests for retirement until cancelled."""
         handlers = WatchHandlers(self.on_request, on_unavailable=log_store_unavailable)
         await PrefixWatcher(
-            self.store,
+            self.keeper.feed,
             self.keeper.clock,
             RETIREMENTS_PREFIX,
             handlers,
--- a/pollenwalk/process/store.py
+++ b/pollenwalk/process/store.py
@@ -47,32 +47,12 @@
     objects: list[StoredObject]
 
 
-class ObjectStore(Protocol):
-    """The platform's object API.
+class FollowedStore(Protocol):
+    """What is needed to follow the objects below a prefix.
 
-    Every method raises `StoreUnavailable` if no answer arrived. A write that
-    raised it may have taken effect.
+    Every method raises `StoreUnavailable` if no answer arrived.
     """
 
-    async def get(self, key: str) -> StoredObject | None:
-        """Return one object, or None if there is none with this key."""
-
-    async def put(self, key: str, body: bytes, version: int | None) -> int:
-        """Write an object and return its new version.
-
-        Args:
-            key: key of the object.
-            body: content of the object, at most MAX_VALUE_BYTES.
-            version: the version that the object must have; `ABSENT` to create
-                it, None to write it unconditionally.
-
-        Raises:
-            StoreConflict: the object has another version.
-        """
-
-    async def delete(self, key: str) -> None:
-        """Delete an object, if it exists."""
-
     async def scan(self, prefix: str) -> Changes:
         """Return all objects below a prefix, sorted by key."""
 
@@ -98,6 +78,33 @@
         """
 
 
+class ObjectStore(FollowedStore, Protocol):
+    """The platform's object API.
+
+    Every method raises `StoreUnavailable` if no answer arrived. A write that
+    raised it may have taken effect.
+    """
+
+    async def get(self, key: str) -> StoredObject | None:
+        """Return one object, or None if there is none with this key."""
+
+    async def put(self, key: str, body: bytes, version: int | None) -> int:
+        """Write an object and return its new version.
+
+        Args:
+            key: key of the object.
+            body: content of the object, at most MAX_VALUE_BYTES.
+            version: the version that the object must have; `ABSENT` to create
+                it, None to write it unconditionally.
+
+        Raises:
+            StoreConflict: the object has another version.
+        """
+
+    async def delete(self, key: str) -> None:
+        """Delete an object, if it exists."""
+
+
 def make_nonce(rng: random.Random) -> str:
     """Return a random 64-bit id in hexadecimal, which marks one writer's object."""
     return f'{rng.getrandbits(NONCE_BITS):016x}'
--- a/pollenwalk/program/turns.py
+++ b/pollenwalk/program/turns.py
@@ -155,27 +155,6 @@
     records: list[bytes]
 
 
-class ReadPrefix(NamedTuple):
-    """Asks a keeper to list a store prefix for a process that can't reach the store."""
-
-    prefix: str
-
-
-class ListedObject(NamedTuple):
-    """An object of the store, in a listing that a keeper relays."""
-
-    key: str
-    body: bytes
-    version: int
-
-
-class Listing(NamedTuple):
-    """The objects below a store prefix, as a keeper has just read them."""
-
-    revision: int
-    objects: list[ListedObject]
-
-
 class PushRecords(NamedTuple):
     """Sends encoded records for another keeper to keep."""
 
--- a/test/process/test_keepers.py
+++ b/test/process/test_keepers.py
@@ -72,16 +72,20 @@
         settings = KeeperSettings(name, name, REGIONS, f'{name}:1', first_start, 1)
         network = VirtualNetwork(self.fabric, node)
         state = KeeperState(disk, clock)
-        keeper = Keeper(settings, state, self.store, network, clock)
+        keeper = Keeper(settings, state, self.store_for(node), network, clock)
         await keeper.start()
         if not state.complete:
             keeper.tasks.spawn(Joining(keeper).run(), 'join')
-        retirement = Retirement(keeper, self.store)
+        retirement = Retirement(keeper, self.store_for(node))
         keeper.tasks.spawn(retirement.watch_requests(), 'retirement')
         self.nodes[name] = node
         self.keepers[name] = keeper
         return keeper
 
+    def store_for(self, _: Node) -> StatusMemoryStore:
+        """Return the store as a node reaches it."""
+        return self.store
+
     async def start_three(self) -> None:
         """Start three keepers with empty disks."""
         for name in 'abc':
