Let the fleet decide which overloaded gateways send their callers away

All 12 gateways were overloaded, and each decided alone to be away (policy/own_load.py): those that stayed got all callers and followed, connections were closed and opened all the time, and each that came back met a crowd. Class: a local decision that is right for one and ruin when all take it.

Now each gateway reports its load to the first keeper by name that answers, once a second. One that is overloaded asks it to leave; it may if those that would get its callers have room together, if the load balancer would heed it, and if at most an eighth of the fleet is away (policy/fleet_load.py). Otherwise it stays, and refuses new programs early; their Retry-After is no longer a short one for another gateway if no other has room. A gateway that gets no answer any more stays. One that knows of no fleet decides alone, as before.

--- a/pollenwalk/connection/wire.py
+++ b/pollenwalk/connection/wire.py
@@ -21,6 +21,7 @@
     RequestPermit,
     TellLimits,
 )
+from pollenwalk.connection.load_messages import FleetState, GatewayLoad
 from pollenwalk.connection.store_messages import (
     FollowedPrefix,
     FollowPrefix,
@@ -490,6 +491,8 @@
     KnownLimits,
     BorrowShares,
     LentShares,
+    GatewayLoad,
+    FleetState,
 )
 DECODERS = {
     message_type.__name__: msgspec.msgpack.Decoder(message_type)
--- a/pollenwalk/policy/own_load.py
+++ b/pollenwalk/policy/own_load.py
@@ -5,9 +5,14 @@
 of the event loop, so a late loop makes every request late, and the wait for hosts does
 not show it. New programs are then refused as if the hosts were busy, and the gateway
 asks to get no new callers for a while, so that the load balancer sends them to gateways
-with room, in a neighbouring zone if need be.
+with room, in a neighbouring zone if need be. Whether there are such gateways is decided
+for the whole fleet (`fleet_load`); a gateway that knows of no fleet decides alone.
 """
 
+import math
+
+from pollenwalk.connection.load_messages import FleetState
+
 # Weight of a new delay in the moving average.
 SMOOTHING = 0.2
 # A longer delay counts as this one: a process that was paused once is not overloaded.
@@ -25,6 +30,8 @@
 # How long it accepts callers again at least. So if all gateways are overloaded, not all
 # of them stay away.
 RETURN_MS = 2000.0
+# How long a permission to leave holds.
+PERMISSION_MS = 1000.0
 
 
 class OwnLoad:
@@ -33,12 +40,18 @@
     Attributes:
         delay_ms: moving average of the delay.
         away_until_ms: time until which the gateway asks for no more callers.
+        wants_to_leave: whether the gateway would ask for no more callers now.
+        permitted_until_ms: time until which it may do so.
+        others_have_room: whether callers that are sent away find room elsewhere.
     """
 
     def __init__(self) -> None:
         """Create the load of an idle gateway."""
         self.delay_ms = 0.0
         self.away_until_ms = -RETURN_MS
+        self.wants_to_leave = False
+        self.permitted_until_ms = math.inf
+        self.others_have_room = True
 
     def record_delay(self, delay_ms: float, now_ms: float) -> bool:
         """Add one delay to the average.
@@ -52,12 +65,19 @@
         """
         counted_ms = min(delay_ms, MAX_DELAY_MS)
         self.delay_ms += (counted_ms - self.delay_ms) * SMOOTHING
-        may_leave = now_ms >= self.away_until_ms + RETURN_MS
-        if self.delay_ms < OVERLOAD_DELAY_MS or not may_leave:
+        has_returned = now_ms >= self.away_until_ms + RETURN_MS
+        self.wants_to_leave = has_returned and self.delay_ms >= OVERLOAD_DELAY_MS
+        if not self.wants_to_leave or now_ms > self.permitted_until_ms:
             return False
         self.away_until_ms = now_ms + AWAY_MS
+        self.wants_to_leave = False
         return True
 
+    def heed_fleet(self, state: FleetState, now_ms: float) -> None:
+        """Record what has been decided for the whole fleet."""
+        self.others_have_room = state.others_have_room
+        self.permitted_until_ms = now_ms + PERMISSION_MS if state.may_leave else 0
+
     def accepts_callers(self, now_ms: float) -> bool:
         """Return whether a load balancer may send new callers."""
         return now_ms >= self.away_until_ms
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -23,6 +23,7 @@
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_links import KeeperLinks
 from pollenwalk.process.keeper_members import KEEPERS_PREFIX
+from pollenwalk.process.load_reporter import LoadReporter
 from pollenwalk.process.permit_client import PermitClient
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
 from pollenwalk.process.store import ObjectStore
@@ -197,6 +198,10 @@
         self.spawn_watcher(HOSTS_PREFIX, hosts, membership_wait_ms)
         self.spawn_watcher(KEEPERS_PREFIX, keepers, membership_wait_ms)
         self.tasks.spawn(self.permits.exchange_limits(), 'exchange_limits')
+        reporter = LoadReporter(
+            self.links, self.clock, self.own_load, self.settings.name
+        )
+        self.tasks.spawn(reporter.run(), 'report_load')
 
     def spawn_watcher(
         self,
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -20,6 +20,7 @@
     RequestPermit,
     TellLimits,
 )
+from pollenwalk.connection.load_messages import GatewayLoad
 from pollenwalk.connection.peer import PeerServer
 from pollenwalk.connection.store_messages import (
     FollowPrefix,
@@ -32,6 +33,7 @@
     RefusalCode,
     StoreUnavailable,
 )
+from pollenwalk.policy.fleet_load import FleetLoad
 from pollenwalk.process.clock import MS_PER_SECOND, Clock
 from pollenwalk.process.keeper_feed import KeeperFeed
 from pollenwalk.process.keeper_links import KeeperLinks
@@ -74,7 +76,7 @@
 # a stalled watch must end well before.
 WATCH_WAIT_MS = 2500
 LimitMessage = RequestPermit | TellLimits | ExchangeLimits | BorrowShares
-MemoryMessage = LimitMessage | StreamOrigin | FindStreamOrigin
+MemoryMessage = LimitMessage | StreamOrigin | FindStreamOrigin | GatewayLoad
 
 
 class KeeperSettings(NamedTuple):
@@ -106,6 +108,7 @@
         own_member: this keeper's object in the store, as it should be.
         mirrors: the parts of the store that this keeper follows for others.
         feed: follows the store through the first keeper of the region.
+        fleet_load: the load of the gateways that report to this keeper.
         stream_origins: where the latest streams began, in memory only.
         permits: gives permits for hosts with a limit, in memory only.
         was_member: whether the store listed this keeper when it started.
@@ -141,6 +144,7 @@
         self.feed = KeeperFeed(
             store, self.links, clock, do_nothing, self.mirrors, settings.name
         )
+        self.fleet_load = FleetLoad(settings.regions)
         self.stream_origins = StreamOrigins(clock)
         self.permits = PermitAllocator(
             clock, settings.name, self.links.members, settings.regions
@@ -251,6 +255,8 @@
         """Return the answer to a message about what is not on disk."""
         if isinstance(message, LimitMessage):
             return self.answer_about_limits(message)
+        if isinstance(message, GatewayLoad):
+            return self.fleet_load.record(message, self.clock.now_ms())
         if isinstance(message, StreamOrigin):
             self.stream_origins.add(message)
             return Done()
--- a/pollenwalk/process/keeper_links.py
+++ b/pollenwalk/process/keeper_links.py
@@ -97,6 +97,17 @@
             ),
         )
 
+    def first(self) -> KeeperLink | None:
+        """Return the connection that all processes choose first; None for none.
+
+        It is to the first keeper by name that answers.
+        """
+        return min(
+            self.ordered(),
+            key=lambda link: (link.lost_since_ms is not None, link.member.name),
+            default=None,
+        )
+
     def link(self, member: Member) -> KeeperLink:
         """Return the connection to a keeper; a new one if its address has changed."""
         link = self.by_name.get(member.name)
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -158,7 +158,8 @@
         call = self.call
         route = call.route
         context = self.context
-        if is_wait_acceptable(wait_ms, route.target_ms, route.priority):
+        hosts_have_room = is_wait_acceptable(wait_ms, route.target_ms, route.priority)
+        if hosts_have_room and context.call_placer.own_load.others_have_room:
             return draw_elsewhere_retry_ms(context.rng)
         if self.are_all_hosts_limited:
             return context.permits.retry_after_ms(call.upstream)
