Load only what a daemon needs, and no second HTTP client

What callers see after a power loss of all hosts: no connection until the processes have started again.

Measured in a process of its own: importing the gateway took 0.57 s of processor time and 54 MB. aiohttp was a third of it, with certificates that are never used; grpc came with the operators' subcommands, starlette for two pages without routes. This departs from the house style (aiohttp as client) on the platform's hosts, where it does not fit; the product's own interface keeps it.

--- a/pollenwalk/commands/main.py
+++ b/pollenwalk/commands/main.py
@@ -3,35 +3,27 @@
 import argparse
 import sys
 from collections.abc import Sequence
+from importlib import import_module
+from types import ModuleType
 
 from pollenwalk import __version__
-from pollenwalk.commands import (
-    daemons,
-    demo,
-    deployment,
-    experiment,
-    explain,
-    resources,
-    scenarios,
-    standin,
-    status,
-)
+from pollenwalk.commands import daemons
 from pollenwalk.errors import PollenwalkError, UserError
 
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
-COMMAND_MODULES = (
-    daemons,
-    resources,
-    deployment,
-    status,
-    explain,
-    demo,
-    standin,
-    scenarios,
-    experiment,
+# The modules of the other subcommands, in the order in which help lists them.
+TOOL_MODULES = (
+    'resources',
+    'deployment',
+    'status',
+    'explain',
+    'demo',
+    'standin',
+    'scenarios',
+    'experiment',
 )
 EPILOG = """\
 exit codes:
@@ -42,8 +34,24 @@
 """
 
 
-def make_parser() -> argparse.ArgumentParser:
-    """Build the parser of the command line with all subcommands."""
+def command_modules(command: str) -> list[ModuleType]:
+    """Return the modules that are needed to run a subcommand.
+
+    A daemon loads only its own, as its host may have a small processor; for anything
+    else all are returned.
+    """
+    if command in {daemon.name for daemon in daemons.DAEMONS}:
+        return [daemons]
+    tools = (import_module(f'pollenwalk.commands.{name}') for name in TOOL_MODULES)
+    return [daemons, *tools]
+
+
+def make_parser(command: str = '') -> argparse.ArgumentParser:
+    """Build the parser of the command line.
+
+    Args:
+        command: the subcommand that will be run; empty for all subcommands.
+    """
     parser = argparse.ArgumentParser(
         prog='pollenwalk',
         description='A scheduler for agent programs.',
@@ -56,7 +64,7 @@
         required=True,
         metavar='COMMAND',
     )
-    for module in COMMAND_MODULES:
+    for module in command_modules(command):
         module.add_parser(subparsers)
     return parser
 
@@ -71,7 +79,8 @@
     Returns:
         The exit code.
     """
-    options = make_parser().parse_args(arguments)
+    words = sys.argv[1:] if arguments is None else arguments
+    options = make_parser(next(iter(words), '')).parse_args(words)
     try:
         return options.run(options)
     except UserError as error:
--- a/pollenwalk/commands/options.py
+++ b/pollenwalk/commands/options.py
@@ -3,10 +3,7 @@
 import argparse
 from pathlib import Path
 
-from pollenwalk.connection.store_http import HttpStore
 from pollenwalk.errors import UserError
-from pollenwalk.process.logs import set_up_logs
-from pollenwalk.process.settings import read_settings
 
 
 def add_config_option(parser: argparse.ArgumentParser) -> None:
@@ -36,21 +33,6 @@
     )
 
 
-def open_store(options: argparse.Namespace) -> HttpStore:
-    """Open the store that `--store` or the settings file names.
-
-    Also sets up logging: only errors are logged, to standard error.
-
-    Raises:
-        UserError: the settings file is invalid or can't be read.
-    """
-    set_up_logs('ERROR')
-    if options.store:
-        return HttpStore(options.store.rstrip('/'))
-    settings = read_settings(options.config, 'operator')
-    return HttpStore(settings.section('store')['url'])
-
-
 def split_resource_name(text: str) -> tuple[str, str]:
     """Split `Kind/name` into kind and name.
 
--- a/pollenwalk/commands/resources.py
+++ b/pollenwalk/commands/resources.py
@@ -9,9 +9,9 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from pollenwalk.commands.operator_store import open_store
 from pollenwalk.commands.options import (
     add_store_options,
-    open_store,
     split_resource_name,
 )
 from pollenwalk.errors import UserError
--- a/pollenwalk/commands/status.py
+++ b/pollenwalk/commands/status.py
@@ -6,7 +6,8 @@
 import sys
 from typing import Any
 
-from pollenwalk.commands.options import add_store_options, open_store
+from pollenwalk.commands.operator_store import open_store
+from pollenwalk.commands.options import add_store_options
 from pollenwalk.connection.grpc_network import GrpcNetwork
 from pollenwalk.connection.peer import Peer
 from pollenwalk.connection.wire import Beat, Drain
--- a/pollenwalk/connection/connection_pool.py
+++ b/pollenwalk/connection/connection_pool.py
@@ -51,6 +51,14 @@
             if request not in connection.refused:
                 connections.remove(connection)
                 return connection
+        return await self.open_new(host)
+
+    async def open_new(self, host: UpstreamHost) -> UpstreamConnection:
+        """Open a new connection to a host.
+
+        Raises:
+            NotSent: the host can't be reached.
+        """
         return await open_upstream_connection(host.address, CONNECT_TIMEOUT_S)
 
     def discard_unusable(self, host_id: str) -> None:
--- a/pollenwalk/platform/objects.py
+++ b/pollenwalk/platform/objects.py
@@ -4,17 +4,24 @@
 object's `spec`, and its version is the `revision` of the object's last change.
 """
 
-import socket
+import asyncio
 from http import HTTPStatus
-from typing import Any, TypedDict
+from typing import Any
 from urllib.parse import quote
 
-import aiohttp
 import msgspec
 
-from pollenwalk.connection.http_client import HttpClient
-from pollenwalk.connection.keepalive import enable_keepalive
-from pollenwalk.errors import StoreConflict, StoreHistoryGone, StoreUnavailable
+from pollenwalk.connection.plain_http import (
+    HttpAnswer,
+    HttpRequest,
+    PlainHttpClient,
+)
+from pollenwalk.errors import (
+    PollenwalkError,
+    StoreConflict,
+    StoreHistoryGone,
+    StoreUnavailable,
+)
 from pollenwalk.platform.pages import (
     WireList,
     decode_event,
@@ -36,19 +43,22 @@
 )
 
 
-class StoreAnswer(TypedDict):
-    """The HTTP status and the body of the store's answer."""
-
-    status: int
-    body: bytes
+class PlatformStore:
+    """A client of the platform's object store; implements `ObjectStore`.
 
+    Attributes:
+        url: `http://ip:port` of the store; may be changed at any time.
+        client: sends the requests.
+    """
 
-class PlatformStore(HttpClient):
-    """A client of the platform's object store; implements `ObjectStore`."""
+    def __init__(self, url: str) -> None:
+        """Create a client without connecting yet."""
+        self.url = url
+        self.client = PlainHttpClient()
 
-    def make_connector(self) -> aiohttp.TCPConnector:
-        """Make a connector with TCP keep-alive, to detect an unreachable store."""
-        return aiohttp.TCPConnector(limit=0, socket_factory=make_socket)
+    async def close(self) -> None:
+        """Close all connections."""
+        self.client.close()
 
     async def request(
         self,
@@ -56,7 +66,7 @@
         path: str,
         document: Any = None,
         timeout_s: float = RESPONSE_TIMEOUT_S,
-    ) -> StoreAnswer:
+    ) -> HttpAnswer:
         """Send a request to the store and read the whole answer.
 
         Args:
@@ -70,28 +80,22 @@
                 store is unavailable.
             StoreHistoryGone: the watched revision is too old.
         """
-        body = None if document is None else msgspec.json.encode(document)
-        headers = {'Content-Type': 'application/json'} if body else {}
+        body = b'' if document is None else msgspec.json.encode(document)
+        request = HttpRequest(self.url, method, f'{OBJECTS}{path}', body)
         try:
-            async with self.open_session().request(
-                method,
-                f'{self.url}{OBJECTS}{path}',
-                data=body,
-                headers=headers,
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
-            ) as response:
-                answer = StoreAnswer(status=response.status, body=await response.read())
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            async with asyncio.timeout(timeout_s):
+                answer = await self.client.request(request)
+        except (PollenwalkError, OSError) as error:
             raise StoreUnavailable(f'{method} {path}: {error!r}') from error
-        check_status(answer['status'], method, path)
+        check_status(answer.status, method, path)
         return answer
 
     async def get(self, key: str) -> StoredObject | None:
         """Read one object; None if it does not exist."""
         answer = await self.request('GET', quote(key))
-        if answer['status'] == HTTPStatus.NOT_FOUND:
+        if answer.status == HTTPStatus.NOT_FOUND:
             return None
-        return decode_object(key, answer['body'])
+        return decode_object(key, answer.body)
 
     async def put(self, key: str, body: bytes, version: int | None) -> int:
         """Write an object and return its new version; see `ObjectStore.put`."""
@@ -102,11 +106,11 @@
             metadata['revision'] = version
         document = {'metadata': metadata, 'spec': msgspec.Raw(body)}
         answer = await self.request('PUT', quote(key), document)
-        if answer['status'] == HTTPStatus.NOT_FOUND and version is None:
+        if answer.status == HTTPStatus.NOT_FOUND and version is None:
             return await self.create(key, body)
-        if answer['status'] != HTTPStatus.OK:
+        if answer.status != HTTPStatus.OK:
             raise StoreConflict(f'{key} has another version')
-        return decode_object(key, answer['body']).version
+        return decode_object(key, answer.body).version
 
     async def create(self, key: str, body: bytes) -> int:
         """Create an object and return its version.
@@ -117,9 +121,9 @@
         kind, _, name = key.partition('/')
         document = {'metadata': {'name': name}, 'spec': msgspec.Raw(body)}
         answer = await self.request('POST', quote(kind), document)
-        if answer['status'] not in {HTTPStatus.OK, HTTPStatus.CREATED}:
+        if answer.status not in {HTTPStatus.OK, HTTPStatus.CREATED}:
             raise StoreConflict(f'{key} exists already')
-        return decode_object(key, answer['body']).version
+        return decode_object(key, answer.body).version
 
     async def write_status(self, key: str, status: dict[str, Any]) -> None:
         """Write the status of an object whose `spec` another process writes.
@@ -132,7 +136,7 @@
             'status': status,
         }
         answer = await self.request('PUT', f'{quote(key)}/status', document)
-        if answer['status'] != HTTPStatus.OK:
+        if answer.status != HTTPStatus.OK:
             raise StoreConflict(
                 f'{key}: writing its status was answered with {answer["status"]}'
             )
@@ -157,7 +161,7 @@
         path = quote(kind)
         while path:
             answer = await self.request('GET', path)
-            page = decode_list(answer['body'])
+            page = decode_list(answer.body)
             objects = decode_items(prefix, page['items'])
             found.extend(objects)
             revision = revision or page['store_revision']
@@ -190,19 +194,11 @@
             f'{kind}?watch={revision}&wait_ms={wait_ms}',
             timeout_s=wait_ms / MS_PER_SECOND + RESPONSE_TIMEOUT_S,
         )
-        page = decode_events(kind, answer['body'])
+        page = decode_events(kind, answer.body)
         changed = [decode_event(prefix, event) for event in page['events']]
         return Changes(page['store_revision'], [stored for stored in changed if stored])
 
 
-def make_socket(address: tuple[Any, ...]) -> socket.socket:
-    """Make a socket with TCP keep-alive, to detect an unreachable peer."""
-    new_socket = socket.socket(family=address[0], type=address[1], proto=address[2])
-    new_socket.setblocking(False)
-    enable_keepalive(new_socket)
-    return new_socket
-
-
 def check_status(status: int, method: str, path: str) -> None:
     """Check that the store has processed a request.
 
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -7,14 +7,11 @@
 from pathlib import Path
 
 from loguru import logger
-from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import Response
-from starlette.routing import Route
 
 from pollenwalk.connection.addresses import split_address
 from pollenwalk.connection.gateway_app import GatewayApp
 from pollenwalk.connection.http_server import HttpServer
+from pollenwalk.connection.plain_page import Page, PlainPage
 from pollenwalk.connection.tcp_network import TcpNetwork
 from pollenwalk.errors import UserError
 from pollenwalk.platform.names import READY_PATH
@@ -103,7 +100,7 @@
             CALLER_KEEP_ALIVE_S,
         )
         self.readiness_server = HttpServer(
-            self.readiness_app(),
+            PlainPage(READY_PATH, self.readiness),
             *split_address(options['ready']),
         )
         self.load_monitor = LoadMonitor(
@@ -119,14 +116,9 @@
             options['metrics'],
         )
 
-    def readiness_app(self) -> Starlette:
-        """Create the application that answers the load balancer's checks."""
-
-        async def answer(_: Request) -> Response:  # noqa: WPS430
-            ready = self.gateway.ready
-            return Response(status_code=OK if ready else NOT_READY)
-
-        return Starlette(routes=[Route(READY_PATH, answer)])
+    def readiness(self) -> Page:
+        """Return the answer to a load balancer's check."""
+        return Page(OK if self.gateway.ready else NOT_READY)
 
     def refresh_metrics(self) -> None:
         """Update the gauges."""
--- a/pollenwalk/process/metrics_page.py
+++ b/pollenwalk/process/metrics_page.py
@@ -3,13 +3,10 @@
 from collections.abc import Callable
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
-from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import Response
-from starlette.routing import Route
 
 from pollenwalk.connection.addresses import split_address
 from pollenwalk.connection.http_server import HttpServer
+from pollenwalk.connection.plain_page import Page, PlainPage
 
 # Upper bounds of the histograms' buckets in seconds, from the time of a disk sync
 # to the longest time that a caller waits.
@@ -41,10 +38,10 @@
             buckets=list(BUCKETS),
         )
 
-    def render(self) -> Response:
+    def render(self) -> Page:
         """Return all metrics in the Prometheus text format."""
         body, headers = render(self.registry, ['text/plain'])
-        return Response(body, headers=headers)
+        return Page(body=body, content_type=headers['Content-Type'])
 
 
 def metrics_server(
@@ -60,9 +57,8 @@
         address: `ip:port` to listen on.
     """
 
-    async def show(_: Request) -> Response:  # noqa: WPS430
+    def show() -> Page:  # noqa: WPS430
         refresh()
         return metrics.render()
 
-    app = Starlette(routes=[Route(PATH, show)])
-    return HttpServer(app, *split_address(address))
+    return HttpServer(PlainPage(PATH, show), *split_address(address))
