Make messages between processes cheaper

By profile: stream readers, a queue and a generator for each request that has one answer, a lock for each look at an open connection, and asyncio's own loop.

--- a/pollenwalk/connection/peer.py
+++ b/pollenwalk/connection/peer.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable, Coroutine
-from typing import Any
+from typing import Any, Protocol
 
 from loguru import logger
 
@@ -106,29 +106,55 @@
             return
 
 
+class AnswerTaker(Protocol):
+    """Takes the items of an exchange, as a queue does."""
+
+    def put_nowait(self, item: Any) -> None:
+        """Take an answer, a refusal or END."""
+
+
+class FirstAnswer:
+    """Takes the first answer to a request; stands in place of a queue.
+
+    Attributes:
+        received: done once the first answer, a refusal or the end has arrived.
+    """
+
+    def __init__(self) -> None:
+        """Wait for an answer."""
+        loop = asyncio.get_running_loop()
+        self.received: asyncio.Future[Any] = loop.create_future()
+
+    def put_nowait(self, item: Any) -> None:
+        """Take an item of the exchange, unless there was one before."""
+        if self.received.done():
+            return
+        if item is END:
+            item = ConnectionLost('the peer ended the exchange without an answer')
+        if isinstance(item, Exception):
+            self.received.set_exception(item)
+        else:
+            self.received.set_result(item)
+
+
 class PendingRequests:
     """The requests of a connection whose answers are not complete.
 
     Attributes:
-        queues: queues of received answers by number of the exchange.
+        queues: what takes the received answers, by number of the exchange.
         last_number: number of the exchange that was begun last.
     """
 
     def __init__(self) -> None:
         """Create an empty table."""
-        self.queues: dict[int, asyncio.Queue[Any]] = {}
+        self.queues: dict[int, AnswerTaker] = {}
         self.last_number = 0
 
-    def add(self) -> tuple[int, asyncio.Queue[Any]]:
-        """Add a request.
-
-        Returns:
-            The number of its exchange and the queue for its answers.
-        """
+    def add(self, queue: AnswerTaker) -> int:
+        """Add a request whose answers `queue` takes; return its exchange's number."""
         self.last_number += 1
-        queue: asyncio.Queue[Any] = asyncio.Queue()
         self.queues[self.last_number] = queue
-        return self.last_number, queue
+        return self.last_number
 
     def deliver(self, frame: Frame) -> None:
         """Queue what a frame contains for the request that it answers.
@@ -148,7 +174,7 @@
 
     def fail_all(self) -> None:
         """Make all requests raise `ConnectionLost`."""
-        for queue in self.queues.values():
+        for queue in list(self.queues.values()):
             queue.put_nowait(ConnectionLost('connection to the peer lost'))
 
 
@@ -217,10 +243,8 @@
             ConnectionLost: the connection ended first.
             Refusal: the peer refused the request.
         """
-        if self.lost:
-            raise ConnectionLost('connection to the peer lost')
-        number, queue = self.pending.add()
-        self.writer.put(Frame(number, type(message).__name__, message))
+        queue: asyncio.Queue[Any] = asyncio.Queue()
+        number = self.begin(message, queue)
         item = None
         try:
             while True:
@@ -242,10 +266,33 @@
             ConnectionLost: the connection ended first, or there was no answer.
             Refusal: the peer refused the request.
         """
-        answers = [answer async for answer in self.stream(message)]
-        if not answers:
-            raise ConnectionLost('the peer ended the exchange without an answer')
-        return answers[0]
+        answer = FirstAnswer()
+        number = self.begin(message, answer)
+        try:
+            return await answer.received
+        except asyncio.CancelledError:
+            self.abandon(number)
+            raise
+        finally:
+            self.pending.queues.pop(number, None)
+
+    def abandon(self, number: int) -> None:
+        """Cancel a request at the peer, and ignore its answers."""
+        self.pending.queues.pop(number, None)
+        if not self.lost:
+            self.writer.put(Frame(number, CANCEL_KIND, None))
+
+    def begin(self, message: Any, queue: AnswerTaker) -> int:
+        """Send a request whose answers `queue` takes; return its exchange's number.
+
+        Raises:
+            ConnectionLost: the connection has ended.
+        """
+        if self.lost:
+            raise ConnectionLost('connection to the peer lost')
+        number = self.pending.add(queue)
+        self.writer.put(Frame(number, type(message).__name__, message))
+        return number
 
 
 class Peer:
@@ -286,6 +333,13 @@
         self.zone = zone
         return self
 
+    @property
+    def open_connection(self) -> Connection | None:
+        """Return the open connection; None if there is none."""
+        if self.connection is None or self.connection.lost:
+            return None
+        return self.connection
+
     async def ensure_connected(self) -> Connection:
         """Return the open connection; open a new one if there is none.
 
@@ -293,8 +347,11 @@
             ConnectionLost: the peer can't be reached within CONNECT_TIMEOUT_MS.
             Refusal: the peer uses another protocol version.
         """
+        connection = self.open_connection
+        if connection is not None:
+            return connection
         async with self.lock:
-            if self.connection is None or self.connection.lost:
+            if self.open_connection is None:
                 await self.close()
                 self.connection = await self.connect()
             return self.connection
--- a/pollenwalk/process/clock.py
+++ b/pollenwalk/process/clock.py
@@ -45,8 +45,12 @@
     """The clock of the running event loop."""
 
     def now_ms(self) -> float:
-        """Return the event loop's time in ms."""
-        return asyncio.get_running_loop().time() * MS_PER_SECOND
+        """Return the monotonic time in ms.
+
+        An event loop may read the time only once in each of its turns, which would
+        hide how late it is.
+        """
+        return time.monotonic() * MS_PER_SECOND
 
     def wall_ms(self) -> int:
         """Return the calendar time in ms since 1970."""
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -1,6 +1,5 @@
 """Runs one gateway as a process until SIGTERM or SIGINT."""
 
-import asyncio
 import random
 import sys
 from http import HTTPStatus
@@ -16,6 +15,7 @@
 from pollenwalk.errors import UserError
 from pollenwalk.platform.names import READY_PATH
 from pollenwalk.platform.objects import PlatformStore
+from pollenwalk.process import event_loop
 from pollenwalk.process.clock import MS_PER_SECOND, LoopClock
 from pollenwalk.process.gateway import Gateway, GatewaySettings
 from pollenwalk.process.load_monitor import LoadMonitor, peak_memory_mib
@@ -52,11 +52,16 @@
     """
     set_up_logs(settings.section('process')['log_level'], sys.stdout)
     try:
-        asyncio.run(GatewayProcess(settings, path).run())
+        event_loop.run(serve(settings, path))
     except OSError as error:
         raise UserError(str(error)) from error
 
 
+async def serve(settings: Settings, path: Path) -> None:
+    """Run a gateway on the running event loop."""
+    await GatewayProcess(settings, path).run()
+
+
 class GatewayProcess:
     """A gateway with its HTTP servers, signals and settings file."""
 
--- a/pollenwalk/process/keeper_daemon.py
+++ b/pollenwalk/process/keeper_daemon.py
@@ -10,6 +10,7 @@
 from pollenwalk.connection.tcp_network import TcpNetwork
 from pollenwalk.errors import UserError
 from pollenwalk.platform.objects import PlatformStore
+from pollenwalk.process import event_loop
 from pollenwalk.process.clock import LoopClock
 from pollenwalk.process.joining import Joining
 from pollenwalk.process.keeper import Keeper, KeeperSettings
@@ -30,7 +31,7 @@
     """
     set_up_logs(settings.section('process')['log_level'], sys.stdout)
     try:
-        asyncio.run(serve(settings))
+        event_loop.run(serve(settings))
     except OSError as error:
         raise UserError(str(error)) from error
 
