Ask as many keepers for a turn as decide, not all of them

Each turn reserved tokens at all keepers and settled them at all: 48 messages and 48 synced records at 24 keepers, half of them across the narrow path between regions, where a majority of 13 decides.

Now a majority and one more are asked, those of the region first: 14 of 24, 6 of 9, 3 of 3, as before. Each that fails, or is slower than one of its distance should be, is doubled by another. Settlements go to those that were asked.

Any two majorities share a keeper, as before. What differs: a turn of another region may not show up among the first answers, which only permit a turn early; a majority decides before anything is shown.

Ruled out for now: groups of 2f + 1 keepers. They need epochs that keepers check (docs/decisions.md). Asking exactly a majority: a keeper that has just died would delay turns by the wait until another is asked.

--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -259,7 +259,7 @@
         self.metrics.limited_hosts.set({}, len(limits.limited()))
         self.metrics.limits_per_second.set({}, limits.total_per_second())
         self.metrics.keepers.set({}, len(links))
-        lost = sum(link.lost_since_ms is not None for link in links)
+        lost = sum(link.is_lost for link in links)
         self.metrics.keepers_lost.set({}, lost)
 
     async def stop(self) -> None:
--- a/pollenwalk/process/keeper_feed.py
+++ b/pollenwalk/process/keeper_feed.py
@@ -122,7 +122,7 @@
             The first answer that is recent enough; None if there is none.
         """
         for link in self.links.of_region()[:MAX_KEEPERS_ASKED]:
-            if link.lost_since_ms is not None:
+            if link.is_lost:
                 return None
             asked_at_ms = self.clock.now_ms()
             answer = await self.ask(link, question)
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -8,14 +8,16 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import Any, TypeVar
+from typing import Any, NamedTuple, TypeVar
 
 from loguru import logger
 
 from pollenwalk.connection.store_messages import Listing, ReadPrefix
 from pollenwalk.errors import PollenwalkError, Refusal, RefusalCode
 from pollenwalk.process.clock import Clock
+from pollenwalk.process.keeper_broadcast import Broadcast
 from pollenwalk.process.keeper_links import KeeperLink, KeeperLinks
+from pollenwalk.process.keeper_quorum import SPARE_KEEPERS, Quorum
 from pollenwalk.process.retry_advisor import RetryAdvisor
 from pollenwalk.process.store import Changes, StoredObject
 from pollenwalk.process.tasks import TaskSet
@@ -41,6 +43,18 @@
 Result = TypeVar('Result')
 
 
+class QueuedSettlement(NamedTuple):
+    """A settlement that will be sent with the next batch.
+
+    Attributes:
+        message: the settlement.
+        asked: names of the keepers that were asked to reserve its tokens.
+    """
+
+    message: SettleTokens
+    asked: set[str]
+
+
 class KeeperGroup:
     """Stores and finds records at all keepers that the store lists.
 
@@ -73,7 +87,7 @@
         self.tolerated_losses = tolerated_losses
         self.cache = TurnIndex(clock, CACHE_BYTES)
         self.retry_advisor = RetryAdvisor(clock)
-        self.queued_settlements: list[SettleTokens] = []
+        self.queued_settlements: list[QueuedSettlement] = []
 
     @property
     def required_copies(self) -> int:
@@ -86,23 +100,48 @@
         Keepers that fail or don't answer in time are skipped. Requests that are
         still open when the caller stops iterating are cancelled.
         """
-        pending = [
-            asyncio.ensure_future(self.links.request(link, message))
-            for link in self.links.ordered()
-        ]
+        broadcast = Broadcast(self.links)
+        broadcast.send_to(self.links.ordered(), message)
+        try:
+            while broadcast.outstanding:
+                answered = await broadcast.next()
+                if answered.answer is not None:
+                    yield answered.answer
+        finally:
+            broadcast.close()
+
+    async def request_quorum(
+        self, key: str, message: Any, asked: set[str]
+    ) -> AsyncIterator[Any]:
+        """Send a message to as many keepers as decide, and yield their answers.
+
+        These are a majority and SPARE_KEEPERS more, those of the region first. For each
+        that fails, or is slower than one of its distance should be, another one is
+        asked.
+
+        Args:
+            key: spreads the choice among keepers of the same distance.
+            message: the message.
+            asked: receives the names of the keepers that were asked.
+        """
+        candidates = self.links.ordered_for(key)
+        broadcast = Broadcast(self.links)
+        size = min(self.links.majority + SPARE_KEEPERS, len(candidates))
+        quorum = Quorum(broadcast, candidates, message, asked)
+        quorum.ask_next(size)
+        hedging = asyncio.ensure_future(quorum.hedge(self.clock))
         try:
-            for done in asyncio.as_completed(pending):
-                answer = await answer_or_none(done)
-                if answer is not None:
-                    yield answer
+            async for answer in quorum.answers():
+                yield answer
         finally:
-            for task in pending:
-                task.cancel()
+            hedging.cancel()
+            broadcast.close()
 
     async def tell_all(self, message: Any) -> None:
         """Send a message to all keepers, and wait for those that answer."""
-        pending = [self.links.request(link, message) for link in self.links.ordered()]
-        await asyncio.gather(*map(answer_or_none, pending))
+        broadcast = Broadcast(self.links)
+        broadcast.send_to(self.links.ordered(), message)
+        await broadcast.finish()
 
     async def store_turn(self, record: TurnRecord) -> list[str]:
         """Store a turn on enough disks.
@@ -209,22 +248,29 @@
                 return Changes(listing.revision, objects)
         return None
 
-    def settle(self, message: SettleTokens) -> None:
-        """Queue a settlement, which is sent to all keepers in a batch."""
-        self.queued_settlements.append(message)
+    def settle(self, message: SettleTokens, asked: set[str]) -> None:
+        """Queue a settlement for the keepers that were asked to reserve."""
+        self.queued_settlements.append(QueuedSettlement(message, asked))
         if len(self.queued_settlements) == 1:
             self.tasks.spawn(self.send_settlements(), 'settle')
 
     async def send_settlements(self) -> None:
-        """Wait for more settlements, then send all of them to all keepers.
+        """Wait for more settlements, then send each keeper its own in one message.
 
         A keeper that does not get a settlement goes on to count the whole
         reservation of the turn.
         """
         await self.clock.sleep_ms(SETTLE_INTERVAL_MS)
-        message = Settlements(self.queued_settlements)
+        queued = self.queued_settlements
         self.queued_settlements = []
-        await self.tell_all(message)
+        broadcast = Broadcast(self.links)
+        for link in self.links.ordered():
+            name = link.member.name
+            settled = [one.message for one in queued if name in one.asked]
+            if settled:
+                broadcast.send(link, Settlements(settled))
+        broadcast.limit_time()
+        await broadcast.finish()
 
 
 async def answer_or_none(pending: Any) -> Any:
--- a/pollenwalk/process/keeper_links.py
+++ b/pollenwalk/process/keeper_links.py
@@ -4,6 +4,7 @@
 it. Until then no requests are sent to it, so that none waits for its timeout.
 """
 
+import zlib
 from typing import Any
 
 from loguru import logger
@@ -45,6 +46,11 @@
         self.distance = distance
         self.lost_since_ms: float | None = None
 
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the keeper has not answered and is being probed."""
+        return self.lost_since_ms is not None
+
 
 class KeeperLinks:
     """The connections to all keepers that the store lists.
@@ -77,12 +83,27 @@
         return sorted(
             links,
             key=lambda link: (
-                link.lost_since_ms is not None,
+                link.is_lost,
                 link.distance,
                 link.member.name,
             ),
         )
 
+    def ordered_for(self, key: str) -> list[KeeperLink]:
+        """Return all connections: answering keepers first, those of the region first.
+
+        The key spreads the load among keepers of one region; the same key gives the
+        same order at all processes of a region.
+        """
+        return sorted(
+            self.ordered(),
+            key=lambda link: (
+                link.is_lost,
+                link.distance == OTHER_REGION,
+                zlib.crc32(f'{key} {link.member.name}'.encode()),
+            ),
+        )
+
     def of_region(self) -> list[KeeperLink]:
         """Return all connections in an order that is the same in the whole region.
 
@@ -91,7 +112,7 @@
         return sorted(
             self.ordered(),
             key=lambda link: (
-                link.lost_since_ms is not None,
+                link.is_lost,
                 link.distance == OTHER_REGION,
                 link.member.name,
             ),
@@ -104,7 +125,7 @@
         """
         return min(
             self.ordered(),
-            key=lambda link: (link.lost_since_ms is not None, link.member.name),
+            key=lambda link: (link.is_lost, link.member.name),
             default=None,
         )
 
@@ -167,7 +188,7 @@
             ConnectionLost: the keeper is lost, or did not answer in time.
             PollenwalkError: the keeper refused.
         """
-        if link.lost_since_ms is not None:
+        if link.is_lost:
             raise ConnectionLost(
                 f'keeper {link.member.name} has not answered and is being probed'
             )
@@ -179,7 +200,7 @@
 
     def mark_lost(self, link: KeeperLink, error: PollenwalkError) -> None:
         """Mark a keeper as lost and start to probe it."""
-        if link.lost_since_ms is not None:
+        if link.is_lost:
             return
         link.lost_since_ms = self.clock.now_ms()
         logger.warning(
--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -230,6 +230,7 @@
                 self.tokens,
                 message.retention_ms,
             ),
+            self.reservation.asked,
         )
 
 
--- a/pollenwalk/request/reservation.py
+++ b/pollenwalk/request/reservation.py
@@ -37,6 +37,7 @@
         max_tokens: the most tokens that the turn may generate.
         budget: tokens that all turns of the program may generate.
         message: the request to the keepers.
+        asked: names of the keepers that have been asked.
     """
 
     def __init__(
@@ -45,7 +46,7 @@
         call: Call,
         metrics: GatewayMetrics,
     ) -> None:
-        """Start to record the reservation at all keepers."""
+        """Start to record the reservation at keepers."""
         self.group = group
         self.metrics = metrics
         self.call = call
@@ -61,6 +62,7 @@
             self.max_tokens,
             call.route.retention_ms,
         )
+        self.asked: set[str] = set()
         loop = asyncio.get_running_loop()
         self.permitted: asyncio.Future[None] = loop.create_future()
         self.start_recording()
@@ -169,7 +171,7 @@
         )
 
     async def ask_majority(self) -> list[list[TokenEntry]]:
-        """Reserve at all keepers and wait until a majority has answered.
+        """Reserve at enough keepers and wait until a majority has answered.
 
         Returns:
             For each answer of a keeper whose records are complete, the entries
@@ -183,7 +185,10 @@
         stored_copies = 0
         # Read only once, since the list of keepers may change while they answer.
         majority = self.group.links.majority
-        async for spent in self.group.request_all(self.message):
+        answers = self.group.request_quorum(
+            self.message.program, self.message, self.asked
+        )
+        async for spent in answers:
             stored_copies += 1
             self.add_answer(spent, known_entries)
             if (
--- a/test/process/test_keepers.py
+++ b/test/process/test_keepers.py
@@ -25,6 +25,8 @@
 from test.helper import virtual
 
 REGIONS = {'a': 'east', 'b': 'east', 'c': 'west', 'd': 'east'}
+# More zones, half of them in each region.
+REGIONS.update({f'z{number}': ('east', 'west')[number % 2] for number in range(24)})
 RETENTION_MS = 60_000.0
 # Round trip to another region; the first request takes a second one, for the
 # handshake.
@@ -406,7 +408,7 @@
         cluster = KeeperCluster()
         group = await cluster.start_three_with_group()
         await self.reserve(group, 't1')
-        group.settle(SettleTokens('p', 't1', 7, RETENTION_MS))
+        group.settle(SettleTokens('p', 't1', 7, RETENTION_MS), {'a', 'b', 'c'})
         await cluster.wait(500)
         await cluster.kill('a')
         keeper = await cluster.start_keeper('a')
