--- a/pollenwalk/connection/store_messages.py
+++ b/pollenwalk/connection/store_messages.py
@@ -34,13 +34,15 @@
     Attributes:
         prefix: the prefix.
         revision: the last revision that is known; None asks for all objects.
-        wait_ms: how long the keeper waits for a change, and also the longest duration
-            of the watches by which it follows the prefix itself.
+        wait_ms: how long the keeper waits for a change.
+        watch_ms: longest duration of the watches by which the keeper follows the prefix
+            itself; None leaves it as it is.
     """
 
     prefix: str
     revision: int | None
     wait_ms: int
+    watch_ms: int | None = None
 
 
 class FollowedPrefix(NamedTuple):
--- a/pollenwalk/process/keeper_feed.py
+++ b/pollenwalk/process/keeper_feed.py
@@ -25,11 +25,13 @@
 MAX_KEEPERS_ASKED = 2
 # Longest duration of one question: a keeper that dies without a word is noticed then.
 MAX_WAIT_MS = 1500
+# Duration of a keeper's watches that is assumed when all objects are asked for.
+USUAL_WATCH_MS = 2500
 # Time for the way to a keeper and back, besides the time for which it may wait.
 TRANSIT_MS = 700.0
-# A keeper's watch may be as long as the question. What it knows may then be as old as
-# two watches in a row and the way to the store.
-MAX_AGE_WAITS = 2
+# What a keeper knows may be as old as two of its watches in a row and the way to the
+# store.
+MAX_AGE_WATCHES = 2
 MAX_AGE_SLACK_MS = 300.0
 
 
@@ -88,7 +90,7 @@
             StoreHistoryGone: the changes since then are not known any more.
             StoreUnavailable: neither a keeper nor the store answered.
         """
-        question = FollowPrefix(prefix, revision, min(wait_ms, MAX_WAIT_MS))
+        question = FollowPrefix(prefix, revision, min(wait_ms, MAX_WAIT_MS), wait_ms)
         answer = await self.ask_keepers(question)
         if answer is None:
             watching = self.store.watch(prefix, revision, wait_ms)
@@ -158,7 +160,8 @@
         now_ms = self.clock.now_ms()
         transit_ms = max(now_ms - asked_at_ms - answer.held_ms, 0)
         age_ms = answer.age_ms + transit_ms
-        max_age_ms = question.wait_ms * MAX_AGE_WAITS + MAX_AGE_SLACK_MS
+        watch_ms = question.watch_ms or USUAL_WATCH_MS
+        max_age_ms = watch_ms * MAX_AGE_WATCHES + MAX_AGE_SLACK_MS
         known_until_ms = self.confirmed_at_ms.get(question.prefix, 0)
         lags = question.revision is None and now_ms - age_ms < known_until_ms
         if age_ms > max_age_ms or lags:
--- a/pollenwalk/process/store_mirror.py
+++ b/pollenwalk/process/store_mirror.py
@@ -25,6 +25,8 @@
 FIRST_READ_MS = 600.0
 # A prefix that nobody has asked for during this time is no longer followed.
 UNUSED_MS = 10_000.0
+# Duration of a watch until a process has asked for a shorter one.
+LONGEST_WATCH_MS = 5000
 # Deletions that are remembered for each prefix.
 MAX_DELETIONS = 1000
 
@@ -99,7 +101,8 @@
         """
         began_ms = self.clock.now_ms()
         self.last_used_ms = began_ms
-        self.watcher.wait_ms = min(self.watcher.wait_ms, question.wait_ms)
+        if question.watch_ms is not None:
+            self.watcher.wait_ms = min(self.watcher.wait_ms, question.watch_ms)
         await self.wait_while(lambda: self.complete_since is None, FIRST_READ_MS)
         await self.wait_while(
             lambda: not self.has_news(question), float(question.wait_ms)
@@ -222,9 +225,8 @@
         """
         mirror = self.by_prefix.get(question.prefix)
         if mirror is None:
-            mirror = StoreMirror(
-                self.store, self.clock, question.prefix, question.wait_ms
-            )
+            watch_ms = question.watch_ms or LONGEST_WATCH_MS
+            mirror = StoreMirror(self.store, self.clock, question.prefix, watch_ms)
             self.by_prefix[question.prefix] = mirror
             self.running[question.prefix] = self.tasks.spawn(
                 mirror.watcher.run(), f'mirror {question.prefix}'
--- a/test/process/test_keeper_feed.py
+++ b/test/process/test_keeper_feed.py
@@ -204,7 +204,7 @@
         feed.confirm(PREFIX, now_ms - 100, 'store')
         listed = FollowedPrefix(1, 200.0, 0, None, False, [])
         whole = FollowPrefix(PREFIX, None, WAIT_MS)
-        since = FollowPrefix(PREFIX, 1, WAIT_MS)
+        since = FollowPrefix(PREFIX, 1, WAIT_MS, WAIT_MS)
         self.assertFalse(feed.accepts(whole, listed, now_ms, link))
         self.assertTrue(feed.accepts(since, listed, now_ms, link))
         late = listed._replace(age_ms=2 * WAIT_MS + 1000.0)
