Tell other gateways which hosts leave

A host that leaves says so in its answers. Only the gateway that got the answer knew; others that can't reach the store went on to use the host until it refused them. The gateway now tells all keepers once a start of a host, and the answers to the exchange of limits, each 0.5 s, name the hosts of the last minute. No store call.

--- a/pollenwalk/connection/limit_messages.py
+++ b/pollenwalk/connection/limit_messages.py
@@ -2,7 +2,7 @@
 
 A gateway asks a keeper for a permit before each request to such a host. Keepers lend
 each other the right to give permits, and pass on what gateways hear of limits. Reports
-of requests on which hosts crash go the same way.
+of requests on which hosts crash and of hosts that leave go the same way.
 """
 
 from typing import NamedTuple
@@ -77,10 +77,12 @@
     Attributes:
         limits: what hosts have said of their limits.
         crashes: requests on which hosts have crashed.
+        leaving: hosts that have said in an answer that they leave.
     """
 
     limits: list[LimitNews]
     crashes: tuple[CrashReport, ...] = ()
+    leaving: tuple[HostStart, ...] = ()
 
 
 class ExchangeLimits(NamedTuple):
@@ -110,6 +112,7 @@
         revision: the keeper's revision now.
         crashes: the crashes that have been reported since that revision of them.
         crashes_revision: the keeper's revision of crashes now.
+        leaving: hosts that have said lately that they leave.
     """
 
     limits: list[LimitNews]
@@ -117,6 +120,7 @@
     revision: int
     crashes: tuple[CrashReport, ...] = ()
     crashes_revision: int = 0
+    leaving: tuple[HostStart, ...] = ()
 
 
 class BorrowShares(NamedTuple):
--- a/pollenwalk/process/host_table.py
+++ b/pollenwalk/process/host_table.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from pollenwalk.connection.hosts import UpstreamHost
+from pollenwalk.connection.limit_messages import HostStart
 from pollenwalk.errors import MalformedObject
 from pollenwalk.platform.documents import HOSTS_PREFIX, decode_host
 from pollenwalk.process.clock import Clock
@@ -300,6 +301,14 @@
             version for version, at_ms in removed.items() if at_ms >= since_ms
         }
 
+    def record_leaving(self, host: HostStart) -> None:
+        """Record that a host has said to another gateway that it leaves."""
+        state = self.states.get(host.id)
+        if state is None or state.registration.start != host:
+            return
+        if state.record_leaving(self.clock.now_ms()):
+            logger.info('host_said_to_leave', host=host.id, started_ms=host.started_ms)
+
     def is_listed(self, state: HostState) -> bool:
         """Return whether a host is still listed and has not started again."""
         return self.states.get(state.registration.id) is state
--- a/pollenwalk/process/permit_allocator.py
+++ b/pollenwalk/process/permit_allocator.py
@@ -32,6 +32,7 @@
 from pollenwalk.process.directory import rendezvous
 from pollenwalk.process.host_limits import HostLimits
 from pollenwalk.process.keeper_members import Member, Members
+from pollenwalk.process.leaving_hosts import LeavingHosts
 
 MAX_OWNERS = 3
 LEASE_MS = 1500.0
@@ -82,6 +83,7 @@
     Attributes:
         limits: what this keeper knows of limits.
         crashes: what it knows of requests on which hosts crash, to pass it on.
+        leaving: the hosts that have said that they leave, likewise.
         shares: its shares, by the start of the host.
         current: the keepers listed at the last message.
         settled: the keepers listed before the list began to change.
@@ -99,6 +101,7 @@
         self.regions = regions
         self.limits = HostLimits(clock)
         self.crashes = CrashRecords(clock)
+        self.leaving = LeavingHosts(clock)
         self.shares: dict[HostStart, HostShare] = {}
         self.current: dict[str, Member] = {}
         self.settled: dict[str, Member] = {}
@@ -117,6 +120,7 @@
         for report in message.crashes:
             self.crashes.learn(report, 'message')
         if isinstance(message, TellLimits):
+            self.leaving.add(message.leaving)
             return self.known_since(self.limits.revision, self.crashes.revision)
         if message.boot_id != self.boot_id:
             return self.known_since(0, 0)
@@ -130,6 +134,7 @@
             self.limits.revision,
             self.crashes.news_since(crashes_revision),
             self.crashes.revision,
+            self.leaving.lately(),
         )
 
     def learn_all(self, limits: list[LimitNews]) -> None:
--- a/pollenwalk/process/permit_client.py
+++ b/pollenwalk/process/permit_client.py
@@ -13,6 +13,7 @@
 
 from pollenwalk.connection.limit_messages import (
     ExchangeLimits,
+    HostStart,
     KnownLimits,
     LimitNews,
     PermitDecision,
@@ -118,6 +119,11 @@
         if limits.learn(news, 'answer'):
             self.group.tasks.spawn(self.tell_keepers(news), 'tell_limit')
 
+    def tell_leaving(self, host: HostStart) -> None:
+        """Tell all keepers of a host that leaves, without waiting for them."""
+        message = TellLimits([], leaving=(host,))
+        self.group.tasks.spawn(self.group.tell_all(message), 'tell_leaving')
+
     async def tell_keepers(self, news: LimitNews) -> None:
         """Tell all keepers of a limit."""
         await self.group.tell_all(TellLimits([news]))
@@ -251,3 +257,5 @@
             self.host_table.limits.learn(news, 'keeper')
         for report in known.crashes:
             self.crash_guard.records.learn(report, 'keeper')
+        for host in known.leaving:
+            self.host_table.record_leaving(host)
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -475,6 +475,7 @@
         context.permits.record_answer(state, head.limit)
     if head.leaving and not head.misdirected and state.record_leaving(now_ms):
         context.metrics.leaving_total.inc({})
+        context.permits.tell_leaving(state.registration.start)
         logger.info(
             'host_says_it_leaves',
             request=call.id,
