--- a/pollenwalk/process/loop_share.py
+++ b/pollenwalk/process/loop_share.py
@@ -19,9 +19,17 @@
         """Start without steps."""
         self.steps = 0
 
+    def is_used_up(self) -> bool:
+        """Count a step; return whether other tasks must run before the next one."""
+        self.steps += 1
+        return self.steps >= MAX_STEPS
+
+    async def give_way(self) -> None:
+        """Let other tasks run."""
+        self.steps = 0
+        await asyncio.sleep(0)
+
     async def step(self) -> None:
         """Count a step; let other tasks run if there were MAX_STEPS."""
-        self.steps += 1
-        if self.steps >= MAX_STEPS:
-            self.steps = 0
-            await asyncio.sleep(0)
+        if self.is_used_up():
+            await self.give_way()
--- a/pollenwalk/request/event_stream.py
+++ b/pollenwalk/request/event_stream.py
@@ -78,6 +78,8 @@
     """Decode the id and data fields of one event; ignore its other fields."""
     event_id = ''
     lines: list[bytes] = []
+    if raw.isspace():
+        return Event(raw, event_id, None)
     for line in raw.splitlines():
         field, _, text = line.partition(b':')
         text = text.removeprefix(b' ')
--- a/pollenwalk/request/streaming.py
+++ b/pollenwalk/request/streaming.py
@@ -260,9 +260,11 @@
 
     async def forward_event(self, exchange: Exchange, event: Event) -> None:
         """Send one event to the caller once the turn permits it."""
-        await self.loop_share.step()
+        if self.loop_share.is_used_up():
+            await self.loop_share.give_way()
         await self.turn.before_event(event)
-        await self.start_reply(exchange)
+        if not self.reply.started:
+            await self.start_reply(exchange)
         await self.reply.write(event.raw)
         self.last_event_id = event.id or self.last_event_id
         if event.id or event.payload is not None:
