--- a/pollenwalk/process/metrics_page.py
+++ b/pollenwalk/process/metrics_page.py
@@ -7,6 +7,7 @@
 from pollenwalk.connection.addresses import split_address
 from pollenwalk.connection.http_server import HttpServer
 from pollenwalk.connection.plain_page import Page, PlainPage
+from pollenwalk.process.quick_metrics import QuickCounter, QuickHistogram
 
 # Upper bounds of the histograms' buckets in seconds, from the time of a disk sync
 # to the longest time that a caller waits.
@@ -23,7 +24,7 @@
 
     def counter(self, name: str, text: str) -> Counter:
         """Create and register a counter."""
-        return Counter(f'pollenwalk_{name}', text, registry=self.registry)
+        return QuickCounter(f'pollenwalk_{name}', text, registry=self.registry)
 
     def gauge(self, name: str, text: str) -> Gauge:
         """Create and register a gauge."""
@@ -31,7 +32,7 @@
 
     def histogram(self, name: str, text: str) -> Histogram:
         """Create and register a histogram of times in seconds."""
-        return Histogram(
+        return QuickHistogram(
             f'pollenwalk_{name}',
             text,
             registry=self.registry,
