Split the peers' client, server and frame writer; move following out of the gateway

connection/peer.py had grown to 600 lines with three jobs. The stand-in host closes its connections also when the loop ends, so that tests print no screens of 'Event loop is closed'. No change of behaviour.

--- a/pollenwalk/connection/peer.py
+++ b/pollenwalk/connection/peer.py
@@ -1,182 +1,37 @@
 """Requests to other processes, multiplexed over one channel.
 
 The side that connects sends requests; the side that listens answers each
-request with a stream of messages. A request with its answers is an exchange.
-Frames of all exchanges that are queued within a short window are sent in one
+request with a stream of messages (`peer_server`). A request with its answers is an
+exchange. Frames of all exchanges that are queued within a short window are sent in one
 batch, which reduces the cost of streamed tokens.
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Coroutine
-from typing import Any, Protocol
-
-from loguru import logger
+from collections.abc import AsyncIterator
+from typing import Any
 
 from pollenwalk.connection.channel import Channel, StreamNetwork
+from pollenwalk.connection.frame_writer import FrameWriter
+from pollenwalk.connection.pending_requests import (
+    END,
+    AnswerTaker,
+    FirstAnswer,
+    PendingRequests,
+    ends_exchange,
+)
 from pollenwalk.connection.wire import (
     CANCEL_KIND,
-    END_KIND,
     PROTOCOL_VERSION,
     Frame,
     Hello,
-    Tokens,
-    Welcome,
     decode_frames,
-    encode_frames,
-)
-from pollenwalk.errors import (
-    ConnectionLost,
-    Outcome,
-    PollenwalkError,
-    Refusal,
-    RefusalBody,
-    RefusalCode,
 )
+from pollenwalk.errors import ConnectionLost, PollenwalkError
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.tasks import TaskSet
 
-# Maximum delay of tokens that wait for more frames to be sent with them.
-COALESCE_MS = 4
 CONNECT_TIMEOUT_MS = 2000
 
-Handler = Callable[[Hello, Any], AsyncIterator[Any]]
-
-
-END = object()
-
-
-def ends_exchange(item: Any) -> bool:
-    """Return whether an item of an answer queue is the last of its exchange."""
-    return item is END or isinstance(item, Exception)
-
-
-class FrameWriter:
-    """Sends queued frames in batches and delays tokens to make batches larger.
-
-    Attributes:
-        coalesce_ms: maximum delay of tokens; 0 sends them at once.
-        queue: frames that are not sent yet.
-        nonempty: set while `queue` is not empty.
-        urgent: set while `queue` contains a frame that must not be delayed.
-    """
-
-    def __init__(self, channel: Channel, clock: Clock, coalesce_ms: float) -> None:
-        """Create a writer to `channel` that delays tokens by up to `coalesce_ms`."""
-        self.channel = channel
-        self.clock = clock
-        self.coalesce_ms = coalesce_ms
-        self.queue: list[Frame] = []
-        self.nonempty = asyncio.Event()
-        self.urgent = asyncio.Event()
-
-    def put(self, frame: Frame) -> None:
-        """Queue a frame.
-
-        Tokens may be delayed, but not the first ones of an answer. All other
-        messages are urgent.
-        """
-        self.queue.append(frame)
-        self.nonempty.set()
-        if not isinstance(frame.body, Tokens) or not frame.body.offset:
-            self.urgent.set()
-
-    async def run(self) -> None:
-        """Send queued frames until the channel ends.
-
-        Raises:
-            ConnectionLost: the channel has ended.
-        """
-        while True:
-            await self.nonempty.wait()
-            await self.wait_for_batch()
-            batch = self.queue
-            self.queue = []
-            self.nonempty.clear()
-            self.urgent.clear()
-            await self.channel.send(encode_frames(batch))
-
-    async def wait_for_batch(self) -> None:
-        """Wait until `coalesce_ms` has passed or an urgent frame is queued."""
-        if self.urgent.is_set() or not self.coalesce_ms:
-            return
-        try:
-            async with self.clock.timeout_ms(self.coalesce_ms):
-                await self.urgent.wait()
-        except TimeoutError:
-            return
-
-
-class AnswerTaker(Protocol):
-    """Takes the items of an exchange, as a queue does."""
-
-    def put_nowait(self, item: Any) -> None:
-        """Take an answer, a refusal or END."""
-
-
-class FirstAnswer:
-    """Takes the first answer to a request; stands in place of a queue.
-
-    Attributes:
-        received: done once the first answer, a refusal or the end has arrived.
-    """
-
-    def __init__(self) -> None:
-        """Wait for an answer."""
-        loop = asyncio.get_running_loop()
-        self.received: asyncio.Future[Any] = loop.create_future()
-
-    def put_nowait(self, item: Any) -> None:
-        """Take an item of the exchange, unless there was one before."""
-        if self.received.done():
-            return
-        if item is END:
-            item = ConnectionLost('the peer ended the exchange without an answer')
-        if isinstance(item, Exception):
-            self.received.set_exception(item)
-        else:
-            self.received.set_result(item)
-
-
-class PendingRequests:
-    """The requests of a connection whose answers are not complete.
-
-    Attributes:
-        queues: what takes the received answers, by number of the exchange.
-        last_number: number of the exchange that was begun last.
-    """
-
-    def __init__(self) -> None:
-        """Create an empty table."""
-        self.queues: dict[int, AnswerTaker] = {}
-        self.last_number = 0
-
-    def add(self, queue: AnswerTaker) -> int:
-        """Add a request whose answers `queue` takes; return its exchange's number."""
-        self.last_number += 1
-        self.queues[self.last_number] = queue
-        return self.last_number
-
-    def deliver(self, frame: Frame) -> None:
-        """Queue what a frame contains for the request that it answers.
-
-        A refusal is queued as an exception, and the end of the exchange as END.
-        The frame is ignored if the request has ended.
-        """
-        queue = self.queues.get(frame.exchange)
-        if queue is None:
-            return
-        if frame.kind == END_KIND:
-            queue.put_nowait(END)
-        elif isinstance(frame.body, RefusalBody):
-            queue.put_nowait(frame.body.to_refusal())
-        else:
-            queue.put_nowait(frame.body)
-
-    def fail_all(self) -> None:
-        """Make all requests raise `ConnectionLost`."""
-        for queue in list(self.queues.values()):
-            queue.put_nowait(ConnectionLost('connection to the peer lost'))
-
 
 class Connection:
     """The requesting side of a connection to a peer.
@@ -419,176 +274,3 @@
         """Close the connection, if there is one."""
         if self.connection is not None:
             await self.connection.close()
-
-
-class RequestTasks:
-    """The tasks that answer the requests of one channel.
-
-    Attributes:
-        tasks: all tasks of the channel.
-        running: tasks of requests in progress by number of the exchange.
-    """
-
-    def __init__(self, tasks: TaskSet) -> None:
-        """Create an empty table whose tasks are spawned in `tasks`."""
-        self.tasks = tasks
-        self.running: dict[int, asyncio.Task[Any]] = {}
-
-    def start(self, frame: Frame, answering: Coroutine[Any, Any, None]) -> None:
-        """Start a task that answers the request in `frame`."""
-        task = self.tasks.spawn(answering, f'answer_{frame.kind}')
-        self.running[frame.exchange] = task
-        task.add_done_callback(lambda _: self.running.pop(frame.exchange, None))
-
-    def cancel(self, exchange: int) -> None:
-        """Cancel the task of a request, if it is still running."""
-        task = self.running.pop(exchange, None)
-        if task is not None:
-            task.cancel()
-
-
-class PeerServer:
-    """Answers the requests of all processes that connect.
-
-    Attributes:
-        channels: the open channels; a dict serves as an ordered set.
-    """
-
-    def __init__(
-        self,
-        clock: Clock,
-        handler: Handler,
-        boot_id: str,
-        coalesce_ms: float = COALESCE_MS,
-    ) -> None:
-        """Create a server that answers requests with `handler`.
-
-        Args:
-            clock: clock of the process.
-            handler: called for each request with the peer's `Hello` and the
-                request; yields the answers.
-            boot_id: id of this start of the process.
-            coalesce_ms: maximum delay of tokens that wait for more frames to be
-                sent with them.
-        """
-        self.clock = clock
-        self.handler = handler
-        self.boot_id = boot_id
-        self.coalesce_ms = coalesce_ms
-        self.channels: dict[Channel, None] = {}
-
-    async def serve(self, channel: Channel) -> None:
-        """Serve one channel until it ends, then cancel its tasks."""
-        tasks = TaskSet()
-        writer = FrameWriter(channel, self.clock, self.coalesce_ms)
-        self.channels[channel] = None
-        tasks.spawn(self.write(writer), 'server_write')
-        try:
-            await self.read(channel, writer, tasks)
-        except PollenwalkError as error:
-            logger.debug('channel_ended', reason=error.message)
-        finally:
-            self.channels.pop(channel, None)
-            await tasks.cancel()
-            await channel.close()
-
-    async def write(self, writer: FrameWriter) -> None:
-        """Run the writer until the channel ends, which the reader also detects."""
-        try:
-            await writer.run()
-        except ConnectionLost:
-            return
-
-    async def read(
-        self,
-        channel: Channel,
-        writer: FrameWriter,
-        tasks: TaskSet,
-    ) -> None:
-        """Handle the handshake, requests and cancellations of a channel.
-
-        Raises:
-            ConnectionLost: the channel has ended.
-            Refusal: a frame is invalid, or the first one is not `Hello`.
-        """
-        hello: Hello | None = None
-        requests = RequestTasks(tasks)
-        while True:
-            for frame in decode_frames(await channel.receive()):
-                if hello is None:
-                    hello = self.answer_hello(frame, writer)
-                elif frame.kind == CANCEL_KIND:
-                    requests.cancel(frame.exchange)
-                else:
-                    answering = self.answer(hello, frame, writer)
-                    requests.start(frame, answering)
-
-    def answer_hello(self, frame: Frame, writer: FrameWriter) -> Hello:
-        """Check the first frame of a channel, answer it and return its `Hello`.
-
-        If the protocol versions differ, the answer is a refusal and the
-        incarnation is removed from the returned `Hello`.
-
-        Raises:
-            Refusal: the frame does not contain a `Hello`.
-        """
-        hello = frame.body
-        if not isinstance(hello, Hello):
-            raise Refusal(RefusalCode.PROTOCOL, 'the first message is not Hello')
-        if hello.protocol != PROTOCOL_VERSION:
-            refusal = Refusal(
-                RefusalCode.PROTOCOL,
-                f'protocol version {hello.protocol}, expected {PROTOCOL_VERSION}',
-            )
-            self.reply(writer, frame, RefusalBody.from_refusal(refusal))
-            return hello._replace(incarnation='')
-        self.reply(writer, frame, Welcome(PROTOCOL_VERSION, self.boot_id))
-        writer.put(Frame(frame.exchange, END_KIND, None))
-        return hello
-
-    def reply(self, writer: FrameWriter, frame: Frame, message: Any) -> None:
-        """Queue an answer to the request in `frame`."""
-        writer.put(Frame(frame.exchange, type(message).__name__, message))
-
-    async def answer(
-        self,
-        hello: Hello,
-        frame: Frame,
-        writer: FrameWriter,
-    ) -> None:
-        """Run the handler for a request and send the answers that it yields.
-
-        Any error of the handler is sent as a refusal.
-        """
-        if hello.protocol != PROTOCOL_VERSION:
-            refusal = Refusal(RefusalCode.PROTOCOL, 'protocol version differs')
-            self.reply(writer, frame, RefusalBody.from_refusal(refusal))
-            return
-        try:
-            async for message in self.handler(hello, frame.body):
-                self.reply(writer, frame, message)
-        except PollenwalkError as error:
-            self.reply(writer, frame, RefusalBody.from_refusal(as_refusal(error)))
-            return
-        except Exception as error:  # noqa: BLE001
-            # Without an answer, the requesting process would wait forever.
-            logger.opt(exception=error).error('handler_failed', kind=frame.kind)
-            self.reply(writer, frame, RefusalBody.from_refusal(as_refusal(error)))
-            return
-        writer.put(Frame(frame.exchange, END_KIND, None))
-
-    async def close(self) -> None:
-        """Close all accepted channels."""
-        for channel in list(self.channels):
-            await channel.close()
-
-
-def as_refusal(error: Exception) -> Refusal:
-    """Return the refusal for an error of a handler.
-
-    Errors other than refusals become one with an unknown outcome, as the call
-    may have run.
-    """
-    if isinstance(error, Refusal):
-        return error
-    return Refusal(RefusalCode.OUTCOME_UNKNOWN, str(error), Outcome.UNKNOWN)
--- a/pollenwalk/process/entry.py
+++ b/pollenwalk/process/entry.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from pollenwalk.connection.channel import Listener, Network
-from pollenwalk.connection.peer import PeerServer
+from pollenwalk.connection.peer_server import PeerServer
 from pollenwalk.connection.wire import (
     Beat,
     Report,
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -1,10 +1,8 @@
 """The gateway: accepts callers' requests and forwards them to upstream hosts."""
 
 import asyncio
-import contextlib
 import random
 import zlib
-from collections.abc import Callable
 from typing import NamedTuple
 
 from loguru import logger
@@ -19,6 +17,7 @@
 from pollenwalk.policy.program_admission import draw_elsewhere_retry_ms
 from pollenwalk.process.call_placer import CallPlacer
 from pollenwalk.process.clock import Clock
+from pollenwalk.process.gateway_follower import GatewayFollower
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.host_table import HostTable
 from pollenwalk.process.keeper_feed import KeeperFeed
@@ -27,8 +26,7 @@
 from pollenwalk.process.keeper_members import KEEPERS_PREFIX
 from pollenwalk.process.load_reporter import LoadReporter
 from pollenwalk.process.permit_client import PermitClient
-from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
-from pollenwalk.process.store import ObjectStore, StoredObject
+from pollenwalk.process.store import ObjectStore
 from pollenwalk.process.stream_registry import StreamRegistry
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.request.call_sender import ForwardingContext
@@ -62,16 +60,6 @@
 # that it is not ready, so that callers are sent to other gateways. Shorter than
 # the time until a load balancer's second check.
 MAX_WITHOUT_MAJORITY_MS = 500.0
-# How long a gateway that starts waits for a keeper to be listed: a keeper that starts at
-# the same time is listed after about a second. Intervals of the checks.
-FIRST_KEEPER_MS = 1500.0
-FIRST_KEEPER_CHECK_MS = 20.0
-# What is followed, as logs and metrics name it.
-WATCHED = {
-    CONFIGURATION_PREFIX: 'configuration',
-    HOSTS_PREFIX: 'hosts',
-    KEEPERS_PREFIX: 'keepers',
-}
 # Outcome of a request whose caller disconnected.
 CALLER_LEFT = 'caller_left'
 # Number of different CRC-32 checksums.
@@ -185,67 +173,40 @@
 
     async def start(self) -> None:
         """Start to follow the store, to exchange limits and to report the load."""
-        members = self.links.members
-        wait_ms = self.settings.leave_notice_ms * MEMBERSHIP_WATCH_SHARE
-        self.follow(KEEPERS_PREFIX, members.apply_change, members.mark_loaded, wait_ms)
-        self.tasks.spawn(self.follow_rest(wait_ms), 'follow_rest')
+        self.tasks.spawn(self.follow_store(), 'follow_store')
         self.tasks.spawn(self.permits.exchange_limits(), 'exchange_limits')
         reporter = LoadReporter(
             self.links, self.clock, self.own_load, self.settings.name
         )
         self.tasks.spawn(reporter.run(), 'report_load')
 
-    async def follow_rest(self, membership_wait_ms: float) -> None:
-        """Follow the configuration and the hosts, through a keeper if there is one."""
-        await self.wait_for_keeper()
-        self.follow(
+    async def follow_store(self) -> None:
+        """Follow the keepers, then, through one of them, everything else."""
+        follower = GatewayFollower(
+            self.feed, self.clock, self.tasks, self.on_store_unavailable, self.keepers
+        )
+        settings = self.settings
+        membership_wait_ms = settings.leave_notice_ms * MEMBERSHIP_WATCH_SHARE
+        follower.follow(
+            KEEPERS_PREFIX,
+            self.links.members.apply_change,
+            self.links.members.mark_loaded,
+            membership_wait_ms,
+        )
+        await follower.wait_for_keeper(self.links.members)
+        follower.follow(
             CONFIGURATION_PREFIX,
             self.active_configuration.apply,
             self.host_table.record_store_answer,
-            self.settings.change_delay_ms * CONFIGURATION_WATCH_SHARE,
+            settings.change_delay_ms * CONFIGURATION_WATCH_SHARE,
         )
-        self.follow(
+        follower.follow(
             HOSTS_PREFIX,
             self.host_table.apply_change,
             self.on_hosts_read,
             membership_wait_ms,
         )
 
-    async def wait_for_keeper(self) -> None:
-        """Wait until a keeper is listed, but not for long.
-
-        If all processes start at once, each would read the rest from the store itself.
-        """
-        with contextlib.suppress(TimeoutError):
-            async with self.clock.timeout_ms(FIRST_KEEPER_MS):
-                while not self.links.members.by_name:
-                    await self.clock.sleep_ms(FIRST_KEEPER_CHECK_MS)
-
-    def follow(
-        self,
-        prefix: str,
-        on_object: Callable[[StoredObject], None],
-        on_read: Callable[[], None],
-        wait_ms: float,
-    ) -> None:
-        """Follow the objects below a prefix until the gateway stops.
-
-        Args:
-            prefix: the prefix in the store.
-            on_object: called with each new, changed or deleted object.
-            on_read: called after each answer.
-            wait_ms: longest duration of one watch.
-        """
-        what = WATCHED[prefix]
-        handlers = WatchHandlers(
-            on_object,
-            on_read,
-            lambda error: self.on_store_unavailable(what, error),
-            self.keepers.read_prefix,
-        )
-        watcher = PrefixWatcher(self.feed, self.clock, prefix, handlers, wait_ms)
-        self.tasks.spawn(watcher.run(), f'follow {prefix}')
-
     def on_hosts_read(self) -> None:
         """Mark the host table as loaded and close connections to removed hosts."""
         self.host_table.loaded = True
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -21,7 +21,7 @@
     TellLimits,
 )
 from pollenwalk.connection.load_messages import GatewayLoad
-from pollenwalk.connection.peer import PeerServer
+from pollenwalk.connection.peer_server import PeerServer
 from pollenwalk.connection.store_messages import (
     FollowPrefix,
     ReadPrefix,
--- a/pollenwalk/process/keeper_broadcast.py
+++ b/pollenwalk/process/keeper_broadcast.py
@@ -8,7 +8,8 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
-from pollenwalk.connection.peer import END, Connection
+from pollenwalk.connection.peer import Connection
+from pollenwalk.connection.pending_requests import END
 from pollenwalk.errors import ConnectionLost, PollenwalkError
 from pollenwalk.process.keeper_links import (
     REQUEST_TIMEOUT_MS,
--- a/pollenwalk/process/sidecar.py
+++ b/pollenwalk/process/sidecar.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from pollenwalk.connection.channel import Listener, Network
-from pollenwalk.connection.peer import COALESCE_MS, PeerServer
+from pollenwalk.connection.peer_server import COALESCE_MS, PeerServer
 from pollenwalk.connection.upstream import Engine, Service
 from pollenwalk.connection.wire import (
     Entries,
--- a/standin/platform/host.py
+++ b/standin/platform/host.py
@@ -131,8 +131,9 @@
                 line.next_request()
                 request = await line.receive()
         except (h11.RemoteProtocolError, ConnectionError):
-            writer.close()
-        else:
+            return
+        finally:
+            # Also when the loop ends, after which a connection can't be closed.
             writer.close()
 
     def stop(self) -> None:
--- a/test/connection/test_peer.py
+++ b/test/connection/test_peer.py
@@ -6,7 +6,8 @@
 
 import testtools
 
-from pollenwalk.connection.peer import Connection, Peer, PeerServer
+from pollenwalk.connection.peer import Connection, Peer
+from pollenwalk.connection.peer_server import PeerServer
 from pollenwalk.connection.wire import (
     PROTOCOL_VERSION,
     Done,
