Keep answers to former gateways as they were

Keepers are upgraded before gateways. A gateway reads no answer with more fields than it knows, and the answer to the exchange of limits had one more since the news of leaving hosts: a former gateway would have closed its connection to every new keeper each 0.5 s. That news now comes with the answer to the report of the load, which is new. A keeper that loses the connection by a question about the store, as a former one does that does not know it, is not asked for 10 s.

--- a/pollenwalk/connection/limit_messages.py
+++ b/pollenwalk/connection/limit_messages.py
@@ -112,7 +112,6 @@
         revision: the keeper's revision now.
         crashes: the crashes that have been reported since that revision of them.
         crashes_revision: the keeper's revision of crashes now.
-        leaving: hosts that have said lately that they leave.
     """
 
     limits: list[LimitNews]
@@ -120,7 +119,6 @@
     revision: int
     crashes: tuple[CrashReport, ...] = ()
     crashes_revision: int = 0
-    leaving: tuple[HostStart, ...] = ()
 
 
 class BorrowShares(NamedTuple):
--- a/pollenwalk/connection/load_messages.py
+++ b/pollenwalk/connection/load_messages.py
@@ -1,7 +1,13 @@
-"""Messages by which gateways learn how loaded the others are."""
+"""Messages by which gateways learn how the fleet is.
+
+Answers to messages that older gateways send must not grow: a gateway reads no answer with
+more fields than it knows.
+"""
 
 from typing import NamedTuple
 
+from pollenwalk.connection.limit_messages import HostStart
+
 
 class GatewayLoad(NamedTuple):
     """Tells a keeper how well a gateway keeps up with its own load.
@@ -25,7 +31,9 @@
     Attributes:
         may_leave: whether the gateway may ask for no new callers now.
         others_have_room: whether callers that it sends away would find room.
+        leaving: upstream hosts that have lately said in an answer that they leave.
     """
 
     may_leave: bool
     others_have_room: bool
+    leaving: tuple[HostStart, ...] = ()
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -176,7 +176,11 @@
         self.tasks.spawn(self.follow_store(), 'follow_store')
         self.tasks.spawn(self.permits.exchange_limits(), 'exchange_limits')
         reporter = LoadReporter(
-            self.links, self.clock, self.own_load, self.settings.name
+            self.links,
+            self.clock,
+            self.own_load,
+            self.host_table,
+            self.settings.name,
         )
         self.tasks.spawn(reporter.run(), 'report_load')
 
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -256,7 +256,8 @@
         if isinstance(message, LimitMessage):
             return self.answer_about_limits(message)
         if isinstance(message, GatewayLoad):
-            return self.fleet_load.record(message, self.clock.now_ms())
+            state = self.fleet_load.record(message, self.clock.now_ms())
+            return state._replace(leaving=self.permits.leaving.lately())
         if isinstance(message, StreamOrigin):
             self.stream_origins.add(message)
             return Done()
--- a/pollenwalk/process/keeper_feed.py
+++ b/pollenwalk/process/keeper_feed.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from pollenwalk.connection.store_messages import FollowedPrefix, FollowPrefix
-from pollenwalk.errors import PollenwalkError, StoreHistoryGone
+from pollenwalk.errors import ConnectionLost, PollenwalkError, StoreHistoryGone
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.keeper_links import KeeperLink, KeeperLinks
 from pollenwalk.process.store import (
@@ -27,6 +27,9 @@
 MAX_WAIT_MS = 1500
 # Duration of a keeper's watches that is assumed when all objects are asked for.
 USUAL_WATCH_MS = 2500
+# How long a keeper is not asked after its connection was lost by a question. A keeper of
+# the former version, which does not know the question, closes the connection.
+AVOID_MS = 10_000.0
 # Time for the way to a keeper and back, besides the time for which it may wait.
 TRANSIT_MS = 700.0
 # What a keeper knows may be as old as two of its watches in a row and the way to the
@@ -44,6 +47,8 @@
         own_name: name of this process, if it is a keeper.
         confirmed_at_ms: for each prefix, the time until which all changes are known.
         trouble_at_ms: time of the latest failure of the store that was told of.
+        avoided_until_ms: for each keeper that was lost by a question, until when it is not
+            asked.
         sources: for each prefix, who answered last, for the log.
     """
 
@@ -65,6 +70,7 @@
         self.own_name = own_name
         self.confirmed_at_ms: dict[str, float] = {}
         self.trouble_at_ms = 0.0
+        self.avoided_until_ms: dict[str, float] = {}
         self.sources: dict[str, str] = {}
 
     async def scan(self, prefix: str) -> Changes:
@@ -123,15 +129,23 @@
         Returns:
             The first answer that is recent enough; None if there is none.
         """
-        for link in self.links.of_region()[:MAX_KEEPERS_ASKED]:
-            if link.is_lost:
-                return None
+        for link in self.candidates()[:MAX_KEEPERS_ASKED]:
             asked_at_ms = self.clock.now_ms()
             answer = await self.ask(link, question)
             if answer is not None and self.accepts(question, answer, asked_at_ms, link):
                 return answer
         return None
 
+    def candidates(self) -> list[KeeperLink]:
+        """Return the keepers that may be asked, the first of the region first."""
+        now_ms = self.clock.now_ms()
+        return [
+            link
+            for link in self.links.of_region()
+            if not link.is_lost
+            and self.avoided_until_ms.get(link.member.name, 0) <= now_ms
+        ]
+
     async def ask(
         self, link: KeeperLink, question: FollowPrefix
     ) -> FollowedPrefix | None:
@@ -142,6 +156,11 @@
             return await self.links.request(
                 link, question, question.wait_ms + TRANSIT_MS
             )
+        except ConnectionLost:
+            # `KeeperLinks` has logged the loss.
+            until_ms = self.clock.now_ms() + AVOID_MS
+            self.avoided_until_ms[link.member.name] = until_ms
+            return None
         except PollenwalkError as error:
             logger.debug('feed_failed', keeper=link.member.name, reason=error.message)
             return None
--- a/pollenwalk/process/load_reporter.py
+++ b/pollenwalk/process/load_reporter.py
@@ -3,6 +3,7 @@
 from pollenwalk.connection.load_messages import FleetState, GatewayLoad
 from pollenwalk.policy.own_load import OwnLoad
 from pollenwalk.process.clock import Clock
+from pollenwalk.process.host_table import HostTable
 from pollenwalk.process.keeper_group import answer_or_none
 from pollenwalk.process.keeper_links import KeeperLinks
 
@@ -19,15 +20,22 @@
 
     Attributes:
         own_load: the load of the gateway.
+        host_table: the upstream hosts that it knows.
         name: name of the gateway.
         zone: its availability zone.
     """
 
     def __init__(
-        self, links: KeeperLinks, clock: Clock, own_load: OwnLoad, name: str
+        self,
+        links: KeeperLinks,
+        clock: Clock,
+        own_load: OwnLoad,
+        host_table: HostTable,
+        name: str,
     ) -> None:
         """Create a reporter that has not reported yet."""
         self.links = links
+        self.host_table = host_table
         self.clock = clock
         self.own_load = own_load
         self.name = name
@@ -56,5 +64,8 @@
             self.own_load.wants_to_leave,
         )
         state: FleetState | None = await answer_or_none(self.links.request(link, load))
-        if state is not None:
-            self.own_load.heed_fleet(state, self.clock.now_ms())
+        if state is None:
+            return
+        self.own_load.heed_fleet(state, self.clock.now_ms())
+        for host in state.leaving:
+            self.host_table.record_leaving(host)
--- a/pollenwalk/process/permit_allocator.py
+++ b/pollenwalk/process/permit_allocator.py
@@ -134,7 +134,6 @@
             self.limits.revision,
             self.crashes.news_since(crashes_revision),
             self.crashes.revision,
-            self.leaving.lately(),
         )
 
     def learn_all(self, limits: list[LimitNews]) -> None:
--- a/pollenwalk/process/permit_client.py
+++ b/pollenwalk/process/permit_client.py
@@ -257,5 +257,3 @@
             self.host_table.limits.learn(news, 'keeper')
         for report in known.crashes:
             self.crash_guard.records.learn(report, 'keeper')
-        for host in known.leaving:
-            self.host_table.record_leaving(host)
--- a/test/process/test_leaving_news.py
+++ b/test/process/test_leaving_news.py
@@ -3,7 +3,7 @@
 import testtools
 
 from pollenwalk.process.leaving_hosts import MEMORY_MS, LeavingHosts
-from pollenwalk.process.permit_client import EXCHANGE_INTERVAL_MS
+from pollenwalk.process.load_reporter import REPORT_INTERVAL_MS
 from standin.platform.host import SIGNED, Line, Received, answer
 from test.helper import make_clock, on_loop, virtual
 from test.process.test_limited_hosts import CONFIGURATION, LimitedUpstream
@@ -44,7 +44,7 @@
         first, second = await upstream.start_gateways(2)
         ended = await upstream.call(first, upstream.make_request('/safe/1', 'r1'))
         self.assertIsNone(ended.error)
-        await upstream.clock.sleep_ms(2 * EXCHANGE_INTERVAL_MS)
+        await upstream.clock.sleep_ms(2 * REPORT_INTERVAL_MS)
         for gateway in (first, second):
             states = gateway.host_table.states.values()
             self.assertTrue(all(one.registration.leaving for one in states))
