Wake idle processes less often

Of some 60 wakes a second of a gateway 30 were uvicorn's loop, which looks ten times a second whether to stop, in each of three servers; 20 measured the delay of the event loop; 4 looked whether to report the load. A keeper looked ten times a second at its own entry.

Now the servers wait for an event, the delay is measured each 0.2 s while the loop is on time (0.05 s as before once it is not), and the others wait as long as they may.

--- a/pollenwalk/connection/http_server.py
+++ b/pollenwalk/connection/http_server.py
@@ -18,7 +18,25 @@
 
 
 class EmbeddedServer(uvicorn.Server):
-    """A uvicorn server that leaves signal handling to its process."""
+    """A uvicorn server that leaves signal handling to its process.
+
+    Attributes:
+        stop_requested: set when the server is to stop.
+    """
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        """Create a server that does not run."""
+        super().__init__(config)
+        self.stop_requested = asyncio.Event()
+
+    async def main_loop(self) -> None:
+        """Wait until the server is to stop.
+
+        uvicorn wakes ten times a second to look, and to update a Date header, which is
+        not sent here. A process has up to three servers and may be idle.
+        """
+        await self.on_tick(0)
+        await self.stop_requested.wait()
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -87,6 +105,7 @@
         """
         self.server.config.timeout_graceful_shutdown = grace_s
         self.server.should_exit = True
+        self.server.stop_requested.set()
         if self.task is not None:
             await asyncio.gather(self.task, return_exceptions=True)
 
--- a/pollenwalk/policy/own_load.py
+++ b/pollenwalk/policy/own_load.py
@@ -84,7 +84,12 @@
 
     def sends_callers_away(self, now_ms: float) -> bool:
         """Return whether callers should open their next connection elsewhere."""
-        return not self.accepts_callers(now_ms) and self.delay_ms > RELAXED_DELAY_MS
+        return not self.accepts_callers(now_ms) and not self.is_relaxed
+
+    @property
+    def is_relaxed(self) -> bool:
+        """Return whether the gateway is far from overloaded."""
+        return self.delay_ms <= RELAXED_DELAY_MS
 
     @property
     def expected_wait_ms(self) -> float:
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -70,7 +70,9 @@
 
 # A message with this many records has some hundred kilobytes.
 MAX_BATCH_RECORDS = 64
-REGISTRATION_CHECK_INTERVAL_MS = 100.0
+# Intervals of the checks whether the own object in the store is as it should be, by
+# whether it was at the last check.
+REGISTRATION_CHECK_MS = {False: 100.0, True: 400.0}
 EXPIRE_INTERVAL_MS = 5000.0
 # Longest duration of a watch. A keeper is given at least several seconds to retire, and
 # a stalled watch must end well before.
@@ -332,21 +334,29 @@
         """Register this keeper whenever its object in the store must be written."""
         backoff = Backoff(self.clock)
         while True:
-            await self.clock.sleep_ms(REGISTRATION_CHECK_INTERVAL_MS)
+            is_registered = self.state.complete and not self.needs_registration()
+            await self.clock.sleep_ms(REGISTRATION_CHECK_MS[is_registered])
             if not self.links.members.loaded or not self.needs_registration():
                 continue
             try:
-                await self.store.put(
-                    self.own_member.key, self.own_member.encode(), None
-                )
+                await self.register()
             except StoreUnavailable as error:
                 log_store_unavailable(error)
                 await backoff.pause()
                 continue
             backoff = Backoff(self.clock)
-            logger.info('registered', keeper=self.own_member.name)
-            self.links.members.by_name[self.own_member.name] = self.own_member
-            self.links.members.unreadable.remove(self.own_member.key)
+
+    async def register(self) -> None:
+        """Write this keeper's object in the store.
+
+        Raises:
+            StoreUnavailable: the store did not answer.
+        """
+        members = self.links.members
+        await self.store.put(self.own_member.key, self.own_member.encode(), None)
+        logger.info('registered', keeper=self.own_member.name)
+        members.by_name[self.own_member.name] = self.own_member
+        members.unreadable.remove(self.own_member.key)
 
     def needs_registration(self) -> bool:
         """Return whether this keeper's object in the store must be written.
--- a/pollenwalk/process/load_monitor.py
+++ b/pollenwalk/process/load_monitor.py
@@ -13,8 +13,11 @@
 from pollenwalk.process.clock import MS_PER_SECOND, Clock
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 
-# Interval at which the delay of the event loop is measured.
+# Interval at which the delay of the event loop is measured, and while it is on time.
 PROBE_INTERVAL_MS = 50.0
+IDLE_PROBE_INTERVAL_MS = 200.0
+# Average delay below which the loop counts as being on time.
+ON_TIME_DELAY_MS = 1.0
 # Interval of the log lines.
 LOG_INTERVAL_MS = 1000.0
 KIB_PER_MIB = 1024
@@ -51,13 +54,20 @@
         logged_at_ms = self.clock.now_ms()
         while True:
             started_ms = self.clock.now_ms()
-            await self.clock.sleep_ms(PROBE_INTERVAL_MS)
+            interval_ms = self.probe_interval_ms
+            await self.clock.sleep_ms(interval_ms)
             now_ms = self.clock.now_ms()
-            self.record_delay(max(now_ms - started_ms - PROBE_INTERVAL_MS, 0))
+            self.record_delay(max(now_ms - started_ms - interval_ms, 0))
             if now_ms - logged_at_ms >= LOG_INTERVAL_MS:
                 logged_at_ms = now_ms
                 self.log()
 
+    @property
+    def probe_interval_ms(self) -> float:
+        """Return the time until the next measurement."""
+        is_on_time = self.own_load.delay_ms < ON_TIME_DELAY_MS
+        return IDLE_PROBE_INTERVAL_MS if is_on_time else PROBE_INTERVAL_MS
+
     def record_delay(self, delay_ms: float) -> None:
         """Record one delay of the event loop."""
         self.longest_ms = max(self.longest_ms, delay_ms)
--- a/pollenwalk/process/load_reporter.py
+++ b/pollenwalk/process/load_reporter.py
@@ -43,14 +43,15 @@
 
     async def run(self) -> None:
         """Report at regular intervals, at shorter ones while the gateway wants to leave."""
-        reported_at_ms = -REPORT_INTERVAL_MS
         while True:
-            now_ms = self.clock.now_ms()
-            is_due = now_ms - reported_at_ms >= REPORT_INTERVAL_MS
-            if is_due or self.own_load.wants_to_leave:
-                reported_at_ms = now_ms
-                await self.report()
-            await self.clock.sleep_ms(URGENT_INTERVAL_MS)
+            await self.report()
+            left_ms = REPORT_INTERVAL_MS
+            while left_ms > 0 and not self.own_load.wants_to_leave:
+                step_ms = left_ms if self.own_load.is_relaxed else URGENT_INTERVAL_MS
+                await self.clock.sleep_ms(step_ms)
+                left_ms -= step_ms
+            if self.own_load.wants_to_leave:
+                await self.clock.sleep_ms(URGENT_INTERVAL_MS)
 
     async def report(self) -> None:
         """Report the load once; heed the answer if there is one."""
