Ask the keepers of a region for a turn together

A turn that no near keeper has was looked for one keeper after the other: up to 24 round trips, 12 of them between regions.

Now the nearest keeper is asked, then the others of the region at once, then all others at once. test_unknown_turn_is_refused_soon failed before; finding a turn of the other region took less than its bound before, too, as the first far keeper had it.

--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from typing import Any, NamedTuple, TypeVar
 
 from loguru import logger
@@ -16,7 +16,7 @@
 from pollenwalk.errors import PollenwalkError, Refusal, RefusalCode
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.keeper_broadcast import Broadcast
-from pollenwalk.process.keeper_links import KeeperLink, KeeperLinks
+from pollenwalk.process.keeper_links import OTHER_REGION, KeeperLink, KeeperLinks
 from pollenwalk.process.keeper_quorum import SPARE_KEEPERS, Quorum
 from pollenwalk.process.retry_advisor import RetryAdvisor
 from pollenwalk.process.store import Changes, StoredObject
@@ -100,8 +100,15 @@
         Keepers that fail or don't answer in time are skipped. Requests that are
         still open when the caller stops iterating are cancelled.
         """
+        async for answer in self.request_each(self.links.ordered(), message):
+            yield answer
+
+    async def request_each(
+        self, links: list[KeeperLink], message: Any
+    ) -> AsyncIterator[Any]:
+        """Send a message to some keepers and yield the answers as they arrive."""
         broadcast = Broadcast(self.links)
-        broadcast.send_to(self.links.ordered(), message)
+        broadcast.send_to(links, message)
         try:
             while broadcast.outstanding:
                 answered = await broadcast.next()
@@ -203,8 +210,9 @@
     async def find_chain(self, turn: str) -> Chain:
         """Return the part of a turn's chain that one keeper has.
 
-        The keepers are asked one after the other, the nearest first, until one
-        has the turn.
+        The nearest keeper is asked first, then the others of the region together, then
+        all others together: a turn of a caller that has moved is far away, and one that
+        does not exist is nowhere.
 
         Raises:
             Refusal: the turn does not exist, or too few keepers answered to
@@ -212,11 +220,11 @@
         """
         links = self.links.ordered()
         without_turn = 0
-        for link in links:
-            found = await self.request_chain(link, turn)
-            if found is not None and found.turns:
-                return found
-            without_turn += int(found is not None and found.complete)
+        for circle in circles(links):
+            async for found in self.request_each(circle, FindChain(turn)):
+                if found.turns:
+                    return found
+                without_turn += int(found.complete)
         if links and without_turn >= len(links) - self.tolerated_losses:
             raise Refusal(RefusalCode.UNKNOWN_TURN, f'turn {turn} does not exist')
         raise keepers_unavailable(
@@ -224,10 +232,6 @@
             f'turn {turn}',
         )
 
-    async def request_chain(self, link: KeeperLink, turn: str) -> Chain | None:
-        """Ask one keeper for a turn's chain; return None if it does not answer."""
-        return await answer_or_none(self.links.request(link, FindChain(turn)))
-
     async def read_prefix(self, prefix: str) -> Changes | None:
         """List a prefix of the store through the nearest keeper that reaches it.
 
@@ -273,6 +277,15 @@
         await broadcast.finish()
 
 
+def circles(links: list[KeeperLink]) -> Iterator[list[KeeperLink]]:
+    """Yield the nearest keeper, the others of the region, and all others."""
+    near = [link for link in links if link.distance < OTHER_REGION]
+    far = [link for link in links if link.distance >= OTHER_REGION]
+    yield near[:1]
+    yield near[1:]
+    yield far
+
+
 async def answer_or_none(pending: Any) -> Any:
     """Return an answer, or None after a failure.
 
--- a/test/process/test_keeper_quorum.py
+++ b/test/process/test_keeper_quorum.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from pollenwalk.errors import Refusal
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.keeper_broadcast import Broadcast
 from pollenwalk.process.keeper_group import SETTLE_INTERVAL_MS, KeeperGroup
@@ -12,7 +13,7 @@
 from pollenwalk.program.turns import FindMissing, SettleTokens
 from pollenwalk.request.program_turn import ProgramTurn
 from test.helper import virtual
-from test.process.test_keepers import RETENTION_MS, KeeperCluster
+from test.process.test_keepers import RETENTION_MS, KeeperCluster, make_record
 from test.request.test_program_turn import make_call
 
 # Time of a turn while all answer: a new connection and a message to another region.
@@ -154,3 +155,28 @@
             if keeper.state.ledger.accounts
         }
         self.assertEqual({'z1', 'z2'}, known)
+
+
+class FindingTest(testtools.TestCase):
+    """How long it takes to find a turn, or that there is none."""
+
+    @virtual
+    async def test_turn_of_another_region_is_found_soon(self) -> None:
+        cluster = LargeCluster()
+        group = await cluster.start_with_group(24)
+        other = cluster.start_group('other', 'c')
+        await cluster.wait(1500)
+        await other.store_turn(make_record('t1'))
+        began_ms = cluster.clock.now_ms()
+        chain = await group.load_chain('t1')
+        self.assertEqual(['t1'], [one.turn for one in chain])
+        self.assertTrue(cluster.clock.now_ms() - began_ms < CALM_MS)
+
+    @virtual
+    async def test_unknown_turn_is_refused_soon(self) -> None:
+        cluster = LargeCluster()
+        group = await cluster.start_with_group(24)
+        began_ms = cluster.clock.now_ms()
+        with testtools.ExpectedException(Refusal):
+            await group.load_chain('never')
+        self.assertTrue(cluster.clock.now_ms() - began_ms < CALM_MS)
