--- a/pollenwalk/connection/plain_http.py
+++ b/pollenwalk/connection/plain_http.py
@@ -93,7 +93,7 @@
             BrokenAnswer: the answer broke off, is too large, or is no HTTP.
         """
         try:
-            answer = await talk(connection, request)
+            answer = await send_and_read(connection, request)
         except BaseException:
             connection.abort()
             raise
@@ -105,7 +105,9 @@
         self.pool.close()
 
 
-async def talk(connection: UpstreamConnection, request: HttpRequest) -> HttpAnswer:
+async def send_and_read(
+    connection: UpstreamConnection, request: HttpRequest
+) -> HttpAnswer:
     """Send a request on a connection, and read the whole answer.
 
     Raises:
--- a/pollenwalk/policy/fleet_load.py
+++ b/pollenwalk/policy/fleet_load.py
@@ -58,16 +58,18 @@
         """Record a gateway's load, and decide whether the gateway may leave."""
         former = self.reports.get(load.name)
         away_until_ms = former.away_until_ms if former else now_ms
-        self.forget_silent(now_ms)
+        self.remove_silent(now_ms)
         receivers = self.receivers_of(load, now_ms)
         has_room = have_room(receivers)
-        may_leave = load.wants_to_leave and has_room and not self.is_full(now_ms)
+        may_leave = (
+            load.wants_to_leave and has_room and not self.is_limit_reached(now_ms)
+        )
         if may_leave:
             away_until_ms = now_ms + AWAY_MS
         self.reports[load.name] = ReportedLoad(load, now_ms, away_until_ms)
         return FleetState(may_leave, has_room)
 
-    def forget_silent(self, now_ms: float) -> None:
+    def remove_silent(self, now_ms: float) -> None:
         """Forget the gateways that have not reported for a while."""
         self.reports = {
             name: report
@@ -75,7 +77,7 @@
             if now_ms - report.at_ms < REPORT_TRUST_MS
         }
 
-    def is_full(self, now_ms: float) -> bool:
+    def is_limit_reached(self, now_ms: float) -> bool:
         """Return whether no further gateway may be away."""
         away = sum(report.away_until_ms > now_ms for report in self.reports.values())
         return away >= max(1, int(len(self.reports) * MAX_AWAY_SHARE))
--- a/pollenwalk/policy/own_load.py
+++ b/pollenwalk/policy/own_load.py
@@ -73,7 +73,7 @@
         self.wants_to_leave = False
         return True
 
-    def heed_fleet(self, state: FleetState, now_ms: float) -> None:
+    def apply_fleet_state(self, state: FleetState, now_ms: float) -> None:
         """Record what has been decided for the whole fleet."""
         self.others_have_room = state.others_have_room
         self.permitted_until_ms = now_ms + PERMISSION_MS if state.may_leave else 0
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -259,7 +259,7 @@
             return self.answer_about_limits(message)
         if isinstance(message, GatewayLoad):
             state = self.fleet_load.record(message, self.clock.now_ms())
-            return state._replace(leaving=self.permits.leaving.lately())
+            return state._replace(leaving=self.permits.leaving.recent())
         if isinstance(message, StreamOrigin):
             self.stream_origins.add(message)
             return Done()
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -220,8 +220,8 @@
         """
         links = self.links.ordered()
         without_turn = 0
-        for circle in circles(links):
-            async for found in self.request_each(circle, FindChain(turn)):
+        for asked in search_rounds(links):
+            async for found in self.request_each(asked, FindChain(turn)):
                 if found.turns:
                     return found
                 without_turn += int(found.complete)
@@ -277,7 +277,7 @@
         await broadcast.finish()
 
 
-def circles(links: list[KeeperLink]) -> Iterator[list[KeeperLink]]:
+def search_rounds(links: list[KeeperLink]) -> Iterator[list[KeeperLink]]:
     """Yield the nearest keeper, the others of the region, and all others."""
     near = [link for link in links if link.distance < OTHER_REGION]
     far = [link for link in links if link.distance >= OTHER_REGION]
--- a/pollenwalk/process/keeper_quorum.py
+++ b/pollenwalk/process/keeper_quorum.py
@@ -1,4 +1,4 @@
-"""Asking as many keepers as it takes to decide, instead of all of them."""
+"""Requests to as many keepers as it takes to decide, with hedges for late ones."""
 
 from collections.abc import AsyncIterator
 from typing import Any
@@ -6,14 +6,11 @@
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.keeper_broadcast import Broadcast
 from pollenwalk.process.keeper_links import OTHER_REGION, KeeperLink
+from pollenwalk.process.turn_replication import FAR_HEDGE_MS, NEAR_HEDGE_MS
 
 # Keepers that are asked beyond a majority, so that one that has just died delays nobody.
 SPARE_KEEPERS = 1
-# A keeper that has not answered within this time is doubled by another one. NEAR allows
-# for several syncs of a disk in the same region; FAR also for a round trip.
-NEAR_HEDGE_MS = 40.0
-FAR_HEDGE_MS = 150.0
-# Interval of the checks whether a keeper is late.
+# Interval of the checks whether a hedged request is due.
 HEDGE_INTERVAL_MS = 20.0
 
 
--- a/pollenwalk/process/leaving_hosts.py
+++ b/pollenwalk/process/leaving_hosts.py
@@ -31,7 +31,7 @@
         for host in hosts:
             self.told_at_ms.setdefault(host, now_ms)
 
-    def lately(self) -> tuple[HostStart, ...]:
+    def recent(self) -> tuple[HostStart, ...]:
         """Return the hosts; those told of long ago are forgotten."""
         since_ms = self.clock.now_ms() - MEMORY_MS
         self.told_at_ms = {
--- a/pollenwalk/process/load_reporter.py
+++ b/pollenwalk/process/load_reporter.py
@@ -67,6 +67,6 @@
         state: FleetState | None = await answer_or_none(self.links.request(link, load))
         if state is None:
             return
-        self.own_load.heed_fleet(state, self.clock.now_ms())
+        self.own_load.apply_fleet_state(state, self.clock.now_ms())
         for host in state.leaving:
             self.host_table.record_leaving(host)
--- a/pollenwalk/process/loop_share.py
+++ b/pollenwalk/process/loop_share.py
@@ -24,7 +24,7 @@
         self.steps += 1
         return self.steps >= MAX_STEPS
 
-    async def give_way(self) -> None:
+    async def let_others_run(self) -> None:
         """Let other tasks run."""
         self.steps = 0
         await asyncio.sleep(0)
@@ -32,4 +32,4 @@
     async def step(self) -> None:
         """Count a step; let other tasks run if there were MAX_STEPS."""
         if self.is_used_up():
-            await self.give_way()
+            await self.let_others_run()
--- a/pollenwalk/request/streaming.py
+++ b/pollenwalk/request/streaming.py
@@ -261,7 +261,7 @@
     async def forward_event(self, exchange: Exchange, event: Event) -> None:
         """Send one event to the caller once the turn permits it."""
         if self.loop_share.is_used_up():
-            await self.loop_share.give_way()
+            await self.loop_share.let_others_run()
         await self.turn.before_event(event)
         if not self.reply.started:
             await self.start_reply(exchange)
--- a/test/policy/test_fleet_load.py
+++ b/test/policy/test_fleet_load.py
@@ -77,7 +77,7 @@
                 one.load.delay_ms,
                 one.load.wants_to_leave,
             )
-            one.load.heed_fleet(self.fleet.record(load, now_ms), now_ms)
+            one.load.apply_fleet_state(self.fleet.record(load, now_ms), now_ms)
         away = sum(not one.load.accepts_callers(now_ms) for one in self.own)
         self.most_away = max(self.most_away, away)
         if now_ms < END_MS:
--- a/test/process/test_keeper_quorum.py
+++ b/test/process/test_keeper_quorum.py
@@ -9,7 +9,8 @@
 from pollenwalk.process.keeper_broadcast import Broadcast
 from pollenwalk.process.keeper_group import SETTLE_INTERVAL_MS, KeeperGroup
 from pollenwalk.process.keeper_links import REQUEST_TIMEOUT_MS
-from pollenwalk.process.keeper_quorum import FAR_HEDGE_MS, SPARE_KEEPERS
+from pollenwalk.process.keeper_quorum import SPARE_KEEPERS
+from pollenwalk.process.turn_replication import FAR_HEDGE_MS
 from pollenwalk.program.turns import FindMissing, SettleTokens
 from pollenwalk.request.program_turn import ProgramTurn
 from test.helper import virtual
--- a/test/process/test_leaving_news.py
+++ b/test/process/test_leaving_news.py
@@ -62,6 +62,6 @@
         hosts = LeavingHosts(clock)
         start = ('i', 'a', 5, 'v1')
         hosts.add([start])
-        self.assertEqual((start,), hosts.lately())
+        self.assertEqual((start,), hosts.recent())
         await clock.sleep_ms(MEMORY_MS + 1)
-        self.assertEqual((), hosts.lately())
+        self.assertEqual((), hosts.recent())
