Forget requests of a broadcast once they are answered

Each message of a broadcast left its taker in the table of its connection, for as long as the connection lasted: some hundred bytes for each message to a keeper. Found by reading. test_nothing_is_kept_of_requests_that_have_ended failed before. A lost channel no longer raises the same error object again and again, whose traceback would grow.

--- a/pollenwalk/connection/peer.py
+++ b/pollenwalk/connection/peer.py
@@ -108,7 +108,7 @@
                     break
                 yield item
         finally:
-            self.pending.queues.pop(number, None)
+            self.pending.remove(number)
             if not ends_exchange(item) and not self.lost:
                 self.writer.put(Frame(number, CANCEL_KIND, None))
         if item is not END:
@@ -129,11 +129,11 @@
             self.abandon(number)
             raise
         finally:
-            self.pending.queues.pop(number, None)
+            self.pending.remove(number)
 
     def abandon(self, number: int) -> None:
         """Cancel a request at the peer, and ignore its answers."""
-        self.pending.queues.pop(number, None)
+        self.pending.remove(number)
         if not self.lost:
             self.writer.put(Frame(number, CANCEL_KIND, None))
 
--- a/pollenwalk/connection/pending_requests.py
+++ b/pollenwalk/connection/pending_requests.py
@@ -65,6 +65,10 @@
         self.queues[self.last_number] = queue
         return self.last_number
 
+    def remove(self, number: int) -> None:
+        """Remove a request that has ended; later answers to it are ignored."""
+        self.queues.pop(number, None)
+
     def deliver(self, frame: Frame) -> None:
         """Queue what a frame contains for the request that it answers.
 
--- a/pollenwalk/connection/tcp_network.py
+++ b/pollenwalk/connection/tcp_network.py
@@ -42,7 +42,7 @@
         self.incomplete = bytearray()
         self.frames: deque[bytes] = deque()
         self.waiting: asyncio.Future[None] | None = None
-        self.lost: ConnectionLost | None = None
+        self.lost: str | None = None
         self.writable = asyncio.Event()
         self.writable.set()
         self.paused = False
@@ -79,7 +79,7 @@
 
     def end(self, reason: str) -> None:
         """Make sending fail, and receiving once all frames have been received."""
-        self.lost = self.lost or ConnectionLost(reason)
+        self.lost = self.lost or reason
         self.writable.set()
         self.wake()
 
@@ -108,7 +108,7 @@
             if not self.writable.is_set():
                 await self.writable.wait()
         if self.lost is not None:
-            raise self.lost
+            raise ConnectionLost(self.lost)
 
     async def receive(self) -> bytes:
         """Wait for the next frame and return it.
@@ -118,7 +118,7 @@
         """
         while not self.frames:
             if self.lost is not None:
-                raise self.lost
+                raise ConnectionLost(self.lost)
             self.waiting = asyncio.get_running_loop().create_future()
             await self.waiting
         frame = self.frames.popleft()
--- a/pollenwalk/process/keeper_broadcast.py
+++ b/pollenwalk/process/keeper_broadcast.py
@@ -52,6 +52,7 @@
 
     def put_nowait(self, item: Any) -> None:
         """Take the answer, the refusal, or the end of the exchange without one."""
+        self.connection.pending.remove(self.number)
         if self.link.member.name not in self.broadcast.open:
             return
         if item is END or isinstance(item, ConnectionLost):
--- a/test/process/test_keeper_quorum.py
+++ b/test/process/test_keeper_quorum.py
@@ -131,6 +131,21 @@
         self.assertTrue(took_ms <= REQUEST_TIMEOUT_MS + 10, took_ms)
         self.assertTrue(group.links.by_name['z1'].is_lost)
 
+    @virtual
+    async def test_nothing_is_kept_of_requests_that_have_ended(self) -> None:
+        cluster = LargeCluster()
+        group = await cluster.start_with_group(9)
+        for _ in range(3):
+            await group.tell_all(FindMissing([]))
+            answers = group.request_quorum('p', FindMissing([]), set())
+            self.assertIsNotNone(await anext(answers))
+            await answers.aclose()
+        await cluster.wait(REQUEST_TIMEOUT_MS + CALM_MS)
+        waiting = [
+            link.peer.connection.pending.queues for link in group.links.by_name.values()
+        ]
+        self.assertEqual([{}] * 9, waiting)
+
     @virtual
     async def test_keeper_that_ends_is_lost_at_once(self) -> None:
         cluster = LargeCluster()
