--- a/pollenwalk/request/event_stream.py
+++ b/pollenwalk/request/event_stream.py
@@ -48,16 +48,28 @@
     def feed(self, chunk: bytes) -> Iterator[Event]:
         """Add a chunk and yield the events that it completes.
 
+        Blank lines that follow each other are yielded together, as one event without
+        fields: a host that writes nothing else would cost much otherwise.
+
         Raises:
             BrokenAnswer: the event after them exceeds MAX_INCOMPLETE_EVENT_BYTES.
         """
         self.incomplete += chunk
         complete_bytes = 0
+        blank = bytearray()
         for end in EVENT_END.finditer(self.incomplete, self.searched_bytes):
             raw = bytes(self.incomplete[complete_bytes : end.end()])
             complete_bytes = end.end()
             self.events += 1
+            if raw.isspace():
+                blank += raw
+                continue
+            if blank:
+                yield Event(bytes(blank), '', None)
+                blank.clear()
             yield parse_event(raw)
+        if blank:
+            yield Event(bytes(blank), '', None)
         if complete_bytes:
             self.incomplete = self.incomplete[complete_bytes:]
         if len(self.incomplete) > MAX_INCOMPLETE_EVENT_BYTES:
@@ -78,8 +90,6 @@
     """Decode the id and data fields of one event; ignore its other fields."""
     event_id = ''
     lines: list[bytes] = []
-    if raw.isspace():
-        return Event(raw, event_id, None)
     for line in raw.splitlines():
         field, _, text = line.partition(b':')
         text = text.removeprefix(b' ')
