Transfer the records of a keeper in parts that arrive in time

A storage host had been replaced by one in the other region. The new keeper fetched the records of the others again and again and timed out each time, for 15 s and more; then the final fault took the disk of a second one, and one complete keeper of three was left, which decides nothing.

Cause: batches had up to 64 records of any size, and all that were queued for a connection went as one payload. Records of that deployment have long prompts, so the first part came only with the last byte, many times the 1.5 s for each batch later, on 15 Mbit/s. Class: a bound on a number of things in place of one on their size.

Now a batch ends with the record that exceeds 256 KiB, and payloads at the same size. TcpChannel no longer copies what has arrived of a long frame with each chunk.

Ruled out: a longer timeout, which would hide a dead connection and still grow with the records. test_many_records_are_fetched_across_regions and test_parts_arrive_before_the_whole failed before.

--- a/pollenwalk/connection/frame_writer.py
+++ b/pollenwalk/connection/frame_writer.py
@@ -1,11 +1,18 @@
 """Sending of queued frames in batches over one channel."""
 
 import asyncio
+from collections import deque
+from collections.abc import Iterator
+
+import msgspec
 
 from pollenwalk.connection.channel import Channel
-from pollenwalk.connection.wire import Frame, Tokens, encode_frames
+from pollenwalk.connection.wire import Frame, Tokens, encode_frame, encode_frames
 from pollenwalk.process.clock import Clock
 
+# Frames are sent together up to about this size. It takes 150 ms on the slowest link.
+MAX_BATCH_BYTES = 262_144
+
 
 class FrameWriter:
     """Sends queued frames in batches and delays tokens to make batches larger.
@@ -22,7 +29,7 @@
         self.channel = channel
         self.clock = clock
         self.coalesce_ms = coalesce_ms
-        self.queue: list[Frame] = []
+        self.queue: deque[Frame] = deque()
         self.nonempty = asyncio.Event()
         self.urgent = asyncio.Event()
 
@@ -46,12 +53,23 @@
         while True:
             await self.nonempty.wait()
             await self.wait_for_batch()
-            batch = self.queue
-            self.queue = []
-            self.nonempty.clear()
-            self.urgent.clear()
+            batch = list(self.take_batch())
+            if not self.queue:
+                self.nonempty.clear()
+                self.urgent.clear()
             await self.channel.send(encode_frames(batch))
 
+    def take_batch(self) -> Iterator[msgspec.Raw]:
+        """Take frames from the queue until they have MAX_BATCH_BYTES; yield them encoded.
+
+        A large answer is thus sent in parts, and its reader sees that it goes on.
+        """
+        size_bytes = 0
+        while self.queue and size_bytes < MAX_BATCH_BYTES:
+            frame = encode_frame(self.queue.popleft())
+            size_bytes += len(frame)
+            yield msgspec.Raw(frame)
+
     async def wait_for_batch(self) -> None:
         """Wait until `coalesce_ms` has passed or an urgent frame is queued."""
         if self.urgent.is_set() or not self.coalesce_ms:
--- a/pollenwalk/connection/tcp_network.py
+++ b/pollenwalk/connection/tcp_network.py
@@ -67,7 +67,8 @@
                 break
             start = body + length
             self.frames.append(bytes(self.incomplete[body:start]))
-        self.incomplete = self.incomplete[start:]
+        if start:
+            self.incomplete = self.incomplete[start:]
         if len(self.frames) > MAX_WAITING_FRAMES and not self.paused:
             self.paused = True
             self.transport.pause_reading()
--- a/pollenwalk/connection/wire.py
+++ b/pollenwalk/connection/wire.py
@@ -527,8 +527,13 @@
 DATAGRAM_DECODER = msgspec.msgpack.Decoder(RawFrame)
 
 
-def encode_frames(frames: Iterable[Frame]) -> bytes:
-    """Encode frames as one payload for a channel."""
+def encode_frame(frame: Frame) -> bytes:
+    """Encode one frame, as a part of a payload."""
+    return ENCODER.encode(frame)
+
+
+def encode_frames(frames: Iterable[Frame | msgspec.Raw]) -> bytes:
+    """Encode frames, or put encoded ones together, as one payload for a channel."""
     return ENCODER.encode(list(frames))
 
 
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -68,8 +68,10 @@
     TurnRecord,
 )
 
-# A message with this many records has some hundred kilobytes.
+# A message has at most so many records, and ends with the one that exceeds so many bytes:
+# their transfer takes 150 ms on the slowest link.
 MAX_BATCH_RECORDS = 64
+MAX_BATCH_BYTES = 262_144
 # Intervals of the checks whether the own object in the store is as it should be, by
 # whether it was at the last check.
 REGISTRATION_CHECK_MS = {False: 100.0, True: 400.0}
@@ -405,11 +407,14 @@
 def batched(records: Iterable[bytes]) -> Iterator[list[bytes]]:
     """Yield records in batches, at least one, of which the last may be empty."""
     batch: list[bytes] = []
+    size_bytes = 0
     for record in records:
         batch.append(record)
-        if len(batch) >= MAX_BATCH_RECORDS:
+        size_bytes += len(record)
+        if len(batch) >= MAX_BATCH_RECORDS or size_bytes >= MAX_BATCH_BYTES:
             yield batch
             batch = []
+            size_bytes = 0
     yield batch
 
 
--- a/test/connection/test_peer.py
+++ b/test/connection/test_peer.py
@@ -6,23 +6,28 @@
 
 import testtools
 
+from pollenwalk.connection.frame_writer import FrameWriter
 from pollenwalk.connection.peer import Connection, Peer
 from pollenwalk.connection.peer_server import PeerServer
 from pollenwalk.connection.wire import (
+    END_KIND,
     PROTOCOL_VERSION,
     Done,
     Drain,
+    Frame,
     Hello,
     Settle,
     Tokens,
     encode_frames,
 )
 from pollenwalk.errors import ConnectionLost, Refusal, RefusalCode
+from pollenwalk.process.clock import LoopClock
 from pollenwalk.process.tasks import TaskSet
+from pollenwalk.program.turns import RecordBatch
 from standin.link import Place
 from standin.virtual.fabric import Fabric, VirtualNetwork
 from standin.virtual.node import Node, NodeClock
-from test.helper import virtual
+from test.helper import on_loop, virtual
 
 ADDRESS = 'server:1'
 PLACE = Place('rimouski', 'est')
@@ -138,3 +143,34 @@
         connection.tasks.spawn(connection.read(), 'read')
         with testtools.ExpectedException(ConnectionLost):
             await connection.request(Done())
+
+
+class CountingChannel:
+    """Records the sizes of what is sent."""
+
+    def __init__(self) -> None:
+        """Record nothing yet."""
+        self.sizes: list[int] = []
+
+    async def send(self, frame: bytes) -> None:
+        """Record one size."""
+        self.sizes.append(len(frame))
+
+
+class LargeAnswerTest(testtools.TestCase):
+    """Answers that take long to transfer."""
+
+    @on_loop
+    async def test_parts_arrive_before_the_whole(self) -> None:
+        # Each part is larger than what is sent at once, and all are ready at once.
+        part = RecordBatch(True, [b'x' * 300_000])
+        channel = CountingChannel()
+        writer = FrameWriter(channel, LoopClock(), 0)
+        for _ in range(5):
+            writer.put(Frame(1, 'RecordBatch', part))
+        writer.put(Frame(1, END_KIND, None))
+        running = asyncio.ensure_future(writer.run())
+        await asyncio.sleep(0.05)
+        running.cancel()
+        self.assertEqual(6, len(channel.sizes))
+        self.assertTrue(max(channel.sizes) < 400_000)
--- a/test/process/test_keepers.py
+++ b/test/process/test_keepers.py
@@ -293,6 +293,20 @@
         chain = await group.load_chain('t1')
         self.assertEqual(['t1'], [one.turn for one in chain])
 
+    @virtual
+    async def test_many_records_are_fetched_across_regions(self) -> None:
+        cluster = KeeperCluster()
+        group = await cluster.start_three_with_group()
+        for number in range(150):
+            large = make_record(f't{number}')._replace(input=b'x' * 80_000)
+            await group.store_turn(large)
+        await cluster.kill('c')
+        cluster.disks['c'].wipe()
+        keeper = await cluster.start_keeper('c')
+        # 12 MB from each of two keepers at 15 Mbit/s.
+        await cluster.wait(20_000)
+        self.assertTrue(keeper.state.complete)
+
     @virtual
     async def test_new_keeper_replaces_a_dead_one(self) -> None:
         cluster = KeeperCluster()
