--- a/test/process/test_gateway_daemon.py
+++ b/test/process/test_gateway_daemon.py
@@ -261,3 +261,36 @@
         targets = {request.target for request in stop.host.received}
         self.assertNotIn('/once/slow', targets)
         self.assertNotIn('/once/never', targets)
+
+    @on_loop
+    async def test_late_request_on_a_kept_connection(self) -> None:
+        stop = PlannedStop()
+        await stop.start()
+        reader, writer = await asyncio.open_connection('127.0.0.1', stop.port)
+        writer.write(kept_request('/again/before'))
+        await reader.readuntil(b'hello')
+        late_s = (GRACE_MS - CLOSE_RESERVE_MS) / 1000 - WORK_S / 2
+
+        async def send_late() -> bytes:  # noqa: WPS430
+            await asyncio.sleep(late_s)
+            writer.write(kept_request('/once/late'))
+            return await reader.read()
+
+        # Keeps the gateway from having nothing to do, and so from stopping early.
+        stop.send_at(0, '/once/slow', late_s - WORK_S / 2)
+        late = asyncio.ensure_future(send_late())
+        await stop.stop()
+        raw = await late
+        writer.close()
+        targets = [request.target for request in stop.host.received]
+        self.assertNotIn('/once/late', targets)
+        self.assertTrue(not raw or raw.startswith(b'HTTP/1.1 503 '), raw)
+
+
+def kept_request(path: str) -> bytes:
+    """Return a request after which the connection is kept."""
+    head = (
+        f'POST {path} HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n'
+        f'X-Pollenwalk-Request-Id: {path}\r\n\r\n'
+    )
+    return head.encode() + b'{}'
