--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from common.http import Request, encode_answer, encode_chunk, encode_head, read_request
+from common.ports import free_port
 
 DEADLY = b'deadly'
 CRASHED_S = 2.5
@@ -52,8 +53,8 @@
 
     async def start(self, port: int = 0) -> None:
         """Listen on a port; on a free one if it is 0."""
+        port = port or free_port()
         self.server = await asyncio.start_server(self.serve, '127.0.0.1', port)
-        port = self.server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{port}'
 
     async def serve(
--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -4,7 +4,6 @@
 import os
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -15,6 +14,7 @@
 
 from common.engine import Engine
 from common.http import Answer, exchange
+from common.ports import free_port
 from common.store import Store
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -33,20 +33,14 @@
 # Exit codes; the scripts turn BROKEN into 1 and every other one but 0 into 2.
 HELD, BROKEN, NOT_RUN = 0, 10, 2
 READY_S = 15.0
-START_DELAY_S = 0.5
+# A script runs for 120 s at most.
+LONGEST_S = 116.0
 
 
 class CannotRun(Exception):
     """The case could not be played, so it shows nothing."""
 
 
-def free_port() -> int:
-    """Return a free port of the loopback interface."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
-
-
 def with_trouble() -> bool:
     """Return whether the disruption is to be played."""
     return os.environ.get('TROUBLE', '1') != '0'
@@ -125,8 +119,10 @@
         }
         self.store.put(('servers', engine.name), {'spec': spec, 'status': None})
 
-    def add_keeper(self, name: str, zone: str, losses: int = 1) -> None:
-        """Start a keeper of a new system with an empty disk."""
+    def add_keeper(
+        self, name: str, zone: str, losses: int = 1, first_start: bool = True
+    ) -> None:
+        """Start a keeper with an empty disk, of a new system or as one more."""
         address = f'127.0.0.1:{free_port()}'
         metrics = f'127.0.0.1:{free_port()}'
         self.addresses[name] = address
@@ -137,7 +133,7 @@
             f'tolerated_losses = {losses}\n'
         )
         (self.folder / name).mkdir()
-        self.spawn(name, 'first_start = true\n')
+        self.spawn(name, f'first_start = {str(first_start).lower()}\n')
 
     def add_gateway(self, name: str, zone: str, losses: int = 1) -> None:
         """Start a gateway."""
@@ -349,14 +345,18 @@
 
 async def run_case(case: Any, folder: Path, retention_s: float) -> int:
     """Play a case in a new deployment, and end all its processes."""
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     lab = Lab(folder / 'record.txt')
     try:
-        await lab.start(retention_s)
-        held = await case(lab)
+        async with asyncio.timeout(LONGEST_S):
+            await lab.start(retention_s)
+            held = await case(lab)
+    except (CannotRun, TimeoutError, asyncio.CancelledError) as error:
+        lab.note(f'verdict could not run: {error!r}')
+        return NOT_RUN
+    else:
         lab.note(f'verdict {"held" if held else "broken"}')
         return HELD if held else BROKEN
-    except CannotRun as error:
-        lab.note(f'verdict could not run: {error}')
-        return NOT_RUN
     finally:
         await lab.close()
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -6,6 +6,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from common.http import Request, encode_answer, read_request
+from common.ports import free_port
 
 ANSWER_S = 0.004
 OBJECTS = '/v1/objects/'
@@ -25,8 +26,8 @@
 
     async def start(self) -> None:
         """Listen on a free port."""
-        self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
-        port = self.server.sockets[0].getsockname()[1]
+        port = free_port()
+        self.server = await asyncio.start_server(self.serve, '127.0.0.1', port)
         self.address = f'127.0.0.1:{port}'
 
     async def serve(
--- a/review/common/talk.py
+++ b/review/common/talk.py
@@ -8,6 +8,8 @@
 
 TURN_INTERVAL_S = 0.4
 PATH = '/guide/2f'
+# More tokens than any line here generates.
+BUDGET = 100_000
 
 
 class Conversation:
@@ -40,7 +42,7 @@
         text = f'{self.program} input {self.count}\n'.encode()
         age_s = self.lab.now_s - self.answered_s
         request, answer = await self.lab.turn(
-            gateway, PATH, self.program, self.previous, text
+            gateway, PATH, self.program, self.previous, text, BUDGET
         )
         if answer.status in {404, 410} and self.previous and age_s < self.retention_s:
             self.lab.note(
