--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,79 @@
+"""A planned stop of a gateway cuts a stream that it should have refused."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+from common.http import Answer, Connection
+from common.lab import STORAGE, Lab, play, with_trouble
+
+RETENTION_S = 60.0
+GATEWAY, OTHER = 'front-rimouski-1', 'front-saguenay-1'
+PATH = '/fit/2f'
+# The server makes an event each 0.05 s; the sheet allows pauses of 0.15 s.
+PAUSE_S, TOKENS_PER_EVENT = 0.05, 16
+SHORT_EVENTS, LONG_EVENTS = 3, 56
+SHORT_TURNS = 40
+# When the two callers send on their idle connections, after the SIGTERM.
+FIRST_S, SECOND_S = 2.4, 4.95
+GRACE_S = 8.0
+
+
+class Caller:
+    """A caller that keeps its connection to a gateway."""
+
+    def __init__(self, lab: Lab, connection: Connection, name: str) -> None:
+        """Use an open connection."""
+        self.lab = lab
+        self.connection = connection
+        self.name = name
+
+    async def say(self, events: int) -> Answer:
+        """Send the first turn of a program, whose answer has so many events."""
+        request, headers = self.lab.turn_headers(
+            f'{self.name}-{events}', most=events * TOKENS_PER_EVENT
+        )
+        self.lab.note(f'{self.name} sent {request}, {events} events')
+        answer = await self.connection.request('POST', PATH, headers, b'input\n')
+        ran = any(run.id == request for run in self.lab.engines[0].runs)
+        self.lab.note(
+            f'{self.name} got {answer.status} to {request}, whole={answer.whole}, '
+            f'ran={ran}'
+        )
+        return answer
+
+
+async def case(lab: Lab) -> bool:
+    """Return whether each request that was read got a whole answer."""
+    for name, zone in STORAGE.items():
+        lab.add_keeper(name, zone)
+    lab.add_gateway(GATEWAY, 'rimouski')
+    lab.add_gateway(OTHER, 'saguenay')
+    lab.engines[0].pause_s = PAUSE_S
+    await lab.wait_ready(len(STORAGE))
+    address = lab.addresses[GATEWAY]
+    callers = [
+        Caller(lab, await Connection.open(address), name)
+        for name in ('caller-1', 'caller-2')
+    ]
+    for number in range(SHORT_TURNS):
+        await callers[number % 2].say(SHORT_EVENTS)
+    began_s = lab.now_s
+    if with_trouble():
+        lab.processes[GATEWAY].send_signal(signal.SIGTERM)
+        lab.note(f'signal SIGTERM to {GATEWAY}')
+    await asyncio.sleep(FIRST_S)
+    first = asyncio.ensure_future(callers[0].say(LONG_EVENTS))
+    await asyncio.sleep(began_s + SECOND_S - lab.now_s)
+    second = await callers[1].say(LONG_EVENTS)
+    lab.note(f'the second ended {lab.now_s - began_s:.2f} s after the SIGTERM')
+    answers = [await first, second]
+    if with_trouble():
+        await asyncio.sleep(began_s + GRACE_S - lab.now_s)
+        lab.note(f'{GATEWAY} ended with {lab.processes[GATEWAY].poll()}')
+    return all(answer.whole for answer in answers)
+
+
+if __name__ == '__main__':
+    sys.exit(play(case, Path(__file__).resolve().parent, RETENTION_S))
