--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -32,6 +32,7 @@
 
     Attributes:
         tokens_per_event: how many tokens each event counts for.
+        note: called with a line on each run.
         on_back: called when the server is back after a crash.
         pause_s: time before each event.
         runs: the requests that ran; with the number of their events.
@@ -48,6 +49,7 @@
         self.server: asyncio.Server | None = None
         self.address = ''
         self.on_back: Callable[[], None] | None = None
+        self.note: Callable[[str], None] = print
         self.writers: set[asyncio.StreamWriter] = set()
         self.returning: asyncio.Future[None] | None = None
 
@@ -99,6 +101,7 @@
         events = most // self.tokens_per_event
         program = headers.get('x-pollenwalk-program-id', '')
         self.runs.append(Run(request_id, previous, request.body, program, events))
+        self.note(f'ran {request_id} at {self.name}, {events} events')
         if request.body.startswith(DEADLY):
             self.crash()
             return
--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -98,6 +98,7 @@
     ) -> Engine:
         """Start a model server and list it."""
         engine = Engine(name, tokens_per_event)
+        engine.note = self.note
         await engine.start()
         self.engines.append(engine)
         engine.on_back = lambda: self.list_engine(engine, zone, service)
