Review: keep the stand-ins in a case's folder

Change: review/common is review/1/stand_ins; the scripts of all cases take it from there. No case, check or bound is changed.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,8 +5,8 @@
 import sys
 from pathlib import Path
 
-from common.lab import STORAGE, Lab, play, with_trouble
-from common.talk import Conversation
+from stand_ins.lab import STORAGE, Lab, play, with_trouble
+from stand_ins.talk import Conversation
 
 RETENTION_S = 60.0
 GATEWAYS = ('front-rimouski-1', 'front-saguenay-1')
--- a/review/common/engine.py
+++ b/review/1/stand_ins/engine.py
@@ -5,8 +5,14 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from common.http import Request, encode_answer, encode_chunk, encode_head, read_request
-from common.ports import free_port
+from stand_ins.http import (
+    Request,
+    encode_answer,
+    encode_chunk,
+    encode_head,
+    read_request,
+)
+from stand_ins.ports import free_port
 
 DEADLY = b'deadly'
 CRASHED_S = 2.5
--- a/review/common/lab.py
+++ b/review/1/stand_ins/lab.py
@@ -12,12 +12,12 @@
 from pathlib import Path
 from typing import Any, TextIO
 
-from common.engine import Engine
-from common.http import Answer, exchange
-from common.ports import free_port
-from common.store import Store
+from stand_ins.engine import Engine
+from stand_ins.http import Answer, exchange
+from stand_ins.ports import free_port
+from stand_ins.store import Store
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[3]
 ZONES = {
     'rimouski': 'quebec-est',
     'saguenay': 'quebec-est',
--- a/review/common/store.py
+++ b/review/1/stand_ins/store.py
@@ -5,8 +5,8 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from common.http import Request, encode_answer, read_request
-from common.ports import free_port
+from stand_ins.http import Request, encode_answer, read_request
+from stand_ins.ports import free_port
 
 ANSWER_S = 0.004
 OBJECTS = '/v1/objects/'
--- a/review/common/talk.py
+++ b/review/1/stand_ins/talk.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from common.engine import Run, output_of
-from common.http import Answer
-from common.lab import CannotRun, Lab
+from stand_ins.engine import Run, output_of
+from stand_ins.http import Answer
+from stand_ins.lab import CannotRun, Lab
 
 TURN_INTERVAL_S = 0.4
 PATH = '/guide/2f'
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,8 +5,8 @@
 import sys
 from pathlib import Path
 
-from common.lab import STORAGE, Lab, play, with_trouble
-from common.talk import TURN_INTERVAL_S, Conversation
+from stand_ins.lab import STORAGE, Lab, play, with_trouble
+from stand_ins.talk import TURN_INTERVAL_S, Conversation
 
 RETENTION_S = 20.0
 HOME, OTHER = 'front-rimouski-1', 'front-saguenay-1'
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -5,8 +5,8 @@
 import sys
 from pathlib import Path
 
-from common.http import Connection
-from common.lab import STORAGE, CannotRun, Lab, play, with_trouble
+from stand_ins.http import Connection
+from stand_ins.lab import STORAGE, CannotRun, Lab, play, with_trouble
 
 RETENTION_S = 60.0
 GATEWAY, OTHER = 'front-rimouski-1', 'front-saguenay-1'
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -4,7 +4,7 @@
 import sys
 from pathlib import Path
 
-from common.lab import STORAGE, Lab, configuration, play, with_trouble
+from stand_ins.lab import STORAGE, Lab, configuration, play, with_trouble
 
 RETENTION_S = 60.0
 GATEWAY = 'front-rimouski-1'
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Checks that everything that the scripts start is there: the stand-ins in
-# review/common are plain Python and use the standard library only, and the daemons
+# review/1/stand_ins are plain Python and use the standard library only, and the daemons
 # run on the libraries that the build of the deploy file has put into target/deps.
 set -euo pipefail
 cd "$(dirname "$0")/.."
