--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,90 +1,86 @@
-"""A planned stop of a gateway cuts a stream that it should have refused."""
+"""Two storage machines are emptied at once; later another one loses its disk."""
 
 import asyncio
 import signal
 import sys
 from pathlib import Path
 
-from stand_ins.http import Connection
-from stand_ins.lab import STORAGE, CannotRun, Lab, play, with_trouble
+from stand_ins.lab import CannotRun, Lab, play, with_trouble
+from stand_ins.talk import Conversation
 
 RETENTION_S = 60.0
-GATEWAY, OTHER = 'front-rimouski-1', 'front-saguenay-1'
-PATH = '/fit/2f'
-# The server makes an event each 0.05 s; the sheet allows pauses of 0.15 s.
-PAUSE_S, TOKENS_PER_EVENT = 0.05, 16
-SHORT_EVENTS, LONG_EVENTS = 3, 56
-SHORT_TURNS = 40
-# When the callers send on their idle connections, after the SIGTERM. Each sends while the
-# stream of the one before lasts, so the gateway has no reason to end early.
-SENT_S = (1.5, 3.4, 5.0)
-GRACE_S = 8.0
+CATCH_UP_S = 4.4
+DOWN_S = 1.0
+EMPTIED = ('storage-rimouski-1', 'storage-rimouski-2')
+STORAGE = {
+    EMPTIED[0]: 'rimouski',
+    EMPTIED[1]: 'rimouski',
+    'storage-saguenay-1': 'saguenay',
+    'storage-gatineau-1': 'gatineau',
+}
+GATEWAY = 'front-rimouski-1'
+# It has handled none of the turns before the end.
+OTHER_GATEWAY = 'front-saguenay-1'
+WIPED = 'storage-saguenay-1'
+LINES = 5
+TURNS = 3
+RETIRE_S = 10
+LONGEST_RETIRE_S = 20.0
+POLL_S = 0.05
 
 
-class Caller:
-    """A caller that keeps its connection to a gateway."""
+async def case(lab: Lab) -> bool:
+    """Return whether all lines go on."""
+    for name, zone in STORAGE.items():
+        lab.add_keeper(name, zone)
+    for name in (GATEWAY, OTHER_GATEWAY):
+        lab.add_gateway(name, name.split('-')[1])
+    await lab.wait_ready(len(STORAGE))
+    lines = [Conversation(lab, f'line-{one}', RETENTION_S) for one in range(LINES)]
+    for _ in range(TURNS):
+        await asyncio.gather(*(line.say(GATEWAY) for line in lines))
+    if with_trouble():
+        await empty_machines(lab)
+        await asyncio.sleep(CATCH_UP_S)
+        await lose_disk(lab)
+        await asyncio.sleep(CATCH_UP_S)
+    await asyncio.gather(*(line.say(OTHER_GATEWAY) for line in lines))
+    return not any(line.denied or line.wrong for line in lines)
 
-    def __init__(self, lab: Lab, connection: Connection, name: str) -> None:
-        """Use an open connection."""
-        self.lab = lab
-        self.connection = connection
-        self.name = name
 
-    async def say(self, events: int) -> bool:
-        """Send the first turn of a program, whose answer has so many events.
+async def empty_machines(lab: Lab) -> None:
+    """Ask for both machines to be emptied; remove each once it says so."""
+    for name in EMPTIED:
+        entry = {'spec': {'duration_s': RETIRE_S}, 'status': None}
+        lab.store.put(('retirements', name), entry)
+        lab.note(f'retirement of {name} asked for')
+    await asyncio.gather(*(remove_emptied(lab, name) for name in EMPTIED))
 
-        Returns:
-            Whether the answer was whole.
 
-        Raises:
-            CannotRun: the request crossed the end of the connection; the rule doesn't
-                count that.
-        """
-        request, headers = self.lab.turn_headers(
-            f'{self.name}-{events}', most=events * TOKENS_PER_EVENT
-        )
-        self.lab.note(f'{self.name} sent {request}, {events} events')
-        answer = await self.connection.request('POST', PATH, headers, b'input\n')
-        ran = any(run.id == request for run in self.lab.engines[0].runs)
-        self.lab.note(
-            f'{self.name} got {answer.status} to {request}, whole={answer.whole}, '
-            f'ran={ran}'
-        )
-        if not (answer.whole or ran):
-            raise CannotRun('the request was not passed on')
-        return answer.whole
+async def remove_emptied(lab: Lab, name: str) -> None:
+    """Remove a machine with its disk as soon as its status is `completed`."""
+    give_up_at_s = lab.now_s + LONGEST_RETIRE_S
+    while (status_of(lab, name) or {}).get('state') != 'completed':
+        if lab.now_s > give_up_at_s:
+            raise CannotRun(f'{name} has not been emptied')
+        await asyncio.sleep(POLL_S)
+    lab.note(f'{name} says completed')
+    await lab.stop(name, signal.SIGKILL)
+    lab.wipe(name)
 
 
-async def case(lab: Lab) -> bool:
-    """Return whether each request that was read got a whole answer."""
-    for name, zone in STORAGE.items():
-        lab.add_keeper(name, zone)
-    lab.add_gateway(GATEWAY, 'rimouski')
-    lab.add_gateway(OTHER, 'saguenay')
-    lab.engines[0].pause_s = PAUSE_S
-    await lab.wait_ready(len(STORAGE))
-    address = lab.addresses[GATEWAY]
-    callers = [
-        Caller(lab, await Connection.open(address), f'caller-{number}')
-        for number, _ in enumerate(SENT_S, 1)
-    ]
-    for number in range(SHORT_TURNS):
-        await callers[number % len(callers)].say(SHORT_EVENTS)
-    began_s = lab.now_s
-    if with_trouble():
-        lab.processes[GATEWAY].send_signal(signal.SIGTERM)
-        lab.note(f'signal SIGTERM to {GATEWAY}')
-    saying = []
-    for caller, sent_s in zip(callers, SENT_S, strict=True):
-        await asyncio.sleep(began_s + sent_s - lab.now_s)
-        saying.append(asyncio.ensure_future(caller.say(LONG_EVENTS)))
-    whole = await asyncio.gather(*saying)
-    lab.note(f'the last one ended {lab.now_s - began_s:.2f} s after the SIGTERM')
-    if with_trouble():
-        await asyncio.sleep(began_s + GRACE_S - lab.now_s)
-        lab.note(f'{GATEWAY} ended with {lab.processes[GATEWAY].poll()}')
-    return all(whole)
+def status_of(lab: Lab, name: str) -> dict[str, str] | None:
+    """Return the status of a retirement."""
+    return lab.store.objects[('retirements', name)]['status']
+
+
+async def lose_disk(lab: Lab) -> None:
+    """Stop one machine, empty its disk and start it again."""
+    await lab.stop(WIPED, signal.SIGKILL)
+    lab.wipe(WIPED)
+    await asyncio.sleep(DOWN_S)
+    lab.restart(WIPED)
 
 
 if __name__ == '__main__':
-    sys.exit(play(case, Path(__file__).resolve().parent, RETENTION_S))
+    sys.exit(play(case, Path(__file__).parent, RETENTION_S))
