--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,75 +1,93 @@
-"""A keeper without its records retires, and leaves single copies behind."""
+"""A version splits a route between two model services."""
 
 import asyncio
-import signal
 import sys
+from collections import Counter
 from pathlib import Path
+from typing import Any
 
-from stand_ins.lab import STORAGE, CannotRun, Lab, play, with_trouble
-from stand_ins.talk import Conversation
+from stand_ins.lab import CannotRun, Lab, configuration, play, with_trouble
 
 RETENTION_S = 60.0
-HOME, OTHER = 'front-rimouski-1', 'front-saguenay-1'
-RETIRED, RESTARTED, _ = STORAGE
-PROGRAMS = 8
-TALK_S = 3.0
-DOWN_S = 1.0
-DURATION_S = 10
-# `catch_up_s` of the sheet is 4.4: only one keeper counts as lost at a time.
-GAP_S = 5.0
-RESTART_S = 1.0
-
-
-async def replace_broken_disk(lab: Lab) -> None:
-    """Let a machine lose its disk, and have it taken away.
-
-    Raises:
-        CannotRun: it was not emptied in time.
-    """
-    await lab.stop(RETIRED, signal.SIGKILL)
-    lab.wipe(RETIRED)
-    key = ('retirements', RETIRED)
-    lab.store.put(key, {'spec': {'duration_s': DURATION_S}, 'status': None})
-    lab.note(f'the operator asks for {RETIRED} to be emptied')
-    await asyncio.sleep(DOWN_S)
-    lab.restart(RETIRED)
-    for _ in range(DURATION_S * 100):
-        status = lab.store.objects[key]['status'] or {}
-        if status.get('state') == 'completed':
-            lab.note(f'{RETIRED} reports completed and is removed')
-            await lab.stop(RETIRED, signal.SIGKILL)
-            return
-        await asyncio.sleep(0.01)
-    raise CannotRun(f'{RETIRED} was not emptied')
+CONFIG_APPLY_S = 3.0
+STORAGE = {
+    'storage-rimouski-1': 'rimouski',
+    'storage-saguenay-1': 'saguenay',
+    'storage-gatineau-1': 'gatineau',
+}
+GATEWAY = 'front-rimouski-1'
+PATH = '/fit/2f'
+# Tokens for each event of the service that served alone, and of the other one.
+FORMER_TOKENS = 4
+OTHER_TOKENS = 16
+MOST = 48
+BUDGET = 96
+TURNS = 12
+PROGRAMS = 10
 
 
 async def case(lab: Lab) -> bool:
-    """Return whether each turn was found that was answered within the retention."""
+    """Return whether all programs stay within their budget and one more turn."""
     for name, zone in STORAGE.items():
         lab.add_keeper(name, zone)
-    lab.add_gateway(HOME, 'rimouski')
-    lab.add_gateway(OTHER, 'saguenay')
+    lab.add_gateway(GATEWAY, 'rimouski')
+    await lab.add_engine('i-91d2', 'rimouski', 'conseiller-2', OTHER_TOKENS)
+    lab.engines[0].tokens_per_event = FORMER_TOKENS
+    lab.write_configuration(version(8, {'service': 'conseiller'}))
     await lab.wait_ready(len(STORAGE))
-    lines = [Conversation(lab, f'p{number}', RETENTION_S) for number in range(PROGRAMS)]
-    talking = [asyncio.ensure_future(line.go_on(HOME)) for line in lines]
-    await asyncio.sleep(TALK_S)
-    for line in lines:
-        line.running = False
-    await asyncio.gather(*talking)
     if with_trouble():
-        await replace_broken_disk(lab)
-    await asyncio.sleep(GAP_S)
-    if with_trouble():
-        await lab.stop(RESTARTED, signal.SIGTERM)
-    lab.note('the lines move to another zone')
-    await asyncio.gather(*(line.say(OTHER) for line in lines))
-    if with_trouble():
-        await asyncio.sleep(RESTART_S)
-        lab.restart(RESTARTED)
-    denied = sum(bool(line.denied) for line in lines)
-    lab.note(f'{denied} of {PROGRAMS} lines were told that their last turn is unknown')
-    return not any(line.denied or line.wrong for line in lines)
+        split = [
+            {'service': 'conseiller', 'weight': 50},
+            {'service': 'conseiller-2', 'weight': 50},
+        ]
+        lab.write_configuration(version(9, {'traffic_split': split}))
+    await asyncio.sleep(CONFIG_APPLY_S)
+    spent: Counter[str] = Counter()
+    for _ in range(TURNS):
+        await asyncio.gather(*(turn(lab, one, spent) for one in range(PROGRAMS)))
+    for program, tokens in sorted(spent.items()):
+        lab.note(f'{program} was handed {tokens} tokens; its budget is {BUDGET}')
+    if not spent:
+        raise CannotRun('no turn was served')
+    return max(spent.values()) <= BUDGET + MOST
+
+
+def version(number: int, leads_to: dict[str, Any]) -> dict[str, Any]:
+    """Return a version in which the route of this case leads somewhere."""
+    spec = configuration(RETENTION_S)
+    guide, query = spec['routes']
+    query.pop('service')
+    engine = spec['services'][0]['engine']
+    return {
+        **spec,
+        'version': number,
+        'routes': [guide, {**query, **leads_to}],
+        'services': [
+            service('conseiller', {**engine, 'tokens_per_event': FORMER_TOKENS}),
+            service('conseiller-2', {**engine, 'tokens_per_event': OTHER_TOKENS}),
+        ],
+    }
+
+
+def service(name: str, engine: dict[str, Any]) -> dict[str, Any]:
+    """Return the entry of one model service."""
+    return {'name': name, 'max_conns': 140, 'engine': engine}
+
+
+async def turn(lab: Lab, number: int, spent: Counter[str]) -> None:
+    """Send one turn of a program and count the tokens that it is handed."""
+    program = f'program-{number}'
+    _, answer = await lab.turn(GATEWAY, PATH, program, '', b'go on\n', BUDGET, MOST)
+    if answer.status != 200:
+        return
+    events = answer.body.count(b'data: ')
+    run = next(
+        engine
+        for engine in lab.engines
+        if any(one.id == answer.headers['x-pollenwalk-request-id'] for one in engine.runs)
+    )
+    spent[program] += events * run.tokens_per_event
 
 
 if __name__ == '__main__':
-    sys.exit(play(case, Path(__file__).resolve().parent, RETENTION_S))
+    sys.exit(play(case, Path(__file__).parent, RETENTION_S))
