--- a/review/5/case.py
+++ b/review/5/case.py
@@ -22,7 +22,9 @@
 OTHER_TOKENS = 16
 MOST = 48
 BUDGET = 96
-TURNS = 12
+TURNS = 20
+# So that a turn that was refused for load comes back later.
+PAUSE_S = 0.2
 PROGRAMS = 10
 
 
@@ -41,10 +43,11 @@
             {'service': 'conseiller-2', 'weight': 50},
         ]
         lab.write_configuration(version(9, {'traffic_split': split}))
-    await asyncio.sleep(CONFIG_APPLY_S)
+    await asyncio.sleep(CONFIG_APPLY_S + 1)
     spent: Counter[str] = Counter()
     for _ in range(TURNS):
         await asyncio.gather(*(turn(lab, one, spent) for one in range(PROGRAMS)))
+        await asyncio.sleep(PAUSE_S)
     for program, tokens in sorted(spent.items()):
         lab.note(f'{program} was handed {tokens} tokens; its budget is {BUDGET}')
     if not spent:
@@ -84,7 +87,9 @@
     run = next(
         engine
         for engine in lab.engines
-        if any(one.id == answer.headers['x-pollenwalk-request-id'] for one in engine.runs)
+        if any(
+            one.id == answer.headers['x-pollenwalk-request-id'] for one in engine.runs
+        )
     )
     spent[program] += events * run.tokens_per_event
 
