review: entries of another writer are used as servers

Cause: an entry that lacks fields is taken as a server; if no header can hold its name, each call that is sent there fails and no other host is tried.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,90 +1,135 @@
-"""A planned stop of a gateway cuts a stream that it should have refused."""
+"""Another writer's entries among the servers, with fields missing."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
+from typing import Any
 
-from stand_ins.http import Connection
-from stand_ins.lab import STORAGE, CannotRun, Lab, play, with_trouble
+from stand_ins.engine import Engine
+from stand_ins.http import Answer, exchange
+from stand_ins.lab import (
+    ROUTE_HOST,
+    STORAGE,
+    CannotRun,
+    Lab,
+    configuration,
+    play,
+    with_trouble,
+)
 
 RETENTION_S = 60.0
-GATEWAY, OTHER = 'front-rimouski-1', 'front-saguenay-1'
-PATH = '/fit/2f'
-# The server makes an event each 0.05 s; the sheet allows pauses of 0.15 s.
-PAUSE_S, TOKENS_PER_EVENT = 0.05, 16
-SHORT_EVENTS, LONG_EVENTS = 3, 56
-SHORT_TURNS = 40
-# When the callers send on their idle connections, after the SIGTERM. Each sends while the
-# stream of the one before lasts, so the gateway has no reason to end early.
-SENT_S = (1.5, 3.4, 5.0)
-GRACE_S = 8.0
-
-
-class Caller:
-    """A caller that keeps its connection to a gateway."""
-
-    def __init__(self, lab: Lab, connection: Connection, name: str) -> None:
-        """Use an open connection."""
-        self.lab = lab
-        self.connection = connection
-        self.name = name
-
-    async def say(self, events: int) -> bool:
-        """Send the first turn of a program, whose answer has so many events.
-
-        Returns:
-            Whether the answer was whole.
-
-        Raises:
-            CannotRun: the request crossed the end of the connection; the rule doesn't
-                count that.
-        """
-        request, headers = self.lab.turn_headers(
-            f'{self.name}-{events}', most=events * TOKENS_PER_EVENT
-        )
-        self.lab.note(f'{self.name} sent {request}, {events} events')
-        answer = await self.connection.request('POST', PATH, headers, b'input\n')
-        ran = any(run.id == request for run in self.lab.engines[0].runs)
-        self.lab.note(
-            f'{self.name} got {answer.status} to {request}, whole={answer.whole}, '
-            f'ran={ran}'
-        )
-        if not (answer.whole or ran):
-            raise CannotRun('the request was not passed on')
-        return answer.whole
+CONFIG_APPLY_S = 3.0
+GATEWAYS = ('front-rimouski-1', 'front-saguenay-1')
+FIRST_PATH = '/fit/2f'
+ADDED_PATH = '/stock/2f'
+ADDED_SERVICE = 'comptoir'
+SOUND_SERVERS = ('i-21c04f7e', 'i-58d1b9a3')
+# An event of a sound server takes so long; each answer has three.
+EVENT_S = 0.05
+# The names have a typographic dash.
+ODD_NAMES = tuple(f'comptoir\u2013essai-{number}' for number in range(1, 9))
+CALLERS = 16
+REQUESTS = 10
+PAUSE_S = 0.05
+# The rule CONFIG: at least a quarter as often as on the first routes.
+LEAST_SHARE = 0.25
 
 
 async def case(lab: Lab) -> bool:
-    """Return whether each request that was read got a whole answer."""
+    """Return whether the added route is served often enough."""
     for name, zone in STORAGE.items():
         lab.add_keeper(name, zone)
-    lab.add_gateway(GATEWAY, 'rimouski')
-    lab.add_gateway(OTHER, 'saguenay')
-    lab.engines[0].pause_s = PAUSE_S
+    for name in GATEWAYS:
+        lab.add_gateway(name, name.split('-')[1])
     await lab.wait_ready(len(STORAGE))
-    address = lab.addresses[GATEWAY]
-    callers = [
-        Caller(lab, await Connection.open(address), f'caller-{number}')
-        for number, _ in enumerate(SENT_S, 1)
-    ]
-    for number in range(SHORT_TURNS):
-        await callers[number % len(callers)].say(SHORT_EVENTS)
-    began_s = lab.now_s
+    for name in SOUND_SERVERS:
+        engine = await lab.add_engine(name, 'rimouski', ADDED_SERVICE)
+        engine.pause_s = EVENT_S
+    lab.write_configuration(with_added_route())
     if with_trouble():
-        lab.processes[GATEWAY].send_signal(signal.SIGTERM)
-        lab.note(f'signal SIGTERM to {GATEWAY}')
-    saying = []
-    for caller, sent_s in zip(callers, SENT_S, strict=True):
-        await asyncio.sleep(began_s + sent_s - lab.now_s)
-        saying.append(asyncio.ensure_future(caller.say(LONG_EVENTS)))
-    whole = await asyncio.gather(*saying)
-    lab.note(f'the last one ended {lab.now_s - began_s:.2f} s after the SIGTERM')
-    if with_trouble():
-        await asyncio.sleep(began_s + GRACE_S - lab.now_s)
-        lab.note(f'{GATEWAY} ended with {lab.processes[GATEWAY].poll()}')
-    return all(whole)
+        write_odd_entries(lab)
+    await asyncio.sleep(CONFIG_APPLY_S)
+    first = await share_served(lab, FIRST_PATH)
+    added = await share_served(lab, ADDED_PATH)
+    lab.note(f'served {first:.2f} on the first route, {added:.2f} on the added one')
+    if not first:
+        raise CannotRun('nothing was served')
+    return added >= first * LEAST_SHARE
+
+
+def with_added_route() -> dict[str, Any]:
+    """Return a version with one more route, to a service of its own."""
+    spec = configuration(RETENTION_S)
+    added = {
+        'name': 'stock-lookup',
+        'host': ROUTE_HOST,
+        'path_prefix': '/stock/',
+        'kind': 'safe',
+        'service': ADDED_SERVICE,
+        'timeout_ms': 1500,
+        'target_latency_ms': 400,
+        'priority': 2,
+        'max_attempts': 2,
+    }
+    return {
+        **spec,
+        'version': 9,
+        'routes': [*spec['routes'], added],
+        'services': [*spec['services'], {'name': ADDED_SERVICE, 'max_conns': 100}],
+    }
+
+
+def write_odd_entries(lab: Lab) -> None:
+    """Write entries that lack `version`, `cold_left_ms` and `seq`."""
+    spec = {
+        'service': ADDED_SERVICE,
+        'address': lab.engines[-1].address,
+        'zone': 'rimouski',
+        'slots': 8,
+        'state': 'ready',
+    }
+    for name in ODD_NAMES:
+        lab.store.put(('servers', name), {'spec': spec, 'status': None})
+        lab.note(f'entry of another writer: servers/{name} {spec}')
+
+
+async def share_served(lab: Lab, path: str) -> float:
+    """Let callers send to both gateways; return the share that is served."""
+    callers = (
+        call_again(lab, GATEWAYS[number % len(GATEWAYS)], path)
+        for number in range(CALLERS)
+    )
+    served = await asyncio.gather(*callers)
+    return sum(served) / (CALLERS * REQUESTS)
+
+
+async def call_again(lab: Lab, gateway: str, path: str) -> int:
+    """Send one request after the other; return how many were served."""
+    served = 0
+    for _ in range(REQUESTS):
+        answer = await call(lab, gateway, path)
+        served += int(answer.status == 200 and answer.whole)
+        await asyncio.sleep(PAUSE_S)
+    return served
+
+
+async def call(lab: Lab, gateway: str, path: str) -> Answer:
+    """Send one request and record the answer and whether a server ran it."""
+    request_id, headers = lab.turn_headers('')
+    headers.pop('X-Pollenwalk-Program-Id')
+    headers.pop('X-Pollenwalk-Session-Id')
+    lab.note(f'sent {request_id} {path} to {gateway}')
+    address = lab.addresses[gateway]
+    answer = await exchange(address, 'POST', path, headers, b'insert 7\n')
+    ran = any(has_run(engine, request_id) for engine in lab.engines)
+    lab.note(f'answered {request_id} {answer.status} ran={ran} {answer.body[:60]!r}')
+    return answer
+
+
+def has_run(engine: Engine, request_id: str) -> bool:
+    """Return whether a server ran a request."""
+    return any(run.id == request_id for run in engine.runs)
 
 
 if __name__ == '__main__':
-    sys.exit(play(case, Path(__file__).resolve().parent, RETENTION_S))
+    sys.exit(play(case, Path(__file__).parent, RETENTION_S))
