keeper: remove lost keepers as long as a keeper runs

Cause: only a keeper that joined removed a lost one, once, 3 s after its own start. When the successor came first, the old keeper still answered then, and stayed listed. Four were listed and three lived: the keeper with the empty disk waited for the records of three others, and two complete ones are no majority. The same if the successor was killed within these 3 s.

Ruled out: lost records (all turns were on two disks) and a slow join (the same fetch failed until the end).

Now each keeper runs a loop, of which the first complete one by name acts.

The copying is that of retirements, moved to turn_copies.py.

--- a/pollenwalk/process/joining.py
+++ b/pollenwalk/process/joining.py
@@ -20,9 +20,6 @@
 # between regions.
 BATCH_TIMEOUT_MS = 1500.0
 FETCH_INTERVAL_MS = 200.0
-# A keeper that has joined removes another one from which it can't fetch all records,
-# but not earlier than this long after it started to join.
-REPLACE_AFTER_MS = 3000.0
 
 
 class Joining:
@@ -38,18 +35,13 @@
         self.fetched: set[str] = set()
 
     async def run(self) -> None:
-        """Fetch all records, then replace a keeper that could not be fetched from."""
+        """Fetch all records; the keeper is complete then."""
         keeper = self.keeper
-        started_ms = keeper.clock.now_ms()
         while not self.has_all_records():
             await self.fetch_remaining()
             await keeper.clock.sleep_ms(FETCH_INTERVAL_MS)
         keeper.state.log.mark_complete()
         logger.info('joined', fetched=sorted(self.fetched))
-        await keeper.clock.sleep_ms(
-            started_ms + REPLACE_AFTER_MS - keeper.clock.now_ms(),
-        )
-        await self.replace_lost()
 
     def has_all_records(self) -> bool:
         """Return whether enough keepers' records have been fetched.
@@ -118,19 +110,3 @@
             if member.name not in fetched
         ]
         return [*names, self.keeper.settings.name]
-
-    async def replace_lost(self) -> None:
-        """Remove one keeper that can't be fetched from, if there is one.
-
-        It gives no answer, or its records are incomplete.
-        """
-        for member in self.keeper.other_members():
-            if member.name in self.fetched or await self.fetch(member):
-                continue
-            logger.warning(
-                'keeper_replaced',
-                lost=member.name,
-                by=self.keeper.settings.name,
-            )
-            await self.keeper.remove_member(member)
-            return
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Iterator
+from collections.abc import AsyncIterator, Iterator
 from itertools import chain
 from typing import Any, NamedTuple
 
@@ -45,21 +45,27 @@
     PermitAllocator,
 )
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
+from pollenwalk.process.record_batches import batched
 from pollenwalk.process.store import Backoff, ObjectStore
 from pollenwalk.process.store_mirror import StoreMirrors
 from pollenwalk.process.stream_origins import StreamOrigins
 from pollenwalk.process.tasks import TaskSet
+from pollenwalk.process.turn_copies import TurnCopies
 from pollenwalk.program.streams import (
     FindStreamOrigin,
     FoundStreamOrigin,
     StreamOrigin,
 )
 from pollenwalk.program.turns import (
+    CheckReachable,
+    CopiesEnsured,
+    EnsureCopies,
     FindChain,
     FindMissing,
     Missing,
     PullRecords,
     PushRecords,
+    Reachable,
     RecordBatch,
     ReserveTokens,
     Settlements,
@@ -68,10 +74,6 @@
     TurnRecord,
 )
 
-# A message has at most so many records, and ends with the one that exceeds so many bytes:
-# their transfer takes 150 ms on the slowest link.
-MAX_BATCH_RECORDS = 64
-MAX_BATCH_BYTES = 262_144
 # Intervals of the checks whether the own object in the store is as it should be, by
 # whether it was at the last check.
 REGISTRATION_CHECK_MS = {False: 100.0, True: 400.0}
@@ -80,6 +82,7 @@
 # a stalled watch must end well before.
 WATCH_WAIT_MS = 2500
 LimitMessage = RequestPermit | TellLimits | ExchangeLimits | BorrowShares
+CopyMessage = FindMissing | CheckReachable | EnsureCopies
 MemoryMessage = LimitMessage | StreamOrigin | FindStreamOrigin | GatewayLoad
 
 
@@ -112,6 +115,7 @@
         own_member: this keeper's object in the store, as it should be.
         mirrors: the parts of the store that this keeper follows for others.
         feed: follows the store through the first keeper of the region.
+        copies: copies this keeper's turns to others.
         fleet_load: the load of the gateways that report to this keeper.
         stream_origins: where the latest streams began, in memory only.
         permits: gives permits for hosts with a limit, in memory only.
@@ -148,6 +152,9 @@
         self.feed = KeeperFeed(
             store, self.links, clock, do_nothing, self.mirrors, settings.name
         )
+        self.copies = TurnCopies(
+            state, self.links, self.tasks, settings.name, self.required_copies
+        )
         self.fleet_load = FleetLoad(settings.regions)
         self.stream_origins = StreamOrigins(clock)
         self.permits = PermitAllocator(
@@ -245,9 +252,8 @@
             return Spent(self.state.complete, entries)
         if isinstance(message, FindChain):
             return self.state.find_chain(message.turn)
-        if isinstance(message, FindMissing):
-            turns = self.state.turns.records
-            return Missing([turn for turn in message.turns if turn not in turns])
+        if isinstance(message, CopyMessage):
+            return await self.answer_about_copies(message)
         if isinstance(message, FollowPrefix | ReadPrefix):
             return await self.mirrors.answer(message)
         if isinstance(message, MemoryMessage):
@@ -255,6 +261,15 @@
         await self.store_records(message)
         return Stored(self.state.complete)
 
+    async def answer_about_copies(self, message: CopyMessage) -> Any:
+        """Return the answer to a keeper that is about to leave or to remove another."""
+        if isinstance(message, FindMissing):
+            turns = self.state.turns.records
+            return Missing([turn for turn in message.turns if turn not in turns])
+        if isinstance(message, CheckReachable):
+            return Reachable(await self.links.reaches(message.keeper))
+        return CopiesEnsured(await self.copies.ensure_for(message.keepers))
+
     def answer_from_memory(self, message: MemoryMessage) -> Any:
         """Return the answer to a message about what is not on disk."""
         if isinstance(message, LimitMessage):
@@ -373,24 +388,6 @@
         overwritten = self.own_member.key in members.unreadable.versions
         return should_be_listed and (overwritten or not is_listed)
 
-    async def remove_member(self, member: Member) -> None:
-        """Delete a keeper's object in the store; retry until the store answers."""
-        await self.retry_until_acknowledged(lambda: self.store.delete(member.key))
-
-    async def retry_until_acknowledged(
-        self, write: Callable[[], Awaitable[object]]
-    ) -> None:
-        """Repeat a write until the store acknowledges it."""
-        backoff = Backoff(self.clock)
-        while True:
-            try:
-                await write()
-            except StoreUnavailable as error:
-                log_store_unavailable(error)
-                await backoff.pause()
-                continue
-            return
-
     async def expire(self) -> None:
         """Remove expired records from memory and compact the log at regular intervals."""
         while True:
@@ -404,20 +401,6 @@
     """Ignore that the store has failed, as a keeper removes no entry for it."""
 
 
-def batched(records: Iterable[bytes]) -> Iterator[list[bytes]]:
-    """Yield records in batches, at least one, of which the last may be empty."""
-    batch: list[bytes] = []
-    size_bytes = 0
-    for record in records:
-        batch.append(record)
-        size_bytes += len(record)
-        if len(batch) >= MAX_BATCH_RECORDS or size_bytes >= MAX_BATCH_BYTES:
-            yield batch
-            batch = []
-            size_bytes = 0
-    yield batch
-
-
 def log_store_unavailable(error: StoreUnavailable) -> None:
     """Log that the store did not answer."""
     logger.warning('store_unavailable', what='keepers', reason=error.message)
--- a/pollenwalk/process/keeper_daemon.py
+++ b/pollenwalk/process/keeper_daemon.py
@@ -14,11 +14,12 @@
 from pollenwalk.process.clock import LoopClock
 from pollenwalk.process.joining import Joining
 from pollenwalk.process.keeper import Keeper, KeeperSettings
+from pollenwalk.process.keeper_removal import KeeperRemoval
 from pollenwalk.process.keeper_state import KeeperState
 from pollenwalk.process.logs import set_up_logs
 from pollenwalk.process.metrics_page import metrics_server
 from pollenwalk.process.record_log import RecordLog
-from pollenwalk.process.retirement import Retirement
+from pollenwalk.process.retirement import Retirement, StatusStore
 from pollenwalk.process.settings import Settings
 from pollenwalk.process.signals import stop_on_signals
 
@@ -60,9 +61,10 @@
     return page
 
 
-def start_membership_tasks(keeper: Keeper, store: PlatformStore) -> None:
-    """Start the tasks by which a keeper joins the others and retires."""
+def start_membership_tasks(keeper: Keeper, store: StatusStore) -> None:
+    """Start the tasks by which keepers join, retire and are removed."""
     keeper.tasks.spawn(Retirement(keeper, store).watch_requests(), 'follow_retirements')
+    keeper.tasks.spawn(KeeperRemoval(keeper).run(), 'remove_lost')
     if not keeper.state.complete:
         keeper.tasks.spawn(Joining(keeper).run(), 'join')
 
--- a/pollenwalk/process/keeper_links.py
+++ b/pollenwalk/process/keeper_links.py
@@ -15,13 +15,16 @@
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.keeper_members import Member, Members
 from pollenwalk.process.tasks import TaskSet
-from pollenwalk.program.turns import Settlements
+from pollenwalk.program.turns import Chain, FindChain, Settlements
 
 # Timeout of a request: enough for a round trip between regions, two syncs of
 # the disk and the retransmission of a lost packet.
 REQUEST_TIMEOUT_MS = 700.0
 # Interval between the probes of a lost keeper; a process restarts within 1 s.
 PROBE_INTERVAL_MS = 200.0
+# Any keeper answers it, and it changes nothing.
+EMPTY_MESSAGE = Settlements([])
+NO_TURN = ''
 # Ranks of zones by their distance.
 SAME_ZONE = 0
 SAME_REGION = 1
@@ -198,6 +201,27 @@
             self.mark_lost(link, error)
             raise
 
+    async def is_complete(self, link: KeeperLink) -> bool:
+        """Return whether a keeper answers and has all its records.
+
+        It is asked for a turn that no one has, as each answer about a turn tells that.
+        """
+        try:
+            chain: Chain = await self.request(link, FindChain(NO_TURN))
+        except PollenwalkError:
+            # `mark_lost` has logged the loss.
+            return False
+        return chain.complete
+
+    async def reaches(self, name: str) -> bool:
+        """Return whether a listed keeper answers now."""
+        member = self.members.by_name.get(name)
+        if member is None:
+            return False
+        link = self.link(member)
+        await self.is_complete(link)
+        return not link.is_lost
+
     def mark_lost(self, link: KeeperLink, error: PollenwalkError) -> None:
         """Mark a keeper as lost and start to probe it."""
         if link.is_lost:
@@ -212,13 +236,14 @@
         self.tasks.spawn(self.probe(link), 'probe')
 
     async def probe(self, link: KeeperLink) -> None:
-        """Probe a lost keeper until it answers or its connection is replaced.
-
-        The probe is an empty message of settlements, which changes nothing.
-        """
-        while self.by_name.get(link.member.name) is link:
+        """Probe a lost keeper until it answers, leaves the list or gets a new connection."""
+        name = link.member.name
+        while self.by_name.get(name) is link:
+            if name not in self.members.by_name:
+                self.by_name.pop(name)
+                return
             try:
-                await link.peer.request(Settlements([]), REQUEST_TIMEOUT_MS)
+                await link.peer.request(EMPTY_MESSAGE, REQUEST_TIMEOUT_MS)
             except PollenwalkError:
                 # The loss has been logged by `mark_lost`.
                 await self.clock.sleep_ms(PROBE_INTERVAL_MS)
--- a/pollenwalk/process/retirement.py
+++ b/pollenwalk/process/retirement.py
@@ -6,13 +6,12 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
 from loguru import logger
 
-from pollenwalk.connection.wire import encode_datagram
-from pollenwalk.errors import MalformedObject, PollenwalkError
+from pollenwalk.errors import MalformedObject, PollenwalkError, StoreUnavailable
 from pollenwalk.platform.documents import (
     RETIREMENTS_PREFIX,
     decode_retirement,
@@ -21,18 +20,11 @@
 from pollenwalk.process.keeper import (
     WATCH_WAIT_MS,
     Keeper,
-    batched,
     log_store_unavailable,
 )
 from pollenwalk.process.keeper_members import Member
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
-from pollenwalk.process.store import ObjectStore, StoredObject
-from pollenwalk.program.turns import (
-    FindMissing,
-    Missing,
-    PushRecords,
-    TurnRecord,
-)
+from pollenwalk.process.store import Backoff, ObjectStore, StoredObject
 
 RETRY_INTERVAL_MS = 200.0
 
@@ -95,7 +87,7 @@
         while not await self.replicate_elsewhere():
             await keeper.clock.sleep_ms(RETRY_INTERVAL_MS)
         keeper.retired = True
-        await keeper.remove_member(keeper.own_member)
+        await self.leave_list()
         await self.report(True)
         logger.info('retired', turns=len(keeper.state.turns.records))
 
@@ -106,10 +98,29 @@
             done: whether the retirement is completed.
         """
         status = retirement_status(done)
-        await self.keeper.retry_until_acknowledged(
+        await self.retry_until_acknowledged(
             lambda: self.store.write_status(self.key, status)
         )
 
+    async def leave_list(self) -> None:
+        """Delete this keeper's object in the store; retry until the store answers."""
+        key = self.keeper.own_member.key
+        await self.retry_until_acknowledged(lambda: self.store.delete(key))
+
+    async def retry_until_acknowledged(
+        self, write: Callable[[], Awaitable[object]]
+    ) -> None:
+        """Repeat a write until the store acknowledges it."""
+        backoff = Backoff(self.keeper.clock)
+        while True:
+            try:
+                await write()
+            except StoreUnavailable as error:
+                log_store_unavailable(error)
+                await backoff.pause()
+                continue
+            return
+
     async def replicate_elsewhere(self) -> bool:
         """Copy all records to enough other keepers.
 
@@ -125,64 +136,19 @@
         # All at once: in a large fleet one after the other would take longer than a
         # keeper has.
         pushed = await asyncio.gather(
-            *(self.push_records(member, others) for member in others)
+            self.keeper.copies.ensure(others),
+            *(self.push_accounts(member) for member in others),
         )
         return all(pushed)
 
-    async def push_records(self, member: Member, others: list[Member]) -> bool:
-        """Send another keeper all accounts, and the turns that it is to have.
-
-        Args:
-            member: the other keeper.
-            others: all keepers that may be replicas, the preferred ones first.
-
-        Returns:
-            Whether it has acknowledged everything.
-        """
+    async def push_accounts(self, member: Member) -> bool:
+        """Send another keeper all accounts; return whether it has acknowledged them."""
+        keeper = self.keeper
         try:
-            await self.push(member, self.keeper.state.account_records())
-            await self.push_turns(member, others)
+            await keeper.copies.push(member, keeper.state.account_records())
         except PollenwalkError as error:
             logger.warning(
                 'retirement_interrupted', keeper=member.name, reason=error.message
             )
             return False
         return True
-
-    async def push_turns(self, member: Member, others: list[Member]) -> None:
-        """Send another keeper the turns that it is to have and lacks.
-
-        Args:
-            member: the other keeper.
-            others: all keepers that may be replicas, the preferred ones first.
-        """
-        updated = (
-            record._replace(replicas=self.choose_replicas(record, others))
-            for record in list(self.keeper.state.turns.records.values())
-        )
-        records = {
-            record.turn: record for record in updated if member.name in record.replicas
-        }
-        link = self.keeper.links.link(member)
-        missing: Missing = await self.keeper.links.request(
-            link,
-            FindMissing(list(records)),
-        )
-        missing_records = (encode_datagram(records[turn]) for turn in missing.turns)
-        await self.push(member, missing_records)
-
-    def choose_replicas(self, record: TurnRecord, others: list[Member]) -> list[str]:
-        """Return the names of the keepers that are to have a turn.
-
-        Its present replicas among `others` are preferred, then the first others.
-        """
-        names = [member.name for member in others]
-        kept = [name for name in names if name in record.replicas]
-        added = [name for name in names if name not in record.replicas]
-        return [*kept, *added][: self.keeper.required_copies]
-
-    async def push(self, member: Member, records: Iterable[bytes]) -> None:
-        """Send encoded records to another keeper, in batches."""
-        link = self.keeper.links.link(member)
-        for batch in batched(records):
-            await self.keeper.links.request(link, PushRecords(batch))
--- /dev/null
+++ b/pollenwalk/process/turn_copies.py
@@ -0,0 +1,155 @@
+"""Copies of a keeper's turns at other keepers, counted by what these really hold.
+
+A record names the keepers that were asked to store it first. These may have lost it or
+left since, so whoever is about to remove a keeper compares what the remaining ones hold
+with what they should.
+"""
+
+import asyncio
+from collections.abc import Iterable
+
+from loguru import logger
+
+from pollenwalk.connection.wire import encode_datagram
+from pollenwalk.errors import PollenwalkError
+from pollenwalk.process.clock import MS_PER_SECOND
+from pollenwalk.process.keeper_links import KeeperLinks
+from pollenwalk.process.keeper_members import Member
+from pollenwalk.process.keeper_state import KeeperState
+from pollenwalk.process.record_batches import batched
+from pollenwalk.process.tasks import TaskSet
+from pollenwalk.program.turns import (
+    FindMissing,
+    Missing,
+    PushRecords,
+    TurnRecord,
+)
+
+# How long a keeper that asks for copies waits for each answer. It is shorter than the
+# time after which an unanswered request counts as the loss of a keeper.
+ANSWER_WAIT_MS = 400.0
+
+
+class TurnCopies:
+    """Copies the turns of one keeper to others that lack them.
+
+    Attributes:
+        own_name: name of the keeper.
+        required_copies: how many keepers must have each turn.
+        copying: the running copy that other keepers have asked for, by the names of
+            the keepers whose copies are to count.
+    """
+
+    def __init__(
+        self,
+        state: KeeperState,
+        links: KeeperLinks,
+        tasks: TaskSet,
+        own_name: str,
+        required_copies: int,
+    ) -> None:
+        """Create the copies of a keeper; nothing has been compared yet."""
+        self.state = state
+        self.links = links
+        self.tasks = tasks
+        self.own_name = own_name
+        self.required_copies = required_copies
+        self.copying: dict[frozenset[str], asyncio.Task[bool]] = {}
+
+    async def ensure_for(self, names: list[str]) -> bool:
+        """Start or continue a copy for another keeper.
+
+        Args:
+            names: names of the keepers whose copies count.
+
+        Returns:
+            Whether each turn is on enough of them; False while that goes on.
+        """
+        key = frozenset(names)
+        task = self.copying.get(key)
+        if task is None:
+            task = self.tasks.spawn(self.ensure_named(key), 'ensure_copies')
+            self.copying[key] = task
+        await asyncio.wait({task}, timeout=ANSWER_WAIT_MS / MS_PER_SECOND)
+        if not task.done():
+            return False
+        self.copying.pop(key, None)
+        return not task.cancelled() and task.result()
+
+    async def ensure_named(self, names: frozenset[str]) -> bool:
+        """Copy the turns to keepers that are given by their names.
+
+        Returns:
+            Whether each turn is on enough of them. It is not if one of them is not
+            listed, as far as this keeper knows.
+        """
+        staying = [
+            link.member for link in self.links.ordered() if link.member.name in names
+        ]
+        return len(staying) == len(names) and await self.ensure(staying)
+
+    async def ensure(self, staying: list[Member]) -> bool:
+        """Copy each turn to as many keepers as must have it.
+
+        Args:
+            staying: the keepers whose copies count, the preferred ones first.
+
+        Returns:
+            Whether each turn is on enough of them; otherwise the caller retries.
+        """
+        if len(staying) < self.required_copies:
+            return False
+        # All at once: in a large fleet one after the other would take longer than a
+        # keeper has.
+        others = [member for member in staying if member.name != self.own_name]
+        pushed = await asyncio.gather(
+            *(self.push_or_log(member, staying) for member in others)
+        )
+        return all(pushed)
+
+    async def push_or_log(self, member: Member, staying: list[Member]) -> bool:
+        """Send another keeper the turns that it is to have; log a failure.
+
+        Returns:
+            Whether it has acknowledged all of them.
+        """
+        try:
+            await self.push_turns(member, staying)
+        except PollenwalkError as error:
+            logger.warning('copy_failed', keeper=member.name, reason=error.message)
+            return False
+        return True
+
+    async def push_turns(self, member: Member, staying: list[Member]) -> None:
+        """Send another keeper the turns that it is to have and lacks."""
+        updated = (
+            record._replace(replicas=self.choose_replicas(record, staying))
+            for record in list(self.state.turns.records.values())
+        )
+        records = {
+            record.turn: record for record in updated if member.name in record.replicas
+        }
+        if not records:
+            return
+        link = self.links.link(member)
+        missing: Missing = await self.links.request(link, FindMissing(list(records)))
+        await self.push(
+            member, (encode_datagram(records[turn]) for turn in missing.turns)
+        )
+
+    def choose_replicas(self, record: TurnRecord, staying: list[Member]) -> list[str]:
+        """Return the names of the keepers that are to have a turn.
+
+        Its present replicas among `staying` are preferred, then the first others.
+        """
+        present = {*record.replicas, self.own_name}
+        names = [member.name for member in staying]
+        kept = [name for name in names if name in present]
+        added = [name for name in names if name not in present]
+        return [*kept, *added][: self.required_copies]
+
+    async def push(self, member: Member, records: Iterable[bytes]) -> None:
+        """Send encoded records to another keeper, in batches."""
+        link = self.links.link(member)
+        for batch in batched(records):
+            await self.links.request(link, PushRecords(batch))
--- a/pollenwalk/program/turns.py
+++ b/pollenwalk/program/turns.py
@@ -143,6 +143,37 @@
     turns: list[str]
 
 
+class CheckReachable(NamedTuple):
+    """Asks a keeper whether it reaches another one; `keeper` is that one's name."""
+
+    keeper: str
+
+
+class Reachable(NamedTuple):
+    """Whether a keeper has just been reached by the one that was asked."""
+
+    reachable: bool
+
+
+class EnsureCopies(NamedTuple):
+    """Asks a keeper to copy its turns until each is on enough of some keepers.
+
+    Attributes:
+        keepers: names of the keepers whose copies will count.
+    """
+
+    keepers: list[str]
+
+
+class CopiesEnsured(NamedTuple):
+    """Whether each turn of a keeper is on enough of the named keepers.
+
+    `done` is false while the keeper still copies, and after a failure.
+    """
+
+    done: bool
+
+
 class RecordBatch(NamedTuple):
     """A batch of encoded records; a keeper's answer may have several batches.
 
--- a/test/process/test_keepers.py
+++ b/test/process/test_keepers.py
@@ -6,14 +6,13 @@
 import testtools
 
 from pollenwalk.errors import Refusal, RefusalCode
-from pollenwalk.process.joining import Joining
 from pollenwalk.process.keeper import Keeper, KeeperSettings
+from pollenwalk.process.keeper_daemon import start_membership_tasks
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_links import KeeperLinks
 from pollenwalk.process.keeper_members import KEEPERS_PREFIX
 from pollenwalk.process.keeper_state import KeeperState
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
-from pollenwalk.process.retirement import Retirement
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.process.turn_replication import NEAR_HEDGE_MS
 from pollenwalk.program.turns import ReserveTokens, SettleTokens, TurnRecord
@@ -76,10 +75,7 @@
         state = KeeperState(disk, clock)
         keeper = Keeper(settings, state, self.store_for(node), network, clock)
         await keeper.start()
-        if not state.complete:
-            keeper.tasks.spawn(Joining(keeper).run(), 'join')
-        retirement = Retirement(keeper, self.store_for(node))
-        keeper.tasks.spawn(retirement.watch_requests(), 'retirement')
+        start_membership_tasks(keeper, self.store_for(node))
         self.nodes[name] = node
         self.keepers[name] = keeper
         return keeper
