gateway: tell keepers which turns are in use, so that none expires

Cause: a keeper counts a new turn as a use of those before it only if it has all of them. New turns go to the nearest keepers, and a gateway answers from its cache, so the first turns of such a history were used nowhere and expired while it went on. The gateway's cache was the last copy.

Evidence: no line told of expiry; with the new `expired`, the two keepers of the first zone each log three turns 12 s before the restart, and no one else any. Ruled out: a cache that evicts (by reading: kilobytes of 16 MB), and keepers that deny what they have (they say that they removed it).

Now the gateway that continues a history tells the keepers of its turns, each half of their retention, or at once if it has read them from a keeper. They answer what they lack; what too few have is stored again.

--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -62,6 +62,7 @@
     EnsureCopies,
     FindChain,
     FindMissing,
+    KeepTurns,
     Missing,
     PullRecords,
     PushRecords,
@@ -82,7 +83,7 @@
 # a stalled watch must end well before.
 WATCH_WAIT_MS = 2500
 LimitMessage = RequestPermit | TellLimits | ExchangeLimits | BorrowShares
-CopyMessage = FindMissing | CheckReachable | EnsureCopies
+CopyMessage = KeepTurns | FindMissing | CheckReachable | EnsureCopies
 MemoryMessage = LimitMessage | StreamOrigin | FindStreamOrigin | GatewayLoad
 
 
@@ -262,7 +263,9 @@
         return Stored(self.state.complete)
 
     async def answer_about_copies(self, message: CopyMessage) -> Any:
-        """Return the answer to a keeper that is about to leave or to remove another."""
+        """Return the answer to a process that ensures that turns have enough copies."""
+        if isinstance(message, KeepTurns):
+            return Missing(self.state.turns.keep(message.turns))
         if isinstance(message, FindMissing):
             turns = self.state.turns.records
             return Missing([turn for turn in message.turns if turn not in turns])
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -22,6 +22,7 @@
 from pollenwalk.process.store import Changes, StoredObject
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.process.turn_replication import TurnReplication, keepers_unavailable
+from pollenwalk.process.turn_retention import TurnRetention
 from pollenwalk.program.turn_index import TurnIndex
 from pollenwalk.program.turns import (
     Chain,
@@ -63,6 +64,7 @@
         retry_advisor: sets Retry-After of refusals because of unavailable
             keepers.
         queued_settlements: settlements that will be sent with the next batch.
+        retention: tells the keepers which turns are used.
     """
 
     def __init__(
@@ -88,6 +90,9 @@
         self.cache = TurnIndex(clock, CACHE_BYTES)
         self.retry_advisor = RetryAdvisor(clock)
         self.queued_settlements: list[QueuedSettlement] = []
+        self.retention = TurnRetention(
+            links, clock, tasks, self.required_copies, self.store_turn
+        )
 
     @property
     def required_copies(self) -> int:
@@ -167,6 +172,7 @@
             self.links, stored, links, self.required_copies
         ).replicate()
         self.cache.put(stored)
+        self.retention.note_told(stored)
         return replicas
 
     async def retry_until_acknowledged(
@@ -205,6 +211,7 @@
             for record in found.turns:
                 self.cache.put(record)
             turns = [*found.turns, *turns]
+        self.retention.use(turns)
         return turns
 
     async def find_chain(self, turn: str) -> Chain:
--- a/pollenwalk/process/keeper_state.py
+++ b/pollenwalk/process/keeper_state.py
@@ -174,8 +174,12 @@
 
     def expire(self) -> None:
         """Remove the expired turns and accounts from memory."""
-        self.turns.expire()
+        turns = len(self.turns.expire())
+        accounts = len(self.ledger.accounts)
         self.ledger.expire()
+        accounts -= len(self.ledger.accounts)
+        if turns or accounts:
+            logger.info('expired', turns=turns, accounts=accounts)
 
 
 def entry_to_record(program: str, entry: TokenEntry, retention_ms: float) -> Any:
--- a/pollenwalk/program/turn_index.py
+++ b/pollenwalk/program/turn_index.py
@@ -65,6 +65,16 @@
         found.reverse()
         return Chain(True, found, missing)
 
+    def keep(self, turns: list[str]) -> list[str]:
+        """Mark turns as just used; return those that are not in the index."""
+        now_ms = self.clock.now_ms()
+        missing = [turn for turn in turns if turn not in self.records]
+        for turn in turns:
+            if turn in self.records:
+                self.last_used_ms[turn] = now_ms
+                self.records.move_to_end(turn)
+        return missing
+
     def evict(self) -> None:
         """Remove the least recently used turns while the index is too large."""
         while self.max_bytes is not None and self.size_bytes > self.max_bytes:
--- a/pollenwalk/program/turns.py
+++ b/pollenwalk/program/turns.py
@@ -131,6 +131,12 @@
     lost: list[str]
 
 
+class KeepTurns(NamedTuple):
+    """Tells a keeper that turns have been used; it answers with those it lacks."""
+
+    turns: list[str]
+
+
 class FindMissing(NamedTuple):
     """Asks a keeper which of the given turns it does not have."""
 
