keeper: read from the store who stays, before and after a handover

Cause: each counted the other's copy. A keeper copied its turns to those that did not retire as far as it knew, while the other's mark was written up to 0.4 s later, and looked at nothing again before completed.

Ruled out: a copy that failed.

Now a keeper writes that it retires, waits for the answer, reads from the store who stays, copies what those lack, and reads again: if one of them retires by now or is not complete, all is repeated. One that begins to retire after the second read has refused records since, and copies all that it has got. So for any number of retirements the store gives the order.

--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -237,7 +237,9 @@
         Args:
             lost: names of the keepers whose copies don't count.
         """
-        live = self.links.members.by_name.keys() - set(lost)
+        members = self.links.members.by_name.values()
+        live = {member.name for member in members if not member.retiring}
+        live.difference_update(lost)
         turns = self.state.underreplicated_turns(live, self.required_copies)
         return chain(self.state.account_records(), turns)
 
@@ -324,9 +326,10 @@
             Refusal: the message is not one for keepers, or this keeper is
                 retiring and accepts no new turns.
         """
+        takes_turns = isinstance(message, TurnRecord | PushRecords)
+        if takes_turns and self.own_member.retiring:
+            raise Refusal(RefusalCode.RETIRING, 'this keeper is retiring')
         if isinstance(message, TurnRecord):
-            if self.own_member.retiring:
-                raise Refusal(RefusalCode.RETIRING, 'this keeper is retiring')
             await self.state.store_record(message)
         elif isinstance(message, Settlements):
             await asyncio.gather(*map(self.state.store_record, message.settled))
--- a/pollenwalk/process/keeper_links.py
+++ b/pollenwalk/process/keeper_links.py
@@ -5,6 +5,7 @@
 """
 
 import zlib
+from collections.abc import Iterable
 from typing import Any
 
 from loguru import logger
@@ -82,9 +83,12 @@
 
     def ordered(self) -> list[KeeperLink]:
         """Return all connections: answering keepers first, near ones before others."""
-        links = [self.link(member) for member in self.members.by_name.values()]
+        return self.order(self.members.by_name.values())
+
+    def order(self, members: Iterable[Member]) -> list[KeeperLink]:
+        """Return connections: answering keepers first, near ones before others."""
         return sorted(
-            links,
+            map(self.link, members),
             key=lambda link: (
                 link.is_lost,
                 link.distance,
--- a/pollenwalk/process/keeper_members.py
+++ b/pollenwalk/process/keeper_members.py
@@ -1,5 +1,6 @@
 """The list of keepers in the store."""
 
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple, NotRequired, TypedDict
 
 import msgspec
@@ -64,6 +65,15 @@
     return member
 
 
+def readable_members(listed: Iterable[StoredObject]) -> Iterator[Member]:
+    """Yield the keepers of those objects that can be decoded."""
+    for stored in listed:
+        try:
+            yield decode_member(stored.key, stored.body)
+        except MalformedObject as error:
+            logger.warning('keeper_not_read', key=stored.key, reason=error.message)
+
+
 class Members:
     """The keepers that the store lists.
 
--- a/pollenwalk/process/retirement.py
+++ b/pollenwalk/process/retirement.py
@@ -1,7 +1,7 @@
 """Retirement: a keeper hands over its records before its host is removed.
 
 The keeper stops accepting turns, copies its records until every turn is on
-enough other disks, removes itself from the list of keepers, and only then
+enough other disks that stay, removes itself from the list of keepers, and only then
 reports that the retirement is completed.
 """
 
@@ -22,12 +22,14 @@
     Keeper,
     log_store_unavailable,
 )
-from pollenwalk.process.keeper_members import Member
+from pollenwalk.process.keeper_members import (
+    KEEPERS_PREFIX,
+    Member,
+    readable_members,
+)
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
 from pollenwalk.process.store import Backoff, ObjectStore, StoredObject
 
-RETRY_INTERVAL_MS = 200.0
-
 
 class StatusStore(ObjectStore, Protocol):
     """A store in which a process can write the status of others' objects."""
@@ -84,13 +86,89 @@
         keeper = self.keeper
         keeper.own_member = keeper.own_member._replace(retiring=True)
         await self.report(False)
-        while not await self.replicate_elsewhere():
-            await keeper.clock.sleep_ms(RETRY_INTERVAL_MS)
+        await self.hand_over_until_done()
         keeper.retired = True
         await self.leave_list()
         await self.report(True)
         logger.info('retired', turns=len(keeper.state.turns.records))
 
+    async def hand_over_until_done(self) -> None:
+        """Repeat the handover until all records are where they are to be."""
+        backoff = Backoff(self.keeper.clock)
+        while not await self.try_to_hand_over():
+            await backoff.pause()
+
+    async def try_to_hand_over(self) -> bool:
+        """Hand all records over once; log why it failed."""
+        try:
+            return await self.hand_over()
+        except StoreUnavailable as error:
+            log_store_unavailable(error)
+            return False
+
+    async def hand_over(self) -> bool:
+        """Copy all records to keepers that stay, and check that these still stay.
+
+        Several keepers may retire at once, and none must count the copies of another.
+        So this one first says in the store that it retires, then reads who does not. It
+        reads that again after the copying: who is listed as staying then may retire
+        later, but copies all that it has got by then.
+
+        Returns:
+            Whether every record is on enough keepers; otherwise the caller retries.
+
+        Raises:
+            StoreUnavailable: the store did not answer.
+        """
+        keeper = self.keeper
+        await keeper.register()
+        staying = await self.read_staying()
+        if len(staying) < keeper.required_copies:
+            logger.warning('retirement_waits', others=len(staying))
+            return False
+        if not await self.copy_records(staying):
+            return False
+        unchanged = set(staying) <= set(await self.read_staying())
+        links = map(keeper.links.link, staying)
+        complete = await asyncio.gather(*map(keeper.links.is_complete, links))
+        if unchanged and all(complete):
+            return True
+        logger.warning(
+            'retirement_repeated',
+            unchanged=unchanged,
+            incomplete=complete.count(False),
+        )
+        return False
+
+    async def read_staying(self) -> list[Member]:
+        """Read from the store which other keepers don't retire.
+
+        Raises:
+            StoreUnavailable: the store did not answer.
+        """
+        listing = await self.store.scan(KEEPERS_PREFIX)
+        own_name = self.keeper.settings.name
+        staying = [
+            member
+            for member in readable_members(listing.objects)
+            if member.name != own_name and not member.retiring
+        ]
+        return [link.member for link in self.keeper.links.order(staying)]
+
+    async def copy_records(self, staying: list[Member]) -> bool:
+        """Copy each turn to enough keepers, and all accounts to all of them.
+
+        Returns:
+            Whether they have acknowledged everything.
+        """
+        # All at once: in a large fleet one after the other would take longer than a
+        # keeper has.
+        copied = await asyncio.gather(
+            self.keeper.copies.ensure(staying),
+            *(self.push_accounts(member) for member in staying),
+        )
+        return all(copied)
+
     async def report(self, done: bool) -> None:
         """Write the status of the request; retry until the store answers.
 
@@ -121,26 +199,6 @@
                 continue
             return
 
-    async def replicate_elsewhere(self) -> bool:
-        """Copy all records to enough other keepers.
-
-        Returns:
-            Whether every record was copied; otherwise the caller retries.
-        """
-        others = [
-            member for member in self.keeper.other_members() if not member.retiring
-        ]
-        if len(others) < self.keeper.required_copies:
-            logger.warning('retirement_waits', others=len(others))
-            return False
-        # All at once: in a large fleet one after the other would take longer than a
-        # keeper has.
-        pushed = await asyncio.gather(
-            self.keeper.copies.ensure(others),
-            *(self.push_accounts(member) for member in others),
-        )
-        return all(pushed)
-
     async def push_accounts(self, member: Member) -> bool:
         """Send another keeper all accounts; return whether it has acknowledged them."""
         keeper = self.keeper
