keeper: restore a lost disk before retiring

Callers got 404 for turns that were answered whole: a storage host lost its disk, was to be emptied, and said completed at once.

Cause: a retiring keeper copies what it has, and it had nothing yet.

Now it waits until it is complete, as a keeper that joins does.

--- a/pollenwalk/process/retirement.py
+++ b/pollenwalk/process/retirement.py
@@ -30,6 +30,8 @@
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
 from pollenwalk.process.store import Backoff, ObjectStore, StoredObject
 
+COMPLETE_CHECK_MS = 100.0
+
 
 class StatusStore(ObjectStore, Protocol):
     """A store in which a process can write the status of others' objects."""
@@ -86,12 +88,25 @@
         keeper = self.keeper
         keeper.own_member = keeper.own_member._replace(retiring=True)
         await self.report(False)
+        await self.wait_until_complete()
         await self.hand_over_until_done()
         keeper.retired = True
         await self.leave_list()
         await self.report(True)
         logger.info('retired', turns=len(keeper.state.turns.records))
 
+    async def wait_until_complete(self) -> None:
+        """Wait until a lost disk has been restored.
+
+        Others count on the copies that were on it, so they have to be made again before
+        this keeper can tell what it must hand over.
+        """
+        keeper = self.keeper
+        if not keeper.state.complete:
+            logger.info('retirement_waits', reason='records are being fetched')
+        while not keeper.state.complete:
+            await keeper.clock.sleep_ms(COMPLETE_CHECK_MS)
+
     async def hand_over_until_done(self) -> None:
         """Repeat the handover until all records are where they are to be."""
         backoff = Backoff(self.keeper.clock)
@@ -124,7 +139,9 @@
         await keeper.register()
         staying = await self.read_staying()
         if len(staying) < keeper.required_copies:
-            logger.warning('retirement_waits', others=len(staying))
+            logger.warning(
+                'retirement_waits', reason='too few stay', others=len(staying)
+            )
             return False
         if not await self.copy_records(staying):
             return False
--- a/test/process/test_retirement.py
+++ b/test/process/test_retirement.py
@@ -127,3 +127,17 @@
         await cluster.start_keeper('z6')
         await self.remove_completed(cluster, 'z0', 'z2')
         self.assert_copies(cluster, 'z4 z6')
+
+    @virtual
+    async def test_keeper_with_a_lost_disk_restores_it_first(self) -> None:
+        # Guards against a keeper that has lost its disk, has nothing to hand over and
+        # leaves others with single copies.
+        cluster, _ = await self.start(KEEPERS, 'z0')
+        await cluster.kill('z0')
+        cluster.disks['z0'].wipe()
+        await self.retire(cluster, 'z0')
+        # The records arrive later than the request to retire.
+        cluster.fabric.slow_ms['z2', 'z0'] = 50.0
+        await cluster.start_keeper('z0')
+        await self.remove_completed(cluster, 'z0')
+        self.assert_copies(cluster, 'z2 z4 z6')
