platform: use an entry as a host only if a host can have written it

Cause: an entry counted as a host if the fields were there that are used most, and its name was not looked at, though a header of each request carries it.

Ruled out: the sound hosts; what reached them was served.

Now all fields that hosts state are required (born is not, as hosts may leave it out), with their types and bounds, and the name must be visible ASCII.

--- a/pollenwalk/platform/documents.py
+++ b/pollenwalk/platform/documents.py
@@ -7,6 +7,7 @@
 from pollenwalk.connection.addresses import is_ip_and_port
 from pollenwalk.connection.hosts import UpstreamHost
 from pollenwalk.errors import MalformedObject
+from pollenwalk.platform.headers import is_header_word
 from pollenwalk.platform.pages import UNREADABLE
 from pollenwalk.version.routes import (
     CallerLimits,
@@ -109,18 +110,20 @@
 class WireServer(TypedDict):
     """The object of an upstream host.
 
-    `born` is the Unix time of the host's start. `cold_left_ms` is the time for
-    which the host is still slow after the start. `version` is that of the host's
-    software.
+    A host states all of this but `born`, so an object that lacks some of it is not that
+    of a host. `born` is the Unix time of the host's start, `cold_left_ms` the time for
+    which the host is still slow after it. `version` is that of the host's software,
+    `seq` counts what the host has said of itself.
     """
 
     service: str
     address: str
     zone: str
+    version: str
     slots: Slots
     state: str
-    version: NotRequired[str]
-    cold_left_ms: NotRequired[DurationMs]
+    cold_left_ms: DurationMs
+    seq: Count
     born: NotRequired[Count]
 
 
@@ -227,22 +230,25 @@
     """Decode the object of an upstream host; the object's name is the host's id.
 
     Raises:
-        MalformedObject: the body, the host's state or its address is not valid.
+        MalformedObject: the body, the host's id, its state or its address is not valid.
     """
     wire: WireServer = decode(SERVER_DECODER, key, body)
+    host_id = key.removeprefix(HOSTS_PREFIX)
     leaving = LEAVING_BY_STATE.get(wire['state'])
     if leaving is None or not is_ip_and_port(wire['address']):
         raise MalformedObject(f'{key}: unknown state or malformed address')
+    if not is_header_word(host_id):
+        raise MalformedObject(f'{key}: an id that no header can carry')
     return UpstreamHost(
-        id=key.removeprefix(HOSTS_PREFIX),
+        id=host_id,
         upstream=wire['service'],
         address=wire['address'],
         zone=wire['zone'],
         slots=wire['slots'],
         leaving=leaving,
-        warm_up_ms=wire.get('cold_left_ms', 0),
+        warm_up_ms=wire['cold_left_ms'],
         started_ms=wire.get('born', 0),
-        software_version=wire.get('version', ''),
+        software_version=wire['version'],
     )
 
 
--- a/pollenwalk/platform/headers.py
+++ b/pollenwalk/platform/headers.py
@@ -80,6 +80,8 @@
         b'kv-fetch',
     ),
 )
+# Visible ASCII characters, no more than hosts accept in one header.
+HEADER_WORD = re.compile(r'[!-~]{1,256}')
 DECIMAL_NUMBER = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+')
 # Limits above this are no bound in practice, and too long a number has no value.
 MAX_LIMIT_PER_S = 1e6
@@ -156,6 +158,11 @@
     ]
 
 
+def is_header_word(text: str) -> bool:
+    """Return whether a header can carry a text that has no spaces."""
+    return bool(HEADER_WORD.fullmatch(text))
+
+
 def added_headers(
     host: str,
     deadline_ms: float,
@@ -169,7 +176,7 @@
         priority: from 0, the most urgent, to 9; None for the host's default.
     """
     added = [
-        (EXPECT_INSTANCE, host.encode('latin-1')),
+        (EXPECT_INSTANCE, host.encode('ascii')),
         (DEADLINE, str(max(int(deadline_ms), 1)).encode()),
     ]
     if priority is not None:
--- a/test/platform/test_odd_entries.py
+++ b/test/platform/test_odd_entries.py
@@ -64,6 +64,18 @@
     DEEP.decode(),
     '"\xff:80"',
 )
+ODD_NAMES = (
+    '',
+    'comptoir\u2013essai',
+    'i-\xe9t\xe9',
+    'i-1\r\nX-Other: 1',
+    'i-1\n',
+    'i 1',
+    ' i-1',
+    'i-1\x00',
+    '\ud800',
+    'i' * 10_000,
+)
 ODD_NUMBERS = (HUGE, ENDLESS, '-5', '1e999', '-1e999', '"8"', 'null', DEEP.decode())
 
 
@@ -74,6 +86,8 @@
         'slots': (*ODD_NUMBERS, '0', 'NaN'),
         'cold_left_ms': (*ODD_NUMBERS, 'Infinity'),
         'born': ODD_NUMBERS,
+        'seq': ODD_NUMBERS,
+        'version': ('5', 'null', '[]'),
         'service': ('5', 'null', DEEP.decode()),
         'zone': ('5', 'null'),
         'state': ('5', '"resting"', 'null', '[]'),
@@ -92,6 +106,19 @@
             with testtools.ExpectedException(MalformedObject):
                 decode_host(f'{HOSTS_PREFIX}i-1', body)
 
+    def test_hosts_that_lack_a_field_are_refused(self) -> None:
+        # Guards against objects of other writers that are used as hosts.
+        for field in HOST:
+            fields = {name: HOST[name] for name in HOST if name != field}
+            with testtools.ExpectedException(MalformedObject):
+                decode_host(f'{HOSTS_PREFIX}i-1', json.dumps(fields).encode())
+
+    def test_ids_that_no_header_can_carry_are_refused(self) -> None:
+        # Guards against hosts to which no request can be written.
+        for name in ODD_NAMES:
+            with testtools.ExpectedException(MalformedObject):
+                decode_host(f'{HOSTS_PREFIX}{name}', json.dumps(HOST).encode())
+
     def test_odd_keepers_are_ignored(self) -> None:
         bodies = [document(MEMBER, address=odd) for odd in ODD_ADDRESSES]
         bodies += [document(MEMBER, unknown=DEEP.decode()), DEEP, b'\xff', b'5', b'{}']
--- a/test/process/test_host_table.py
+++ b/test/process/test_host_table.py
@@ -22,8 +22,11 @@
         'service': 'up',
         'address': '10.0.0.1:80',
         'zone': 'z',
+        'version': '',
         'slots': 8,
         'state': 'ready',
+        'cold_left_ms': 0,
+        'seq': version,
         **changes,
     }
     return StoredObject(f'servers/{name}', json.dumps(fields).encode(), version)
--- a/test/process/test_stream_versions.py
+++ b/test/process/test_stream_versions.py
@@ -165,6 +165,8 @@
             'version': version,
             'slots': 4,
             'state': 'ready',
+            'cold_left_ms': 0,
+            'seq': 1,
         }
         await self.write(HOSTS_PREFIX + name, self.documents[name])
         await self.wait_for_hosts()
