gateway: suspect a host whose id no header can carry

As nothing ever runs at such a host, it looks idle and is chosen first.

Only the headers that name the host count: what a caller sent must not make hosts suspected.

The new test fails without the change.

--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -409,9 +409,15 @@
         Args:
             state: the host.
             last_event_id: if not empty, replaces the caller's Last-Event-ID.
+
+        Raises:
+            NotSent: no header can carry the host's id, so the host can't be used.
         """
         remaining_ms = self.call.remaining_ms(self.context.clock.now_ms())
-        added = added_headers(state.registration.id, remaining_ms, None)
+        try:
+            added = added_headers(state.registration.id, remaining_ms, None)
+        except ValueError as error:
+            raise NotSent(f'unusable id of the host: {error}') from error
         request_headers = self.call.request.headers
         if last_event_id:
             resume = resume_header(last_event_id)
--- a/test/request/test_faulty_hosts.py
+++ b/test/request/test_faulty_hosts.py
@@ -175,3 +175,24 @@
         for head in HEADS:
             reply, _ = await run(Hosts(breaks_off_head(head), streams), RESUMABLE)
             self.assertEqual(event(1), reply.body, head)
+
+
+class UnwritableTest(testtools.TestCase):
+    """Hosts to which no request can be written."""
+
+    @on_loop
+    async def test_host_that_no_request_can_be_written_to(self) -> None:
+        # Guards against a host that fails each call at once, looks idle therefore, and
+        # is chosen first again and again.
+        hosts = Hosts(answers_hello, answers_hello)
+        context = await hosts.start()
+        states = context.call_placer.host_table.states
+        odd = next(iter(states.values()))
+        odd.registration = odd.registration._replace(id='i\u2013odd')
+        reply = RecordedReply()
+        await run_unary(context, make_call(UNSAFE), reply)
+        self.assertEqual(200, reply.status)
+        self.assertEqual([0, 1], hosts.request_counts())
+        self.assertEqual(1, odd.failures)
+        for host in hosts.hosts:
+            host.stop()
