gateway: bound what all answers in progress hold together

An operator's report: a faulty server sent bytes without end until its caller ran out of memory, and the requests of other clients ended with it.

Now the bytes of all answers in progress are counted: collected bodies, incomplete events, outputs of turns.

Ruled out: heads, informational answers, chunk headers and skipped bodies, whose limits are small (test_endless_answers), and unread bytes, as reading stops. The test of bodies fails without the change.

--- a/pollenwalk/connection/connection_pool.py
+++ b/pollenwalk/connection/connection_pool.py
@@ -1,5 +1,6 @@
 """Pool of idle connections to upstream hosts."""
 
+from pollenwalk.connection.answer_memory import AnswerMemory
 from pollenwalk.connection.hosts import UpstreamHost
 from pollenwalk.connection.upstream_connection import (
     UpstreamConnection,
@@ -27,12 +28,14 @@
 
     Attributes:
         idle: idle connections by host id, the most recently used last.
+        answer_memory: counts what the answers on all connections hold.
     """
 
     def __init__(self, clock: Clock) -> None:
         """Create an empty pool."""
         self.clock = clock
         self.idle: dict[str, list[UpstreamConnection]] = {}
+        self.answer_memory = AnswerMemory()
 
     async def acquire(self, host: UpstreamHost, request: str) -> UpstreamConnection:
         """Return an idle connection to a host, or open a new one.
--- a/pollenwalk/request/exchange.py
+++ b/pollenwalk/request/exchange.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from pollenwalk.connection.answer_memory import HeldAnswer
 from pollenwalk.connection.connection_pool import ConnectionPool
 from pollenwalk.connection.upstream_connection import UpstreamConnection
 from pollenwalk.errors import BrokenAnswer
@@ -30,6 +31,7 @@
         software_version: version of the host's software when the request was sent.
         head: status and headers of the answer; until they are received, status 0
             and no headers.
+        held: what of the answer is in memory.
         complete: whether the answer was read to its end.
         closed: whether the exchange has given up its connection.
     """
@@ -50,6 +52,7 @@
         self.connection = connection
         self.software_version = state.registration.software_version
         self.head = AnswerHead(0, [])
+        self.held = HeldAnswer(pool.answer_memory)
         self.complete = False
         self.closed = False
 
@@ -78,6 +81,7 @@
             return
         self.closed = True
         self.state.in_flight -= 1
+        self.held.release()
         if self.complete:
             self.pool.release(self.state.registration, self.connection)
         else:
@@ -125,13 +129,15 @@
         """Read and return the whole body.
 
         Raises:
-            BrokenAnswer: the answer broke off, or its body exceeds MAX_BODY_BYTES.
+            BrokenAnswer: the answer broke off, its body exceeds MAX_BODY_BYTES, or all
+                answers together hold too much.
         """
         # One buffer, as separate chunks of a few bytes each would take many times
         # the memory of the body.
         body = bytearray()
         async for chunk in self.chunks():
             body += chunk
+            self.held.resize(len(body))
             if len(body) > MAX_BODY_BYTES:
                 raise BrokenAnswer(f'the body exceeds {MAX_BODY_BYTES} bytes')
         return bytes(body)
--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -53,6 +53,11 @@
         self.tokens = 0
         self.reservation: Reservation | None = None
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of the output, which is kept until the turn is stored."""
+        return len(self.output)
+
     @property
     def begins_program(self) -> bool:
         """Return whether no other turn of the program has used or reserved tokens.
--- a/pollenwalk/request/streaming.py
+++ b/pollenwalk/request/streaming.py
@@ -24,6 +24,10 @@
     def begins_program(self) -> bool:
         """Return whether program admission is checked before the turn is sent."""
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how much of the answer is kept until its end."""
+
     async def prepare(self) -> bytes:
         """Wait until the turn may run and return the request body to send.
 
@@ -63,6 +67,7 @@
         """Use the caller's body unchanged."""
         self.body = body
         self.begins_program = False
+        self.held_bytes = 0
 
     async def prepare(self) -> bytes:
         """Return the caller's body."""
@@ -239,7 +244,7 @@
         """Forward a stream event by event, or an unsuccessful answer in one piece.
 
         Raises:
-            BrokenAnswer: the answer broke off.
+            BrokenAnswer: the answer broke off, or all answers together hold too much.
             Refusal: the turn may not go on.
         """
         if not exchange.succeeded:
@@ -251,6 +256,7 @@
         async for chunk in exchange.chunks():
             for event in splitter.feed(chunk):
                 await self.forward_event(exchange, event)
+            exchange.held.resize(len(splitter.incomplete) + self.turn.held_bytes)
         check_end(exchange.head, splitter)
         await self.turn.before_end()
         await self.start_reply(exchange)
--- a/test/request/test_endless_answers.py
+++ b/test/request/test_endless_answers.py
@@ -11,6 +11,7 @@
 
 from pollenwalk.connection.upstream_connection import UpstreamConnection
 from pollenwalk.errors import BrokenAnswer, Refusal
+from pollenwalk.request.call_sender import ForwardingContext
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.request.streaming import StandaloneTurn, run_stream
 from pollenwalk.request.unary import run_unary
@@ -54,6 +55,11 @@
 SENT_LIMIT_BYTES = 32_000_000
 # Limit on the memory that the gateway and the hosts allocate for a call.
 MEMORY_LIMIT_BYTES = 40_000_000
+# Calls that meet a faulty host at the same time, and the pause between those to a sound
+# one.
+CALLS = 60
+SOUND_PAUSE_S = 0.02
+SMALLEST_GATEWAY_BYTES = 128_000_000
 OTHER_REQUEST = Received('GET', '/', {'x-pollenwalk-request-id': 'another'}, b'')
 INFORMATION = b'HTTP/1.1 102 Processing\r\n\r\n'
 NOT_EXECUTED = b'X-Pollenwalk-Not-Executed: 1\r\n'
@@ -485,3 +491,69 @@
         result = await forward(Hosts(streams_long), make_call(STREAM), reply)
         self.assertEqual(ANSWERED, result)
         self.assertTrue(reply.received_bytes > 12_000_000)
+
+
+class ManyEndlessAnswersTest(testtools.TestCase):
+    """Calls that meet a faulty host all at once, and calls to a sound one."""
+
+    async def run_all(self, route: Route, unit: bytes, opening: Opening) -> list[int]:
+        """Run many calls to a faulty host and some to a sound one.
+
+        Returns:
+            The statuses of the sound host's answers.
+        """
+        faulty = Hosts(EndlessScript(opening, unit))
+        sound = Hosts(answers_hello)
+        context = await faulty.start()
+        sound_context = (await sound.start())._replace(pool=context.pool)
+        calls = [
+            asyncio.ensure_future(self.run_one(context, route)) for _ in range(CALLS)
+        ]
+        statuses = []
+        while not all(one.done() for one in calls):
+            reply = RecordedReply()
+            await run_unary(sound_context, make_call(UNSAFE), reply)
+            statuses.append(reply.status)
+            await asyncio.sleep(SOUND_PAUSE_S)
+        self.assertEqual(0, context.pool.answer_memory.held_bytes)
+        for host in (*faulty.hosts, *sound.hosts):
+            host.stop()
+        return statuses
+
+    async def run_one(self, context: ForwardingContext, route: Route) -> None:
+        """Run one call, which must fail."""
+        call = make_call(route)
+        reply = RecordedReply()
+        try:
+            if route.is_streaming:
+                await run_stream(context, call, StandaloneTurn(b''), reply)
+            else:
+                await run_unary(context, call, reply)
+        except (Refusal, BrokenAnswer):
+            return
+        self.fail('an answer without end was complete')
+
+    async def assert_bounded(self, route: Route, unit: bytes, opening: Opening) -> None:
+        """Check the memory at its peak, and that the sound host's calls are served."""
+        tracemalloc.start()
+        try:
+            statuses = await self.run_all(route, unit, opening)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertEqual({200}, set(statuses))
+        self.assertTrue(peak_bytes < SMALLEST_GATEWAY_BYTES, peak_bytes)
+
+    @on_loop
+    async def test_bodies_together_are_bounded(self) -> None:
+        # Guards against a gateway that runs out of memory though each answer is
+        # bounded, as many calls meet the faulty host.
+        await self.assert_bounded(
+            UNSAFE,
+            chunk(b'x' * WRITE_BYTES),
+            functools.partial(head_of, framing=CHUNKED),
+        )
+
+    @on_loop
+    async def test_incomplete_events_are_bounded(self) -> None:
+        await self.assert_bounded(STREAM, chunk(b'x' * WRITE_BYTES), stream_head)
