keeper: don't answer with the result of copies that were made long before

Found by reading: a keeper that waits for copies may give up, as when the lost one answers. The result of the copies that it had asked for was kept and given to the next one who asked for the same keepers, though turns may have come since. The lost keeper would then be removed with turns that have one copy less.

Now a result counts only for one who asks again within 2 s; else the copies are compared anew. The new test fails without the limit.

--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -154,7 +154,7 @@
             store, self.links, clock, do_nothing, self.mirrors, settings.name
         )
         self.copies = TurnCopies(
-            state, self.links, self.tasks, settings.name, self.required_copies
+            state, self.links, clock, self.tasks, settings.name, self.required_copies
         )
         self.fleet_load = FleetLoad(settings.regions)
         self.stream_origins = StreamOrigins(clock)
--- a/pollenwalk/process/turn_copies.py
+++ b/pollenwalk/process/turn_copies.py
@@ -7,12 +7,13 @@
 
 import asyncio
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from loguru import logger
 
 from pollenwalk.connection.wire import encode_datagram
 from pollenwalk.errors import PollenwalkError
-from pollenwalk.process.clock import MS_PER_SECOND
+from pollenwalk.process.clock import MS_PER_SECOND, Clock
 from pollenwalk.process.keeper_links import KeeperLinks
 from pollenwalk.process.keeper_members import Member
 from pollenwalk.process.keeper_state import KeeperState
@@ -28,6 +29,21 @@
 # How long a keeper that asks for copies waits for each answer. It is shorter than the
 # time after which an unanswered request counts as the loss of a keeper.
 ANSWER_WAIT_MS = 400.0
+# A keeper that waits for copies asks again within this time. Whoever asks later has
+# begun anew, and turns may have come since the copies were made.
+MAX_RESULT_AGE_MS = 2000.0
+
+
+class CopyRun(NamedTuple):
+    """A copy that another keeper has asked for.
+
+    Attributes:
+        task: the copy, whose result is whether each turn is on enough keepers.
+        asked_at_ms: when it was asked for last.
+    """
+
+    task: asyncio.Task[bool]
+    asked_at_ms: float
 
 
 class TurnCopies:
@@ -36,14 +52,15 @@
     Attributes:
         own_name: name of the keeper.
         required_copies: how many keepers must have each turn.
-        copying: the running copy that other keepers have asked for, by the names of
-            the keepers whose copies are to count.
+        copying: the copies that other keepers have asked for, by the names of the
+            keepers whose copies are to count.
     """
 
     def __init__(
         self,
         state: KeeperState,
         links: KeeperLinks,
+        clock: Clock,
         tasks: TaskSet,
         own_name: str,
         required_copies: int,
@@ -51,10 +68,11 @@
         """Create the copies of a keeper; nothing has been compared yet."""
         self.state = state
         self.links = links
+        self.clock = clock
         self.tasks = tasks
         self.own_name = own_name
         self.required_copies = required_copies
-        self.copying: dict[frozenset[str], asyncio.Task[bool]] = {}
+        self.copying: dict[frozenset[str], CopyRun] = {}
 
     async def ensure_for(self, names: list[str]) -> bool:
         """Start or continue a copy for another keeper.
@@ -66,10 +84,13 @@
             Whether each turn is on enough of them; False while that goes on.
         """
         key = frozenset(names)
-        task = self.copying.get(key)
-        if task is None:
+        run = self.copying.get(key)
+        now_ms = self.clock.now_ms()
+        if run is None or now_ms - run.asked_at_ms > MAX_RESULT_AGE_MS:
             task = self.tasks.spawn(self.ensure_named(key), 'ensure_copies')
-            self.copying[key] = task
+        else:
+            task = run.task
+        self.copying[key] = CopyRun(task, now_ms)
         await asyncio.wait({task}, timeout=ANSWER_WAIT_MS / MS_PER_SECOND)
         if not task.done():
             return False
--- a/test/process/test_keeper_removal.py
+++ b/test/process/test_keeper_removal.py
@@ -155,3 +155,20 @@
         except Refusal as refusal:
             code = refusal.code
         self.assertEqual(RefusalCode.UNKNOWN_TURN, code)
+
+    @virtual
+    async def test_copies_of_an_earlier_question_don_t_count(self) -> None:
+        # Guards against a keeper that answers with the result of copies that were asked
+        # for and not waited for, before it got more turns.
+        cluster = KeeperCluster()
+        await cluster.start_three()
+        copies = cluster.keepers['a'].copies
+        names = ['a', 'b']
+        cluster.fabric.slow_ms['b', 'a'] = 300.0
+        await cluster.keepers['a'].state.store_record(make_record('t1'))
+        self.assertFalse(await copies.ensure_for(names))
+        await cluster.wait(10_000)
+        await cluster.keepers['a'].state.store_record(make_record('t2'))
+        while not await copies.ensure_for(names):
+            await cluster.wait(100)
+        self.assertIn('t2', cluster.keepers['b'].state.turns.records)
