keeper: keep on disk which requests have crashed hosts

Cause: crashes were known in memory only. Processes tell each other, but after a kill of all nobody is left to tell.

Now keepers write each new report to their log and read them at the start, with the times between crashes, since hosts that crash at once count as one. They survive compaction. Not waited for, so the last milliseconds can be lost.

Not shown: that this is what the users saw.

--- a/pollenwalk/connection/wire.py
+++ b/pollenwalk/connection/wire.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from pollenwalk.connection.crash_messages import CrashNote
 from pollenwalk.connection.limit_messages import (
     BorrowShares,
     ExchangeLimits,
@@ -475,6 +476,7 @@
     Settlements,
     Stored,
     Spent,
+    CrashNote,
     FindChain,
     Chain,
     FindMissing,
--- a/pollenwalk/process/crash_records.py
+++ b/pollenwalk/process/crash_records.py
@@ -4,12 +4,13 @@
 order and however often each report came.
 """
 
+from collections.abc import Iterator
 from itertools import count
 from typing import NamedTuple
 
 from loguru import logger
 
-from pollenwalk.connection.crash_messages import CrashReport
+from pollenwalk.connection.crash_messages import CrashNote, CrashReport
 from pollenwalk.policy.crash_verdict import CrashTime, count_successive, is_given_up
 from pollenwalk.process.clock import Clock
 
@@ -163,6 +164,43 @@
             now_ms - record.sent_at_ms,
         )
 
+    def note(self, report: CrashReport) -> CrashNote:
+        """Return a known report as it is stored on disk."""
+        record = self.by_request[report.request][report.host]
+        return CrashNote(
+            report.request,
+            report.host,
+            record.cleared,
+            record.at_ms,
+            record.sent_at_ms,
+        )
+
+    def notes(self) -> Iterator[CrashNote]:
+        """Yield all reports as they are stored on disk."""
+        for request, records in self.by_request.items():
+            for host, one in records.items():
+                yield CrashNote(request, host, one.cleared, one.at_ms, one.sent_at_ms)
+
+    def restore(self, notes: list[CrashNote]) -> None:
+        """Add the reports that were read from the disk after a start.
+
+        The times between crashes are kept, as they tell whether several crashes had one
+        cause. If the clock has started anew since, the last crash counts as a present
+        one.
+        """
+        now_ms = self.clock.now_ms()
+        last_ms = max((one.at_ms for one in notes), default=now_ms)
+        shift_ms = min(now_ms - last_ms, 0)
+        for one in notes:
+            report = CrashReport(
+                one.request,
+                one.host,
+                one.cleared,
+                now_ms - one.at_ms - shift_ms,
+                now_ms - one.sent_at_ms - shift_ms,
+            )
+            self.learn(report, 'disk')
+
     def make_room(self) -> None:
         """Forget the oldest request if there are too many crashes.
 
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from pollenwalk.connection.channel import Listener, StreamNetwork
+from pollenwalk.connection.crash_messages import CrashNote
 from pollenwalk.connection.limit_messages import (
     BorrowShares,
     ExchangeLimits,
@@ -119,7 +120,8 @@
         copies: copies this keeper's turns to others.
         fleet_load: the load of the gateways that report to this keeper.
         stream_origins: where the latest streams began, in memory only.
-        permits: gives permits for hosts with a limit, in memory only.
+        permits: gives permits for hosts with a limit, in memory only, and passes on
+            reports of crashes, which are on disk.
         was_member: whether the store listed this keeper when it started.
         retired: whether all records have been copied to other keepers, so that
             this one must not be listed.
@@ -159,8 +161,9 @@
         self.fleet_load = FleetLoad(settings.regions)
         self.stream_origins = StreamOrigins(clock)
         self.permits = PermitAllocator(
-            clock, settings.name, self.links.members, settings.regions
+            clock, settings.name, self.links.members, settings.regions, state.crashes
         )
+        self.permits.on_crash = self.store_crash
         self.server = PeerServer(clock, self.answer, settings.name, 0)
         self.own_member = Member(settings.name, settings.address, settings.zone)
         self.was_member = False
@@ -287,6 +290,10 @@
             return Done()
         return FoundStreamOrigin(self.stream_origins.find(message.request))
 
+    def store_crash(self, note: CrashNote) -> None:
+        """Store a report of a crash on disk, without waiting for that."""
+        self.tasks.spawn(self.state.store_crash(note), 'store_crash')
+
     def answer_about_limits(self, message: LimitMessage) -> Any:
         """Return the answer to a message about limits, and count permits."""
         answer = self.permits.answer(message)
--- a/pollenwalk/process/keeper_state.py
+++ b/pollenwalk/process/keeper_state.py
@@ -6,9 +6,11 @@
 
 from loguru import logger
 
+from pollenwalk.connection.crash_messages import CrashNote
 from pollenwalk.connection.wire import decode_datagram, encode_datagram
 from pollenwalk.errors import PollenwalkError
 from pollenwalk.process.clock import Clock
+from pollenwalk.process.crash_records import CrashRecords
 from pollenwalk.process.record_log import RecordDisk
 from pollenwalk.program.ledger import Ledger
 from pollenwalk.program.turn_index import TurnIndex
@@ -32,6 +34,7 @@
         log: the records on disk.
         turns: the turns in memory.
         ledger: the token accounts in memory.
+        crashes: requests on which hosts crash.
     """
 
     def __init__(self, disk: RecordDisk, clock: Clock) -> None:
@@ -39,6 +42,7 @@
         self.log = disk
         self.turns = TurnIndex(clock)
         self.ledger = Ledger(clock)
+        self.crashes = CrashRecords(clock)
 
     @property
     def complete(self) -> bool:
@@ -56,26 +60,32 @@
             first_start: whether an empty disk is expected, and so complete.
         """
         count = 0
+        crash_notes: list[CrashNote] = []
         for record in self.log.open():
             count += 1
-            self.apply_encoded(record)
+            message = self.decode_or_log(record)
+            if isinstance(message, CrashNote):
+                crash_notes.append(message)
+            else:
+                self.apply(message)
+        self.crashes.restore(crash_notes)
         if first_start and not self.complete:
             self.log.mark_complete()
         logger.info(
             'records_read',
             records=count,
             turns=len(self.turns.records),
+            crashes=self.crashes.size,
             complete=self.complete,
         )
 
-    def apply_encoded(self, record: bytes) -> None:
-        """Apply an encoded record from the disk; log and skip an unreadable one."""
+    def decode_or_log(self, record: bytes) -> Any:
+        """Decode a record from the disk; log an unreadable one and return None."""
         try:
-            message = decode_datagram(record)
+            return decode_datagram(record)
         except PollenwalkError as error:
             logger.error('record_unreadable', reason=error.message)
-            return
-        self.apply(message)
+            return None
 
     def apply(self, message: Any) -> None:
         """Apply a record to the turns and accounts in memory."""
@@ -98,6 +108,10 @@
         self.apply(message)
         await self.log.append(encode_datagram(message))
 
+    async def store_crash(self, note: CrashNote) -> None:
+        """Store a report of a crash, which is known in memory already, on disk."""
+        await self.log.append(encode_datagram(note))
+
     async def reserve(self, message: ReserveTokens) -> list[TokenEntry]:
         """Reserve tokens for a turn.
 
@@ -167,7 +181,11 @@
             return
         await self.log.start_compaction()
         # Without live keepers every turn counts as having too few copies.
-        live_records = (*self.account_records(), *self.underreplicated_turns((), 1))
+        live_records = (
+            *self.account_records(),
+            *self.underreplicated_turns((), 1),
+            *map(encode_datagram, list(self.crashes.notes())),
+        )
         await asyncio.gather(*map(self.log.append, live_records))
         await self.log.finish_compaction()
         logger.info('compacted', records=len(live_records))
--- a/pollenwalk/process/permit_allocator.py
+++ b/pollenwalk/process/permit_allocator.py
@@ -13,8 +13,9 @@
 """
 
 import secrets
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
+from pollenwalk.connection.crash_messages import CrashNote
 from pollenwalk.connection.limit_messages import (
     BorrowShares,
     ExchangeLimits,
@@ -83,6 +84,7 @@
     Attributes:
         limits: what this keeper knows of limits.
         crashes: what it knows of requests on which hosts crash, to pass it on.
+        on_crash: called with each new report of a crash.
         leaving: the hosts that have said that they leave, likewise.
         shares: its shares, by the start of the host.
         current: the keepers listed at the last message.
@@ -92,7 +94,12 @@
     """
 
     def __init__(
-        self, clock: Clock, name: str, members: Members, regions: dict[str, str]
+        self,
+        clock: Clock,
+        name: str,
+        members: Members,
+        regions: dict[str, str],
+        crashes: CrashRecords | None = None,
     ) -> None:
         """Create the allocator of the keeper `name`, which starts now."""
         self.clock = clock
@@ -100,7 +107,8 @@
         self.members = members
         self.regions = regions
         self.limits = HostLimits(clock)
-        self.crashes = CrashRecords(clock)
+        self.crashes = crashes or CrashRecords(clock)
+        self.on_crash: Callable[[CrashNote], None] = lambda note: None
         self.leaving = LeavingHosts(clock)
         self.shares: dict[HostStart, HostShare] = {}
         self.current: dict[str, Member] = {}
@@ -118,7 +126,8 @@
             return self.lend(message)
         self.learn_all(message.limits)
         for report in message.crashes:
-            self.crashes.learn(report, 'message')
+            if self.crashes.learn(report, 'message'):
+                self.on_crash(self.crashes.note(report))
         if isinstance(message, TellLimits):
             self.leaving.add(message.leaving)
             return self.known_since(self.limits.revision, self.crashes.revision)
--- a/test/process/test_crash_records.py
+++ b/test/process/test_crash_records.py
@@ -4,15 +4,21 @@
 
 import testtools
 
-from pollenwalk.connection.crash_messages import CrashReport
+from pollenwalk.connection.crash_messages import CrashNote, CrashReport
 from pollenwalk.policy.crash_verdict import MAX_CRASHES
+from pollenwalk.process.clock import Clock
 from pollenwalk.process.crash_records import (
     MAX_RECORDS,
     RETENTION_MS,
     CrashRecords,
 )
+from pollenwalk.process.keeper_state import KeeperState
+from standin.memory_disk import MemoryDisk
 from test.helper import make_clock, virtual
 
+# Hosts and times of their crashes on a clock that has started anew since.
+LATER = (('a', 100_000.0), ('b', 101_000.0), ('c', 102_000.0))
+
 
 def report(request: str, number: int, cleared: bool = False) -> CrashReport:
     """Return a report of the n-th of several crashes, each a second after the last."""
@@ -87,3 +93,60 @@
         self.assertEqual(0, records.crashes('r'))
         records.remove_old()
         self.assertEqual((0, {}), (records.size, records.by_request))
+
+
+class StoredCrashesTest(testtools.TestCase):
+    """Crashes that a keeper has on disk."""
+
+    async def start(self, clock: Clock, disk: MemoryDisk) -> KeeperState:
+        """Start a keeper's state with what is on a disk."""
+        disk.clock = clock
+        state = KeeperState(disk, clock)
+        state.open(True)
+        return state
+
+    async def crash_thrice(self, clock: Clock, state: KeeperState) -> None:
+        """Let three hosts crash on a request, one after the other."""
+        for host in 'abc':
+            report = CrashReport('digest', host, False, 0, 10)
+            state.crashes.learn(report, 'test')
+            await state.store_crash(state.crashes.note(report))
+            await clock.sleep_ms(1000)
+
+    @virtual
+    async def test_crashes_survive_a_restart(self) -> None:
+        clock = make_clock()
+        disk = MemoryDisk(clock)
+        await self.crash_thrice(clock, await self.start(clock, disk))
+        self.assertEqual(3, (await self.start(clock, disk)).crashes.crashes('digest'))
+
+    @virtual
+    async def test_crashes_survive_a_compaction(self) -> None:
+        clock = make_clock()
+        disk = MemoryDisk(clock)
+        state = await self.start(clock, disk)
+        await self.crash_thrice(clock, state)
+        disk.bytes_since_compaction = 1_000_000_000
+        await state.compact()
+        self.assertEqual(3, (await self.start(clock, disk)).crashes.crashes('digest'))
+
+    @virtual
+    async def test_crashes_count_if_the_clock_starts_anew(self) -> None:
+        clock = make_clock()
+        await clock.sleep_ms(1000)
+        records = CrashRecords(clock)
+        records.restore(
+            [CrashNote('digest', host, False, at_ms, at_ms) for host, at_ms in LATER]
+        )
+        self.assertEqual(3, records.crashes('digest'))
+        self.assertTrue(records.had_crash_lately)
+
+    @virtual
+    async def test_cleared_crashes_stay_cleared(self) -> None:
+        clock = make_clock()
+        disk = MemoryDisk(clock)
+        state = await self.start(clock, disk)
+        await self.crash_thrice(clock, state)
+        for report in state.crashes.clear('digest'):
+            await state.store_crash(state.crashes.note(report))
+        self.assertEqual(0, (await self.start(clock, disk)).crashes.crashes('digest'))
