keeper, gateway: log what is awaited and from whom

An incomplete keeper logged fetch_failed over and over, one that removes nobody logged nothing, and a gateway that is not ready did not say why. So the hypotheses of the incident could be told apart only by comparing lists by hand. Now each change of what a process waits for is a line 'waiting' with the names, and a gauge counts them.

--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -29,6 +29,7 @@
 from pollenwalk.process.store import ObjectStore
 from pollenwalk.process.stream_registry import StreamRegistry
 from pollenwalk.process.tasks import TaskSet
+from pollenwalk.process.waits import Waits
 from pollenwalk.request.call_sender import ForwardingContext
 from pollenwalk.request.gateway_call import Call, call_deadline_at_ms
 from pollenwalk.request.http_messages import Request
@@ -60,6 +61,7 @@
 # that it is not ready, so that callers are sent to other gateways. Shorter than
 # the time until a load balancer's second check.
 MAX_WITHOUT_MAJORITY_MS = 500.0
+WAITS_INTERVAL_MS = 500.0
 # Outcome of a request whose caller disconnected.
 CALLER_LEFT = 'caller_left'
 # Number of different CRC-32 checksums.
@@ -92,6 +94,7 @@
     """One gateway process.
 
     Attributes:
+        waits: what this gateway waits for, and for whom.
         stop_at_ms: when requests in progress are cut, once the gateway was told to
             stop; None before that.
     """
@@ -124,6 +127,7 @@
             self.own_load,
         )
         self.metrics = GatewayMetrics()
+        self.waits = Waits(clock, self.metrics.awaited)
         self.links = KeeperLinks(
             network,
             clock,
@@ -174,6 +178,7 @@
     async def start(self) -> None:
         """Start to follow the store, to exchange limits and to report the load."""
         self.tasks.spawn(self.follow_store(), 'follow_store')
+        self.tasks.spawn(self.watch_waits(), 'watch_waits')
         self.tasks.spawn(self.permits.exchange_limits(), 'exchange_limits')
         reporter = LoadReporter(
             self.links,
@@ -228,6 +233,25 @@
         self.metrics.count_store_failure(what)
         logger.warning('store_unavailable', what=what, reason=error.message)
 
+    async def watch_waits(self) -> None:
+        """Note at regular intervals what this gateway waits for."""
+        while True:
+            for what, names in self.awaited().items():
+                self.waits.update(what, names)
+            await self.clock.sleep_ms(WAITS_INTERVAL_MS)
+
+    def awaited(self) -> dict[str, list[str]]:
+        """Return, for all that is needed to serve, from whom it is awaited now."""
+        is_loaded = {
+            'configuration': self.active_configuration.current is not None,
+            'hosts': self.host_table.loaded,
+            'keepers': self.links.members.loaded,
+        }
+        awaited = {what: [] if done else ['store'] for what, done in is_loaded.items()}
+        lost = [link.member.name for link in self.links.ordered() if link.is_lost]
+        awaited['majority'] = [] if self.links.has_majority else lost
+        return awaited
+
     def refresh_metrics(self) -> None:
         """Update the gauges."""
         current = self.active_configuration.current
--- a/pollenwalk/process/gateway_metrics.py
+++ b/pollenwalk/process/gateway_metrics.py
@@ -75,6 +75,10 @@
             'gateway_configuration_version',
             'The version in force; 0 before the first.',
         )
+        self.awaited = self.gauge(
+            'gateway_awaited_processes',
+            'Processes that this gateway waits for, by what it needs from them.',
+        )
         self.hosts = self.gauge('gateway_upstream_hosts', 'Upstream hosts listed.')
         self.limited_hosts = self.gauge(
             'gateway_limited_hosts',
--- a/pollenwalk/process/joining.py
+++ b/pollenwalk/process/joining.py
@@ -39,10 +39,20 @@
         keeper = self.keeper
         while not self.has_all_records():
             await self.fetch_remaining()
+            self.note_wait()
             await keeper.clock.sleep_ms(FETCH_INTERVAL_MS)
+        keeper.waits.update('records', [])
         keeper.state.log.mark_complete()
         logger.info('joined', fetched=sorted(self.fetched))
 
+    def note_wait(self) -> None:
+        """Note whose records are missing."""
+        names = [member.name for member in self.keeper.other_members()]
+        missing = set(names).difference(self.fetched)
+        tolerated = self.keeper.settings.tolerated_losses
+        reason = f'fetched from {sorted(self.fetched)}; {tolerated} may be lost'
+        self.keeper.waits.update('records', missing or ['store'], reason)
+
     def has_all_records(self) -> bool:
         """Return whether enough keepers' records have been fetched.
 
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -52,6 +52,7 @@
 from pollenwalk.process.stream_origins import StreamOrigins
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.process.turn_copies import TurnCopies
+from pollenwalk.process.waits import Waits
 from pollenwalk.program.streams import (
     FindStreamOrigin,
     FoundStreamOrigin,
@@ -123,6 +124,7 @@
         permits: gives permits for hosts with a limit, in memory only, and passes on
             reports of crashes, which are on disk.
         was_member: whether the store listed this keeper when it started.
+        waits: what this keeper waits for, and for whom.
         retired: whether all records have been copied to other keepers, so that
             this one must not be listed.
         log_writer: the task that writes the record log.
@@ -144,6 +146,7 @@
         self.clock = clock
         self.tasks = TaskSet()
         self.metrics = KeeperMetrics()
+        self.waits = Waits(clock, self.metrics.awaited)
         self.links = KeeperLinks(
             network,
             clock,
@@ -348,6 +351,7 @@
     def on_store_unavailable(self, error: StoreUnavailable) -> None:
         """Record that the store did not answer."""
         self.mirrors.store_unavailable = True
+        self.waits.update('list', ['store'], error.message)
         log_store_unavailable(error)
 
     def on_keepers_read(self) -> None:
@@ -356,6 +360,7 @@
         After the first read, also record whether this keeper was listed.
         """
         self.mirrors.store_unavailable = False
+        self.waits.update('list', [])
         if not self.links.members.loaded:
             self.links.members.mark_loaded()
             self.was_member = self.settings.name in self.links.members.by_name
@@ -371,9 +376,11 @@
             try:
                 await self.register()
             except StoreUnavailable as error:
+                self.waits.update('registration', ['store'], error.message)
                 log_store_unavailable(error)
                 await backoff.pause()
                 continue
+            self.waits.update('registration', [])
             backoff = Backoff(self.clock)
 
     async def register(self) -> None:
--- a/pollenwalk/process/keeper_metrics.py
+++ b/pollenwalk/process/keeper_metrics.py
@@ -28,6 +28,10 @@
             'keeper_complete',
             'Whether the keeper can answer for the past: 0 or 1.',
         )
+        self.awaited = self.gauge(
+            'keeper_awaited_processes',
+            'Processes that this keeper waits for, by what it needs from them.',
+        )
         self.limits_per_second = self.gauge(
             'keeper_limits_per_second',
             'Sum of the limits of all hosts, in requests a second.',
--- a/pollenwalk/process/keeper_removal.py
+++ b/pollenwalk/process/keeper_removal.py
@@ -146,6 +146,7 @@
     def removable(self, situation: Situation) -> KeeperLink | None:
         """Return the connection to a lost keeper that may be removed; None for none."""
         tolerated = self.keeper.settings.tolerated_losses
+        self.note_wait(situation)
         missing = len(self.listed) - len(situation.complete)
         is_safe = missing <= tolerated and len(situation.staying) > 2 * tolerated
         if not situation.lost or not is_safe or not self.is_list_settled:
@@ -158,6 +159,16 @@
         )
         return link if is_due else None
 
+    def note_wait(self, situation: Situation) -> None:
+        """Note which keepers are lost or incomplete, and why none is removed yet."""
+        complete = {member.name for member in situation.complete}
+        reason = (
+            f'{len(situation.lost)} lost, {len(situation.staying)} complete and '
+            f'staying; the list is {"" if self.is_list_settled else "not "}settled'
+        )
+        missing = set(self.listed).difference(complete) if situation.lost else ()
+        self.keeper.waits.update('removal', missing, reason)
+
     async def agree_on_loss(self, lost: Member, situation: Situation) -> bool:
         """Return whether all complete keepers, a majority, don't reach a lost one."""
         others = situation.complete[1:]
