test: a disk lost soon after a replacement stops the keepers for good

A host of the virtual network can be gone for good now: its address answers nothing, where a killed process's refuses connections.

--- a/standin/virtual/fabric.py
+++ b/standin/virtual/fabric.py
@@ -59,7 +59,8 @@
 
     def is_cut(self, source: Node, target: Node) -> bool:
         """Return whether a path is cut."""
-        return (source.name, target.name) in self.cuts
+        has_hosts = source.has_host and target.has_host
+        return not has_hosts or (source.name, target.name) in self.cuts
 
     def delay_ms(self, source: Node, target: Node, size: int) -> float:
         """Return the time a message takes."""
@@ -163,12 +164,12 @@
         """Open a connection; a frozen process still accepts it."""
         await self.node.passed()
         bound = self.fabric.streams.get(address)
+        if bound is not None and self.blocked(bound.node):
+            await asyncio.sleep(CONNECT_MS / MS_PER_SECOND)
+            raise ConnectionLost(f'no path to {address}')
         if bound is None or bound.node.dead:
             await asyncio.sleep(LOCAL_MS / MS_PER_SECOND)
             raise ConnectionLost(f'nobody listens on {address}')
-        if self.blocked(bound.node):
-            await asyncio.sleep(CONNECT_MS / MS_PER_SECOND)
-            raise ConnectionLost(f'no path to {address}')
         there = Pipe(self.fabric, self.node, bound.node)
         back = Pipe(self.fabric, bound.node, self.node)
         self.fabric.tasks.spawn(self.watch(there, back), 'keepalive')
@@ -186,7 +187,8 @@
         silent_ms = 0.0
         while not (there.closed and back.closed):
             await asyncio.sleep(HOLD_CHECK_MS / MS_PER_SECOND)
-            if there.source.dead or there.target.dead:
+            ended = there.source.dead or there.target.dead
+            if ended and there.target.has_host:
                 there.end()
                 back.end()
                 return
--- a/standin/virtual/node.py
+++ b/standin/virtual/node.py
@@ -16,7 +16,12 @@
 
 
 class Node:
-    """One process."""
+    """One process.
+
+    Attributes:
+        has_host: whether its host is there; without it no packet is answered, while the
+            host of a killed process refuses connections.
+    """
 
     def __init__(self, name: str, place: Place) -> None:
         """Start running."""
@@ -24,6 +29,7 @@
         self.place = place
         self.tasks = TaskSet()
         self.killed = asyncio.Event()
+        self.has_host = True
         self.running = asyncio.Event()
         self.running.set()
 
--- a/test/process/test_keepers.py
+++ b/test/process/test_keepers.py
@@ -98,6 +98,13 @@
         await node.tasks.cancel()
         self.fabric.streams.pop(f'{name}:1', None)
 
+    async def lose_host(self, name: str) -> None:
+        """Lose a keeper's host for good; its address answers nothing any more."""
+        bound = self.fabric.streams[f'{name}:1']
+        self.nodes[name].has_host = False
+        await self.kill(name)
+        self.fabric.streams[f'{name}:1'] = bound
+
     async def wait(self, duration_ms: float) -> None:
         """Let time pass."""
         await self.clock.sleep_ms(duration_ms)
--- /dev/null
+++ b/test/process/test_succession.py
@@ -0,0 +1,58 @@
+"""A new keeper takes the place of a lost one, and what holds at each moment."""
+
+import testtools
+
+from pollenwalk.process.keeper_group import KeeperGroup
+from test.helper import virtual
+from test.process.test_keepers import KeeperCluster, clear_cache, make_record
+
+# Longest time from the return of all hosts until the keepers must serve again.
+RECOVER_MS = 12_000.0
+# Time from the start of a new keeper until another disk may be lost.
+CATCH_UP_MS = 4400.0
+TURNS = [f't{number}' for number in range(10)]
+
+
+class SuccessionTest(testtools.TestCase):
+    """Service comes back and no turn is lost, whenever the next disk is lost."""
+
+    async def replace(self, cluster: KeeperCluster, caught_up_ms: float) -> KeeperGroup:
+        """Store turns, lose keeper `a` for good, and start keeper `d`."""
+        group = await cluster.start_three_with_group()
+        for turn in TURNS:
+            await group.store_turn(make_record(turn))
+        await cluster.lose_host('a')
+        await cluster.wait(1000)
+        await cluster.start_keeper('d')
+        await cluster.wait(caught_up_ms)
+        return group
+
+    async def lose_power(self, cluster: KeeperCluster, wiped: str) -> None:
+        """Kill all keepers but `a` at once; one of them loses its disk."""
+        for name in 'bcd':
+            await cluster.kill(name)
+        cluster.disks[wiped].wipe()
+        await cluster.wait(1000)
+        for name in 'bcd':
+            await cluster.start_keeper(name)
+
+    async def assert_serves(self, cluster: KeeperCluster, group: KeeperGroup) -> None:
+        """Check that all listed keepers but `a` are complete and have all turns."""
+        for name in 'bcd':
+            self.assertTrue(cluster.keepers[name].state.complete, name)
+        await clear_cache(group)
+        for turn in TURNS:
+            chain = await group.load_chain(turn)
+            self.assertEqual([turn], [one.turn for one in chain])
+            self.assertTrue(len(cluster.keepers_with(turn) - {'a'}) >= 2, turn)
+
+    @virtual
+    async def test_disk_lost_soon_after_a_replacement(self) -> None:
+        # Guards against keepers that wait for each other, as one that is gone counts.
+        for after_ms in (CATCH_UP_MS, CATCH_UP_MS + 1000, CATCH_UP_MS + 4000):
+            for wiped in 'bcd':
+                cluster = KeeperCluster()
+                group = await self.replace(cluster, after_ms)
+                await self.lose_power(cluster, wiped)
+                await cluster.wait(RECOVER_MS)
+                await self.assert_serves(cluster, group)
