keeper: a new keeper takes the place of a lost one in a single write

Cause: the successor was listed beside the lost keeper, which was removed later, in steps of their own (list settled 2.5 s, a check each 0.5 s, agreement, copying, a write). In between the list of four had one that is gone. With one more disk lost, two of four complete keepers are no majority, the empty one waits for three others, and nobody may be removed with two missing: each waits for the other.

Now a keeper that is not listed first gets a copy of each turn that has too few without the lost one, by comparing what the complete ones hold, and writes itself into the object of the lost one, under the condition that it has not changed. From that write on nobody needs the records of the lost one. It counts for majorities until its object is deleted, so majorities before and after a change still share a keeper, and one that lives writes its object again. Keepers are asked all at once, so that the one that is gone delays the others' records by nothing (it was asked first, for 1.5 s).

--- a/pollenwalk/connection/wire.py
+++ b/pollenwalk/connection/wire.py
@@ -43,8 +43,10 @@
     FindChain,
     FindMissing,
     KeepTurns,
+    ListTurns,
     Missing,
     PullRecords,
+    PullTurns,
     PushRecords,
     Reachable,
     RecordBatch,
@@ -53,6 +55,7 @@
     SettleTokens,
     Spent,
     Stored,
+    TurnList,
     TurnRecord,
 )
 
@@ -483,6 +486,9 @@
     KeepTurns,
     CheckReachable,
     Reachable,
+    ListTurns,
+    TurnList,
+    PullTurns,
     EnsureCopies,
     CopiesEnsured,
     Listing,
--- a/pollenwalk/process/joining.py
+++ b/pollenwalk/process/joining.py
@@ -3,22 +3,18 @@
 Every turn is on one disk more than may be lost at the same time. The keeper
 therefore has all records once it has fetched those of all other keepers except
 as many as may be lost. Until then it stores new records, but does not report
-that a record does not exist.
+that a record does not exist. Keepers whose place another one has taken don't count.
 """
 
-from collections.abc import AsyncIterator
+import asyncio
 
 from loguru import logger
 
-from pollenwalk.connection.peer import Peer
-from pollenwalk.errors import PollenwalkError
 from pollenwalk.process.keeper import Keeper
-from pollenwalk.process.keeper_members import Member
-from pollenwalk.program.turns import PullRecords, RecordBatch
+from pollenwalk.process.keeper_members import Member, names
+from pollenwalk.process.record_fetch import fetch_records
+from pollenwalk.program.turns import PullRecords
 
-# Timeout for each batch of records. A batch takes 200 ms on the slowest link
-# between regions.
-BATCH_TIMEOUT_MS = 1500.0
 FETCH_INTERVAL_MS = 200.0
 
 
@@ -45,13 +41,20 @@
         keeper.state.log.mark_complete()
         logger.info('joined', fetched=sorted(self.fetched))
 
+    def others(self) -> list[Member]:
+        """Return the other keepers whose records are needed, near ones first."""
+        return [one for one in self.keeper.other_members() if not one.is_replaced]
+
+    def remaining(self) -> list[Member]:
+        """Return the keepers whose records have not all been fetched."""
+        return [member for member in self.others() if member.name not in self.fetched]
+
     def note_wait(self) -> None:
         """Note whose records are missing."""
-        names = [member.name for member in self.keeper.other_members()]
-        missing = set(names).difference(self.fetched)
         tolerated = self.keeper.settings.tolerated_losses
         reason = f'fetched from {sorted(self.fetched)}; {tolerated} may be lost'
-        self.keeper.waits.update('records', missing or ['store'], reason)
+        missing = [] if self.has_all_records() else names(self.remaining()) or ['store']
+        self.keeper.waits.update('records', missing, reason)
 
     def has_all_records(self) -> bool:
         """Return whether enough keepers' records have been fetched.
@@ -62,61 +65,41 @@
         keeper = self.keeper
         if not keeper.links.members.loaded:
             return False
-        count = len(keeper.other_members()) + int(keeper.was_member)
+        others = names(self.others())
+        count = len(others) + int(keeper.was_member)
         required = max(count - keeper.settings.tolerated_losses, 1)
-        return len(self.fetched) >= required
+        return len(self.fetched.intersection(others)) >= required
 
     async def fetch_remaining(self) -> None:
-        """Fetch from every keeper whose records have not all been fetched."""
-        for member in self.keeper.other_members():
-            if member.name not in self.fetched and await self.fetch(member):
+        """Fetch from each keeper whose records are missing, as soon as it answers.
+
+        One after the other, as they share the link between regions; but none waits for
+        one that does not answer.
+        """
+        checks = map(self.check_complete, self.remaining())
+        for checked in asyncio.as_completed(list(checks)):
+            member = await checked
+            if member is not None and await self.fetch(member):
                 self.fetched.add(member.name)
 
+    async def check_complete(self, member: Member) -> Member | None:
+        """Return another keeper if it answers and has all its records."""
+        links = self.keeper.links
+        return member if await links.is_complete(links.link(member)) else None
+
     async def fetch(self, member: Member) -> bool:
         """Fetch one keeper's accounts and the turns that have too few copies.
 
         Returns:
             Whether everything was fetched and the other keeper is complete.
         """
-        keeper = self.keeper
-        peer = Peer(member.address, keeper.network, keeper.clock, keeper.tasks)
-        count = 0
-        complete = True
-        try:
-            async for batch in self.fetch_batches(peer):
-                complete = complete and batch.complete
-                count += await keeper.state.add_records(batch.records)
-        except (PollenwalkError, TimeoutError) as error:
-            logger.warning('fetch_failed', keeper=member.name, reason=repr(error))
-            return False
-        finally:
-            await peer.close()
-        logger.info('fetched', keeper=member.name, new=count, complete=complete)
-        return complete
-
-    async def fetch_batches(self, peer: Peer) -> AsyncIterator[RecordBatch]:
-        """Yield the batches of records that a keeper sends.
-
-        Raises:
-            TimeoutError: the next batch did not arrive within the timeout.
-        """
-        stream = peer.stream(PullRecords(self.lost_keepers()))
-        while True:
-            async with self.keeper.clock.timeout_ms(BATCH_TIMEOUT_MS):
-                batch = await anext(stream, None)
-            if batch is None:
-                return
-            yield batch
+        request = PullRecords(self.lost_keepers())
+        return await fetch_records(self.keeper, member, request)
 
     def lost_keepers(self) -> list[str]:
         """Return the names of the keepers whose copies may be lost.
 
         They are this keeper and those whose records have not all been fetched.
         """
-        fetched = self.fetched
-        names = [
-            member.name
-            for member in self.keeper.other_members()
-            if member.name not in fetched
-        ]
-        return [*names, self.keeper.settings.name]
+        missing = set(names(self.keeper.other_members())).difference(self.fetched)
+        return [*sorted(missing), self.keeper.settings.name]
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -65,8 +65,10 @@
     FindChain,
     FindMissing,
     KeepTurns,
+    ListTurns,
     Missing,
     PullRecords,
+    PullTurns,
     PushRecords,
     Reachable,
     RecordBatch,
@@ -74,6 +76,7 @@
     Settlements,
     Spent,
     Stored,
+    TurnList,
     TurnRecord,
 )
 
@@ -85,7 +88,7 @@
 # a stalled watch must end well before.
 WATCH_WAIT_MS = 2500
 LimitMessage = RequestPermit | TellLimits | ExchangeLimits | BorrowShares
-CopyMessage = KeepTurns | FindMissing | CheckReachable | EnsureCopies
+CopyMessage = KeepTurns | FindMissing | ListTurns | CheckReachable | EnsureCopies
 MemoryMessage = LimitMessage | StreamOrigin | FindStreamOrigin | GatewayLoad
 
 
@@ -123,7 +126,10 @@
         stream_origins: where the latest streams began, in memory only.
         permits: gives permits for hosts with a limit, in memory only, and passes on
             reports of crashes, which are on disk.
-        was_member: whether the store listed this keeper when it started.
+        was_member: whether the store listed this keeper when it started, and nobody
+            had taken its place.
+        admitted: whether this keeper may be listed. One that is not listed at its start
+            first looks for a lost one whose place it takes.
         waits: what this keeper waits for, and for whom.
         retired: whether all records have been copied to other keepers, so that
             this one must not be listed.
@@ -170,6 +176,7 @@
         self.server = PeerServer(clock, self.answer, settings.name, 0)
         self.own_member = Member(settings.name, settings.address, settings.zone)
         self.was_member = False
+        self.admitted = settings.first_start
         self.retired = False
         self.listener: Listener | None = None
         self.log_writer: asyncio.Task[None] | None = None
@@ -215,8 +222,12 @@
 
     async def answer(self, _: Hello, message: Any) -> AsyncIterator[Any]:
         """Yield the answers to a message of a gateway or of another keeper."""
-        if isinstance(message, PullRecords):
-            for batch in batched(self.records_to_restore(message.lost)):
+        if isinstance(message, PullRecords | PullTurns):
+            if isinstance(message, PullTurns):
+                records = self.state.encoded_turns(message.turns)
+            else:
+                records = self.records_to_restore(message.lost)
+            for batch in batched(records):
                 yield RecordBatch(self.state.complete, batch)
             return
         started_ms = self.clock.now_ms()
@@ -244,7 +255,7 @@
             lost: names of the keepers whose copies don't count.
         """
         members = self.links.members.by_name.values()
-        live = {member.name for member in members if not member.retiring}
+        live = {member.name for member in members if member.stays}
         live.difference_update(lost)
         turns = self.state.underreplicated_turns(live, self.required_copies)
         return chain(self.state.account_records(), turns)
@@ -274,9 +285,11 @@
         """Return the answer to a process that ensures that turns have enough copies."""
         if isinstance(message, KeepTurns):
             return Missing(self.state.turns.keep(message.turns))
+        turns = self.state.turns.records
         if isinstance(message, FindMissing):
-            turns = self.state.turns.records
             return Missing([turn for turn in message.turns if turn not in turns])
+        if isinstance(message, ListTurns):
+            return TurnList(self.state.complete, list(turns))
         if isinstance(message, CheckReachable):
             return Reachable(await self.links.reaches(message.keeper))
         return CopiesEnsured(await self.copies.ensure_for(message.keepers))
@@ -363,7 +376,7 @@
         self.waits.update('list', [])
         if not self.links.members.loaded:
             self.links.members.mark_loaded()
-            self.was_member = self.settings.name in self.links.members.by_name
+            self.was_member = self.links.members.is_counted(self.settings.name)
 
     async def keep_registered(self) -> None:
         """Register this keeper whenever its object in the store must be written."""
@@ -389,11 +402,9 @@
         Raises:
             StoreUnavailable: the store did not answer.
         """
-        members = self.links.members
         await self.store.put(self.own_member.key, self.own_member.encode(), None)
         logger.info('registered', keeper=self.own_member.name)
-        members.by_name[self.own_member.name] = self.own_member
-        members.unreadable.remove(self.own_member.key)
+        self.links.members.note_registered(self.own_member)
 
     def needs_registration(self) -> bool:
         """Return whether this keeper's object in the store must be written.
@@ -402,9 +413,8 @@
         whether a record exists.
         """
         members = self.links.members
-        name = self.own_member.name
-        is_listed = members.by_name.get(name) == self.own_member
-        should_be_listed = self.state.complete and not self.retired
+        is_listed = members.registered.get(self.own_member.name) == self.own_member
+        should_be_listed = self.state.complete and self.admitted and not self.retired
         overwritten = self.own_member.key in members.unreadable.versions
         return should_be_listed and (overwritten or not is_listed)
 
--- a/pollenwalk/process/keeper_daemon.py
+++ b/pollenwalk/process/keeper_daemon.py
@@ -22,6 +22,7 @@
 from pollenwalk.process.retirement import Retirement, StatusStore
 from pollenwalk.process.settings import Settings
 from pollenwalk.process.signals import stop_on_signals
+from pollenwalk.process.succession import Succession
 
 
 def run_keeper(settings: Settings) -> None:
@@ -65,8 +66,14 @@
     """Start the tasks by which keepers join, retire and are removed."""
     keeper.tasks.spawn(Retirement(keeper, store).watch_requests(), 'follow_retirements')
     keeper.tasks.spawn(KeeperRemoval(keeper).run(), 'remove_lost')
+    keeper.tasks.spawn(enter_list(keeper), 'enter_list')
+
+
+async def enter_list(keeper: Keeper) -> None:
+    """Fetch the records that a keeper lacks, then let it be listed."""
     if not keeper.state.complete:
-        keeper.tasks.spawn(Joining(keeper).run(), 'join')
+        await Joining(keeper).run()
+    await Succession(keeper).run()
 
 
 async def wait_for_stop(stopped: asyncio.Event, keeper: Keeper) -> None:
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -165,7 +165,7 @@
         Raises:
             Refusal: too few keepers answer.
         """
-        links = [link for link in self.links.ordered() if not link.member.retiring]
+        links = [link for link in self.links.ordered() if link.member.stays]
         replicas = [link.member.name for link in links[: self.required_copies]]
         stored = record._replace(replicas=replicas)
         await TurnReplication(
--- a/pollenwalk/process/keeper_members.py
+++ b/pollenwalk/process/keeper_members.py
@@ -1,4 +1,11 @@
-"""The list of keepers in the store."""
+"""The list of keepers in the store.
+
+A keeper that is gone for good is replaced in a single conditional write: its successor
+enters itself into the object of the lost one. From then on the list has the successor,
+and the records of the lost one are not needed by anybody. It still counts for majorities
+until its object is deleted, so that majorities before and after each change share a
+keeper, even if it lives.
+"""
 
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple, NotRequired, TypedDict
@@ -23,21 +30,47 @@
         address: `host:port` on which the keeper accepts connections.
         zone: availability zone of the keeper.
         retiring: whether the keeper accepts no new turns.
+        successor: the keeper that has taken its place and has a copy of each turn that
+            it may have had; None for none.
     """
 
     name: str
     address: str
     zone: str
     retiring: bool = False
+    successor: 'Member | None' = None
 
     @property
     def key(self) -> str:
         """Return the key of the keeper's object in the store."""
         return f'{KEEPERS_PREFIX}{self.name}'
 
+    @property
+    def is_replaced(self) -> bool:
+        """Return whether another keeper has taken its place."""
+        return self.successor is not None
+
+    @property
+    def stays(self) -> bool:
+        """Return whether copies of turns at this keeper count in the future."""
+        return not self.retiring and not self.is_replaced
+
     def encode(self) -> bytes:
         """Return the body of the keeper's object in the store, as JSON."""
-        return msgspec.json.encode(self._asdict())
+        fields = self._asdict()
+        if self.successor is None:
+            fields.pop('successor')
+        else:
+            fields['successor'] = self.successor._replace(successor=None)._asdict()
+        return msgspec.json.encode(fields)
+
+
+class SuccessorObject(TypedDict):
+    """The successor in the object of a replaced keeper; see `Member`."""
+
+    name: str
+    address: str
+    zone: str
 
 
 class MemberObject(TypedDict):
@@ -47,6 +80,7 @@
     address: str
     zone: str
     retiring: NotRequired[bool]
+    successor: NotRequired[SuccessorObject]
 
 
 MEMBER_DECODER = msgspec.json.Decoder(MemberObject)
@@ -59,12 +93,21 @@
         MalformedObject: the body is not valid, or is that of another keeper.
     """
     fields: MemberObject = decode(MEMBER_DECODER, key, body)
-    member = Member(**fields)
+    successor_fields = fields.pop('successor', None)
+    successor = Member(**successor_fields) if successor_fields else None
+    member = Member(**fields, successor=successor)
     if member.key != key or not has_valid_port(member.address):
         raise MalformedObject(f'{key}: another name or a malformed address')
+    if successor and not is_valid_successor(member, successor):
+        raise MalformedObject(f'{key}: a malformed successor')
     return member
 
 
+def is_valid_successor(member: Member, successor: Member) -> bool:
+    """Return whether a keeper can be the successor of another one."""
+    return successor.name != member.name and has_valid_port(successor.address)
+
+
 def readable_members(listed: Iterable[StoredObject]) -> Iterator[Member]:
     """Yield the keepers of those objects that can be decoded."""
     for stored in listed:
@@ -78,42 +121,103 @@
     """The keepers that the store lists.
 
     Attributes:
-        by_name: the keepers by their names.
+        registered: the keepers with an object of their own, by their names.
+        by_name: these, and successors that have no object of their own yet.
+        versions: the versions of the objects, by the names of the keepers.
         unreadable: the objects that could not be decoded. A keeper that was listed
             under the key of one before still is.
         loaded: whether the list has been read from the store.
     """
 
-    def __init__(self) -> None:
-        """Create an empty list that has not been read from the store."""
+    def __init__(self, listed: Iterable[StoredObject] = ()) -> None:
+        """Create a list of some objects; by default one that has not been read."""
+        self.registered: dict[str, Member] = {}
         self.by_name: dict[str, Member] = {}
+        self.versions: dict[str, int] = {}
         self.unreadable = UnreadableObjects()
         self.loaded = False
+        for stored in listed:
+            self.apply(stored)
+
+    def counted(self) -> list[Member]:
+        """Return the keepers whose records are needed: those that nobody has replaced."""
+        return [member for member in self.by_name.values() if not member.is_replaced]
+
+    def is_counted(self, name: str) -> bool:
+        """Return whether a keeper is listed and nobody has replaced it."""
+        member = self.by_name.get(name)
+        return member is not None and not member.is_replaced
+
+    def successors(self) -> set[str]:
+        """Return the names of the keepers that have taken the place of another one."""
+        replaced = (member.successor for member in self.registered.values())
+        return {successor.name for successor in replaced if successor}
+
+    def replaced_by(self, name: str) -> list[Member]:
+        """Return the listed keepers whose place a keeper has taken."""
+        return [
+            member
+            for member in self.registered.values()
+            if member.successor and member.successor.name == name
+        ]
 
     def apply_change(self, stored: StoredObject) -> None:
-        """Apply a changed or deleted object of one keeper."""
-        name = stored.key.removeprefix(KEEPERS_PREFIX)
-        if stored.body:
-            self.add(name, stored)
-        else:
-            self.unreadable.remove(stored.key)
-            self.by_name.pop(name, None)
+        """Apply and log a changed or deleted object of one keeper."""
+        self.apply(stored)
         logger.info(
             'keepers',
-            changed=name,
+            changed=name_of(stored),
             members=sorted(self.by_name),
+            replaced=sorted(set(self.by_name).difference(names(self.counted()))),
             revision=stored.version,
         )
 
+    def apply(self, stored: StoredObject) -> None:
+        """Apply a changed or deleted object of one keeper."""
+        name = name_of(stored)
+        if stored.body:
+            self.add(name, stored)
+            self.versions[name] = stored.version
+        else:
+            self.unreadable.remove(stored.key)
+            self.registered.pop(name, None)
+            self.versions.pop(name, None)
+        self.update_names()
+
     def add(self, name: str, stored: StoredObject) -> None:
         """Add or replace a keeper; log and ignore an unreadable object."""
         try:
-            self.by_name[name] = decode_member(stored.key, stored.body)
+            self.registered[name] = decode_member(stored.key, stored.body)
         except MalformedObject as error:
             self.unreadable.add(stored, error)
         else:
             self.unreadable.remove(stored.key)
 
+    def update_names(self) -> None:
+        """List all keepers with an object, and successors that have none yet."""
+        successors = (member.successor for member in self.registered.values())
+        self.by_name.clear()
+        self.by_name.update(
+            (successor.name, successor) for successor in successors if successor
+        )
+        self.by_name.update(self.registered)
+
+    def note_registered(self, member: Member) -> None:
+        """Note an object that this process has just written."""
+        self.registered[member.name] = member
+        self.unreadable.remove(member.key)
+        self.update_names()
+
     def mark_loaded(self) -> None:
         """Record that the list has been read from the store."""
         self.loaded = True
+
+
+def name_of(stored: StoredObject) -> str:
+    """Return the name of the keeper that an object is of."""
+    return stored.key.removeprefix(KEEPERS_PREFIX)
+
+
+def names(members: Iterable[Member]) -> list[str]:
+    """Return the names of some keepers."""
+    return [member.name for member in members]
--- a/pollenwalk/process/keeper_removal.py
+++ b/pollenwalk/process/keeper_removal.py
@@ -14,6 +14,9 @@
   share a keeper, but not those before and after two.
 
 A removed keeper that lives enters the list again with the records that it has.
+
+A lost keeper whose place another one has taken is not needed by anybody, and is removed
+as soon as the list has not changed for a while.
 """
 
 import asyncio
@@ -22,16 +25,12 @@
 
 from loguru import logger
 
-from pollenwalk.errors import PollenwalkError, StoreUnavailable
+from pollenwalk.errors import StoreUnavailable
 from pollenwalk.process.keeper import Keeper, log_store_unavailable
 from pollenwalk.process.keeper_links import KeeperLink
-from pollenwalk.process.keeper_members import Member
-from pollenwalk.program.turns import (
-    CheckReachable,
-    CopiesEnsured,
-    EnsureCopies,
-    Reachable,
-)
+from pollenwalk.process.keeper_members import Member, names
+from pollenwalk.process.keeper_questions import all_miss, ask
+from pollenwalk.program.turns import CopiesEnsured, EnsureCopies
 
 CHECK_INTERVAL_MS = 500.0
 # A process that was killed is back within a second or two.
@@ -50,10 +49,12 @@
     Attributes:
         lost: those that have not answered, by name.
         complete: those that answer and have all their records, this one included.
+        missing: names of those that are lost or incomplete.
     """
 
     lost: list[Member]
     complete: list[Member]
+    missing: set[str]
 
     @property
     def staying(self) -> list[Member]:
@@ -122,6 +123,11 @@
     async def remove_lost(self) -> None:
         """Remove the keeper that has been lost for long enough, if there is one."""
         situation = await self.look_around()
+        self.note_wait(situation)
+        replaced = self.removable_replaced()
+        if replaced is not None:
+            await self.remove(replaced, situation)
+            return
         lost = self.removable(situation)
         if lost is None or not await self.agree_on_loss(lost.member, situation):
             return
@@ -132,26 +138,53 @@
         await self.remove(lost.member, situation)
 
     async def look_around(self) -> Situation:
-        """Ask all other listed keepers whether they are complete."""
-        members = self.keeper.other_members()
-        answers = await asyncio.gather(*map(self.is_complete, members))
-        complete = list(itertools.compress(members, answers))
-        links = map(self.keeper.links.link, members)
-        lost = [link.member for link in links if link.is_lost]
+        """Ask all other keepers whether they are complete."""
+        links = self.keeper.links
+        asked = self.keeper.other_members()
+        answers = await asyncio.gather(*map(self.is_complete, asked))
+        answering = itertools.compress(asked, answers)
+        complete = [one for one in answering if not one.is_replaced]
+        complete.insert(0, self.keeper.own_member)
+        counted = links.members.counted()
+        lost = [link.member for link in map(links.link, counted) if link.is_lost]
         return Situation(
             sorted(lost, key=lambda member: member.name),
-            [self.keeper.own_member, *complete],
+            complete,
+            set(names(counted)).difference(names(complete)),
         )
 
+    def removable_replaced(self) -> Member | None:
+        """Return a lost keeper whose place another one has taken; None for none.
+
+        Its object is needed as long as its successor has none of its own.
+        """
+        members = self.keeper.links.members
+        candidates = (
+            member
+            for member in members.registered.values()
+            if member.successor
+            and member.successor.name in members.registered
+            and self.may_be_deleted(member)
+            and self.keeper.links.link(member).is_lost
+        )
+        return next(candidates, None) if self.is_list_settled else None
+
+    def may_be_deleted(self, member: Member) -> bool:
+        """Return whether no object of another keeper lists this one as its successor."""
+        return member.name not in self.keeper.links.members.successors()
+
     def removable(self, situation: Situation) -> KeeperLink | None:
         """Return the connection to a lost keeper that may be removed; None for none."""
         tolerated = self.keeper.settings.tolerated_losses
-        self.note_wait(situation)
-        missing = len(self.listed) - len(situation.complete)
-        is_safe = missing <= tolerated and len(situation.staying) > 2 * tolerated
-        if not situation.lost or not is_safe or not self.is_list_settled:
+        is_safe = (
+            len(situation.missing) <= tolerated
+            and len(situation.staying) > 2 * tolerated
+        )
+        candidates = filter(self.may_be_deleted, situation.lost)
+        first = next(candidates, None)
+        if first is None or not is_safe or not self.is_list_settled:
             return None
-        link = self.keeper.links.link(situation.lost[0])
+        link = self.keeper.links.link(first)
         now_ms = self.keeper.clock.now_ms()
         is_due = (
             link.lost_since_ms is not None
@@ -161,24 +194,18 @@
 
     def note_wait(self, situation: Situation) -> None:
         """Note which keepers are lost or incomplete, and why none is removed yet."""
-        complete = {member.name for member in situation.complete}
         reason = (
             f'{len(situation.lost)} lost, {len(situation.staying)} complete and '
             f'staying; the list is {"" if self.is_list_settled else "not "}settled'
         )
-        missing = set(self.listed).difference(complete) if situation.lost else ()
+        missing = situation.missing if situation.lost else ()
         self.keeper.waits.update('removal', missing, reason)
 
     async def agree_on_loss(self, lost: Member, situation: Situation) -> bool:
         """Return whether all complete keepers, a majority, don't reach a lost one."""
-        others = situation.complete[1:]
-        answers = await asyncio.gather(
-            *(self.ask(member, CheckReachable(lost.name)) for member in others)
-        )
-        agree = all(answer == Reachable(False) for answer in answers)
-        if not agree:
-            logger.info('keeper_kept', keeper=lost.name, reason='another reaches it')
-        return agree and len(situation.complete) >= self.keeper.links.majority
+        links = self.keeper.links
+        agree = await all_miss(links, lost, situation.complete[1:])
+        return agree and len(situation.complete) >= links.majority
 
     async def copy_all(self, lost: KeeperLink, staying: list[Member]) -> bool:
         """Let all remaining keepers copy their turns until each is on enough of them.
@@ -194,7 +221,7 @@
         while lost.is_lost and clock.now_ms() < give_up_at_ms:
             own_done = own_done or await self.keeper.copies.ensure(staying)
             answers = await asyncio.gather(
-                *(self.ask(member, message) for member in waiting)
+                *(ask(self.keeper.links, member, message) for member in waiting)
             )
             copying = [answer != CopiesEnsured(True) for answer in answers]
             waiting = list(itertools.compress(waiting, copying))
@@ -208,17 +235,6 @@
         )
         return False
 
-    async def ask(
-        self, member: Member, message: CheckReachable | EnsureCopies
-    ) -> object:
-        """Return another keeper's answer; None if it gives none."""
-        links = self.keeper.links
-        try:
-            return await links.request(links.link(member), message)
-        except PollenwalkError as error:
-            logger.debug('not_answered', keeper=member.name, reason=error.message)
-            return None
-
     async def remove(self, lost: Member, situation: Situation) -> None:
         """Remove a lost keeper from the list; log what that rests on.
 
--- a/pollenwalk/process/keeper_state.py
+++ b/pollenwalk/process/keeper_state.py
@@ -151,6 +151,11 @@
             if len(set(record.replicas).intersection(live)) < required_copies:
                 yield encode_datagram(record)
 
+    def encoded_turns(self, turns: Iterable[str]) -> Iterator[bytes]:
+        """Yield those of the given turns that this keeper has, encoded."""
+        records = map(self.turns.records.get, turns)
+        return (encode_datagram(record) for record in records if record is not None)
+
     async def add_records(self, records: Iterable[bytes]) -> int:
         """Store those of another keeper's records that are new.
 
--- a/pollenwalk/process/retirement.py
+++ b/pollenwalk/process/retirement.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
@@ -168,7 +169,7 @@
         staying = [
             member
             for member in readable_members(listing.objects)
-            if member.name != own_name and not member.retiring
+            if member.name != own_name and member.stays
         ]
         return [link.member for link in self.keeper.links.order(staying)]
 
@@ -198,9 +199,15 @@
         )
 
     async def leave_list(self) -> None:
-        """Delete this keeper's object in the store; retry until the store answers."""
-        key = self.keeper.own_member.key
-        await self.retry_until_acknowledged(lambda: self.store.delete(key))
+        """Delete this keeper's object in the store; retry until the store answers.
+
+        Objects that list it as the successor of a lost keeper go first.
+        """
+        own = self.keeper.own_member
+        listing_own = [*self.keeper.links.members.replaced_by(own.name), own]
+        for member in listing_own:
+            delete = functools.partial(self.store.delete, member.key)
+            await self.retry_until_acknowledged(delete)
 
     async def retry_until_acknowledged(
         self, write: Callable[[], Awaitable[object]]
--- /dev/null
+++ b/pollenwalk/process/succession.py
@@ -0,0 +1,165 @@
+"""Succession: a keeper that is not listed enters the list, in the place of a lost one.
+
+Otherwise the list would count both, and the loss of one more disk would leave too few
+of them, until somebody had removed the lost one. So the keeper first gets a copy of each
+turn that may have one less without the lost keeper. Then it writes itself into the
+object of the lost one, under the condition that nobody has changed that meanwhile:
+
+* a lost keeper has one successor at most, and each new keeper takes one place at most;
+* a lost keeper that lives writes its own object again, and so takes its place back.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+from loguru import logger
+
+from pollenwalk.errors import StoreConflict, StoreUnavailable
+from pollenwalk.process.keeper import Keeper, log_store_unavailable
+from pollenwalk.process.keeper_members import KEEPERS_PREFIX, Member, Members, names
+from pollenwalk.process.keeper_questions import all_miss, ask
+from pollenwalk.process.record_fetch import BATCH_TIMEOUT_MS, fetch_records
+from pollenwalk.process.store import ABSENT, Backoff
+from pollenwalk.program.turns import ListTurns, PullTurns, TurnList
+
+# How long a keeper tries to take the place of a lost one before it is listed beside it.
+MAX_ENTRY_MS = 6000.0
+
+
+class OtherKeepers(NamedTuple):
+    """The keepers whose records are needed, by whether they answer.
+
+    Attributes:
+        lost: those that don't answer.
+        complete: those that answer and have all their records.
+        missing: how many are not complete, lost ones included.
+    """
+
+    lost: list[Member]
+    complete: list[Member]
+    missing: int
+
+
+class Succession:
+    """Lets one keeper enter the list."""
+
+    def __init__(self, keeper: Keeper) -> None:
+        """Create the succession of `keeper`, which is not listed yet."""
+        self.keeper = keeper
+
+    async def run(self) -> None:
+        """Admit the keeper to the list once it has looked for a place to take."""
+        keeper = self.keeper
+        backoff = Backoff(keeper.clock)
+        give_up_at_ms = keeper.clock.now_ms() + MAX_ENTRY_MS
+        while not keeper.admitted:
+            try:
+                keeper.admitted = await self.enter()
+            except StoreUnavailable as error:
+                keeper.waits.update('registration', ['store'], error.message)
+                log_store_unavailable(error)
+                # Nobody is listed while the store is away.
+                give_up_at_ms = keeper.clock.now_ms() + MAX_ENTRY_MS
+            if keeper.clock.now_ms() >= give_up_at_ms:
+                keeper.admitted = True
+            if not keeper.admitted:
+                await backoff.pause()
+        keeper.waits.update('place', [])
+
+    async def enter(self) -> bool:
+        """Try to take the place of a lost keeper.
+
+        Returns:
+            Whether this keeper may be listed: it has taken a place, has one already, or
+            no keeper is lost.
+
+        Raises:
+            StoreUnavailable: the store did not answer.
+        """
+        keeper = self.keeper
+        listing = await keeper.store.scan(KEEPERS_PREFIX)
+        listed = Members(listing.objects)
+        if listed.is_counted(keeper.settings.name):
+            return True
+        others = await self.look_around(listed)
+        keeper.waits.update('place', names(others.lost), 'not proven to be needless')
+        if not others.lost:
+            return True
+        if others.missing > keeper.settings.tolerated_losses or not others.complete:
+            return False
+        lost = others.lost[0]
+        agreed, copied = await asyncio.gather(
+            all_miss(keeper.links, lost, others.complete),
+            self.copy_turns(others.complete),
+        )
+        return agreed and copied and await self.take_place(lost, listed)
+
+    async def look_around(self, listed: Members) -> OtherKeepers:
+        """Ask all other keepers whether they are complete."""
+        links = self.keeper.links
+        counted = sorted(listed.counted(), key=lambda member: member.name)
+        asked = [links.link(one) for one in counted if one != self.keeper.own_member]
+        complete = await asyncio.gather(*map(links.is_complete, asked))
+        return OtherKeepers(
+            [link.member for link in asked if link.is_lost],
+            [
+                link.member
+                for link, answer in zip(asked, complete, strict=True)
+                if answer
+            ],
+            complete.count(False),
+        )
+
+    async def copy_turns(self, others: list[Member]) -> bool:
+        """Fetch the turns that too few of some other keepers have.
+
+        Returns:
+            Whether this keeper has all of them now.
+        """
+        question = ListTurns()
+        links = self.keeper.links
+        lists = await asyncio.gather(
+            *(ask(links, other, question, BATCH_TIMEOUT_MS) for other in others)
+        )
+        if not all(
+            isinstance(answer, TurnList) and answer.complete for answer in lists
+        ):
+            return False
+        missing = set(self.missing_turns(lists))
+        for member, answer in zip(others, lists, strict=True):
+            wanted = missing.intersection(answer.turns)
+            if wanted:
+                await fetch_records(self.keeper, member, PullTurns(sorted(wanted)))
+            missing.difference_update(self.keeper.state.turns.records)
+        return not missing
+
+    def missing_turns(self, lists: Iterable[TurnList]) -> Iterator[str]:
+        """Yield the turns that too few keepers have, and this one neither."""
+        held = Counter(turn for answer in lists for turn in answer.turns)
+        own = self.keeper.state.turns.records
+        required = self.keeper.required_copies
+        return (
+            turn for turn, count in held.items() if count < required and turn not in own
+        )
+
+    async def take_place(self, lost: Member, listed: Members) -> bool:
+        """Write this keeper into the object of a lost one.
+
+        Returns:
+            Whether it has done so; False if the object has changed.
+
+        Raises:
+            StoreUnavailable: the store did not answer.
+        """
+        keeper = self.keeper
+        replaced = lost._replace(successor=keeper.own_member)
+        version = listed.versions.get(lost.name, ABSENT)
+        try:
+            await keeper.store.put(replaced.key, replaced.encode(), version)
+        except StoreConflict:
+            logger.info('place_taken', keeper=lost.name)
+            return False
+        logger.warning('keeper_replaced', lost=lost.name, by=keeper.settings.name)
+        return True
--- a/pollenwalk/program/turns.py
+++ b/pollenwalk/program/turns.py
@@ -131,6 +131,28 @@
     lost: list[str]
 
 
+class ListTurns(NamedTuple):
+    """Asks a keeper for the ids of all turns that it has."""
+
+
+class TurnList(NamedTuple):
+    """The ids of the turns that a keeper has.
+
+    Attributes:
+        complete: whether the keeper has all its records; see `Stored`.
+        turns: the ids.
+    """
+
+    complete: bool
+    turns: list[str]
+
+
+class PullTurns(NamedTuple):
+    """Asks a keeper for those of the given turns that it has."""
+
+    turns: list[str]
+
+
 class KeepTurns(NamedTuple):
     """Tells a keeper that turns have been used; it answers with those it lacks."""
 
--- a/test/process/test_succession.py
+++ b/test/process/test_succession.py
@@ -3,7 +3,9 @@
 import testtools
 
 from pollenwalk.process.keeper_group import KeeperGroup
+from pollenwalk.process.keeper_removal import LIST_SETTLED_MS, REMOVE_AFTER_MS
 from test.helper import virtual
+from test.process.test_keeper_removal import listed
 from test.process.test_keepers import KeeperCluster, clear_cache, make_record
 
 # Longest time from the return of all hosts until the keepers must serve again.
@@ -45,6 +47,8 @@
             chain = await group.load_chain(turn)
             self.assertEqual([turn], [one.turn for one in chain])
             self.assertTrue(len(cluster.keepers_with(turn) - {'a'}) >= 2, turn)
+        await cluster.wait(REMOVE_AFTER_MS + LIST_SETTLED_MS + CATCH_UP_MS)
+        self.assertEqual('bcd', listed(cluster))
 
     @virtual
     async def test_disk_lost_soon_after_a_replacement(self) -> None:
