keeper: wait for the answer of one that has to try a lost keeper first

Cause: who is asked whether it reaches a lost keeper tries it for up to 700 ms, and the asker waited 700 ms, took it for lost and broke its try off, so the next round began anew. The asker now waits for twice that time. Class: nested timeouts of the same length.

Evidence: test_question_for_a_lost_keeper_loses_no_other fails before, as the sound keeper in the other region is lost too. Elsewhere: questions for copies are answered after 400 ms at the latest, those for permits and for changes of the store have margins of their own.

--- a/pollenwalk/process/keeper_questions.py
+++ b/pollenwalk/process/keeper_questions.py
@@ -11,6 +11,9 @@
 from pollenwalk.process.keeper_members import Member
 from pollenwalk.program.turns import CheckReachable, Reachable
 
+# Who is asked for a lost keeper may first have to find out that it is lost.
+REACHABLE_TIMEOUT_MS = 2 * REQUEST_TIMEOUT_MS
+
 
 async def ask(
     links: KeeperLinks,
@@ -29,7 +32,9 @@
 async def all_miss(links: KeeperLinks, lost: Member, others: Iterable[Member]) -> bool:
     """Return whether some other keepers all answer that they don't reach a lost one."""
     question = CheckReachable(lost.name)
-    answers = await asyncio.gather(*(ask(links, other, question) for other in others))
+    answers = await asyncio.gather(
+        *(ask(links, other, question, REACHABLE_TIMEOUT_MS) for other in others)
+    )
     agree = all(answer == Reachable(False) for answer in answers)
     if not agree:
         logger.info('keeper_kept', keeper=lost.name, reason='another reaches it')
--- a/test/process/test_succession.py
+++ b/test/process/test_succession.py
@@ -4,7 +4,7 @@
 
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_removal import LIST_SETTLED_MS, REMOVE_AFTER_MS
-from test.helper import virtual
+from test.helper import logged, virtual
 from test.process.test_keeper_removal import listed
 from test.process.test_keepers import KeeperCluster, clear_cache, make_record
 
@@ -60,3 +60,17 @@
                 await self.lose_power(cluster, wiped)
                 await cluster.wait(RECOVER_MS)
                 await self.assert_serves(cluster, group)
+
+    @virtual
+    async def test_question_for_a_lost_keeper_loses_no_other(self) -> None:
+        # Guards against an asker that takes a keeper for lost which tries the lost one.
+        cluster = KeeperCluster()
+        await cluster.start_three()
+        # Only the first keeper looks for lost ones, so `c` does not know of the loss.
+        await cluster.lose_host('b')
+        with logged('keeper_lost') as lines:
+            await cluster.wait(1000)
+            await cluster.start_keeper('d')
+            await cluster.wait(CATCH_UP_MS)
+        self.assertEqual({'b'}, {line['keeper'] for line in lines})
+        self.assertFalse(cluster.keepers['d'].links.members.is_counted('b'))
