keeper: fetch each turn that lacks copies once, by what the others hold

Cause: whoever is asked sent all turns whose noted replicas don't suffice, without knowing what the asker has. Now the keeper compares the lists of turns of all complete keepers, fetches those that too few of them have, each once, and the accounts. The same comparison serves a keeper that takes the place of a lost one. A lost keeper that only one process can't answer for delays nobody: it is kept only if another one says that it reaches it.

Evidence: test_each_turn_is_fetched_once fails before.

--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Iterator
-from itertools import chain
 from typing import Any, NamedTuple
 
 from loguru import logger
@@ -67,7 +66,7 @@
     KeepTurns,
     ListTurns,
     Missing,
-    PullRecords,
+    PullAccounts,
     PullTurns,
     PushRecords,
     Reachable,
@@ -222,12 +221,8 @@
 
     async def answer(self, _: Hello, message: Any) -> AsyncIterator[Any]:
         """Yield the answers to a message of a gateway or of another keeper."""
-        if isinstance(message, PullRecords | PullTurns):
-            if isinstance(message, PullTurns):
-                records = self.state.encoded_turns(message.turns)
-            else:
-                records = self.records_to_restore(message.lost)
-            for batch in batched(records):
+        if isinstance(message, PullAccounts | PullTurns):
+            for batch in batched(self.records_to_send(message)):
                 yield RecordBatch(self.state.complete, batch)
             return
         started_ms = self.clock.now_ms()
@@ -248,17 +243,11 @@
         limits = self.permits.limits
         self.metrics.limits_per_second.set({}, limits.total_per_second())
 
-    def records_to_restore(self, lost: list[str]) -> Iterator[bytes]:
-        """Yield the encoded accounts, and the turns that have too few copies.
-
-        Args:
-            lost: names of the keepers whose copies don't count.
-        """
-        members = self.links.members.by_name.values()
-        live = {member.name for member in members if member.stays}
-        live.difference_update(lost)
-        turns = self.state.underreplicated_turns(live, self.required_copies)
-        return chain(self.state.account_records(), turns)
+    def records_to_send(self, message: PullAccounts | PullTurns) -> Iterator[bytes]:
+        """Return the encoded records that another keeper asks for."""
+        if isinstance(message, PullTurns):
+            return self.state.encoded_turns(message.turns)
+        return self.state.account_records()
 
     async def answer_single(self, message: Any) -> Any:
         """Return the answer to a message that has a single answer.
--- a/pollenwalk/process/keeper_state.py
+++ b/pollenwalk/process/keeper_state.py
@@ -1,7 +1,7 @@
 """The turns and token accounts of one keeper, in memory and on disk."""
 
 import asyncio
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from loguru import logger
@@ -138,19 +138,6 @@
                     entry_to_record(program, entry, account.retention_ms)
                 )
 
-    def underreplicated_turns(
-        self, live: Collection[str], required_copies: int
-    ) -> Iterator[bytes]:
-        """Yield the encoded turns that have too few copies.
-
-        Args:
-            live: names of the keepers whose copies count.
-            required_copies: how many copies a turn must have.
-        """
-        for record in list(self.turns.records.values()):
-            if len(set(record.replicas).intersection(live)) < required_copies:
-                yield encode_datagram(record)
-
     def encoded_turns(self, turns: Iterable[str]) -> Iterator[bytes]:
         """Yield those of the given turns that this keeper has, encoded."""
         records = map(self.turns.records.get, turns)
@@ -185,10 +172,9 @@
         if self.log.bytes_since_compaction < COMPACTION_THRESHOLD_BYTES:
             return
         await self.log.start_compaction()
-        # Without live keepers every turn counts as having too few copies.
         live_records = (
             *self.account_records(),
-            *self.underreplicated_turns((), 1),
+            *self.encoded_turns(list(self.turns.records)),
             *map(encode_datagram, list(self.crashes.notes())),
         )
         await asyncio.gather(*map(self.log.append, live_records))
--- a/pollenwalk/process/record_fetch.py
+++ b/pollenwalk/process/record_fetch.py
@@ -1,6 +1,7 @@
-"""Fetching of records from another keeper, in batches."""
+"""Fetching of the records that a keeper lacks from other keepers."""
 
-from collections.abc import AsyncIterator
+from collections import Counter
+from collections.abc import AsyncIterator, Iterable, Iterator
 
 from loguru import logger
 
@@ -8,49 +9,109 @@
 from pollenwalk.errors import PollenwalkError
 from pollenwalk.process.keeper import Keeper
 from pollenwalk.process.keeper_members import Member
-from pollenwalk.program.turns import PullRecords, PullTurns, RecordBatch
+from pollenwalk.process.keeper_questions import ask_all
+from pollenwalk.program.turns import (
+    ListTurns,
+    PullAccounts,
+    PullTurns,
+    RecordBatch,
+    TurnList,
+)
 
-# Timeout for each batch of records. A batch takes 200 ms on the slowest link
-# between regions.
+# Timeout for a list of turns and for each batch of records. A batch takes 200 ms on the
+# slowest link between regions.
 BATCH_TIMEOUT_MS = 1500.0
 
 
-async def fetch_records(
-    keeper: Keeper, member: Member, request: PullRecords | PullTurns
-) -> bool:
-    """Fetch and store what another keeper sends for a request.
+class RecordFetch:
+    """Fetches records for one keeper.
 
-    Returns:
-        Whether everything was fetched and the other keeper is complete.
+    Keepers are asked one after the other, as they may share a slow link.
     """
-    peer = Peer(member.address, keeper.network, keeper.clock, keeper.tasks)
-    count = 0
-    complete = True
-    try:
-        async for batch in fetch_batches(keeper, peer, request):
-            complete = complete and batch.complete
-            count += await keeper.state.add_records(batch.records)
-    except (PollenwalkError, TimeoutError) as error:
-        logger.warning('fetch_failed', keeper=member.name, reason=repr(error))
-        return False
-    finally:
-        await peer.close()
-    logger.info('fetched', keeper=member.name, new=count, complete=complete)
-    return complete
-
-
-async def fetch_batches(
-    keeper: Keeper, peer: Peer, request: PullRecords | PullTurns
-) -> AsyncIterator[RecordBatch]:
-    """Yield the batches of records that a keeper sends.
-
-    Raises:
-        TimeoutError: the next batch did not arrive within the timeout.
-    """
-    stream = peer.stream(request)
-    while True:
-        async with keeper.clock.timeout_ms(BATCH_TIMEOUT_MS):
-            batch = await anext(stream, None)
-        if batch is None:
-            return
-        yield batch
+
+    def __init__(self, keeper: Keeper) -> None:
+        """Create the fetching for `keeper`."""
+        self.keeper = keeper
+
+    async def fetch_turns(self, others: list[Member]) -> bool:
+        """Fetch the turns that too few of some other keepers have, each one once.
+
+        A record says who was asked to store it first, not who has done so; so this
+        compares what the others hold.
+
+        Args:
+            others: the keepers whose copies count, the preferred ones first.
+
+        Returns:
+            Whether this keeper has all of them now, and all others are complete.
+        """
+        lists = await ask_all(self.keeper.links, others, ListTurns(), BATCH_TIMEOUT_MS)
+        if not all(
+            isinstance(answer, TurnList) and answer.complete for answer in lists
+        ):
+            return False
+        missing = set(self.missing_turns(lists))
+        for member, answer in zip(others, lists, strict=True):
+            wanted = missing.intersection(answer.turns)
+            if wanted:
+                await self.fetch(member, PullTurns(sorted(wanted)))
+            missing.difference_update(self.keeper.state.turns.records)
+        return not missing
+
+    def missing_turns(self, lists: Iterable[TurnList]) -> Iterator[str]:
+        """Yield the turns that too few keepers have, and this one neither."""
+        held = Counter(turn for answer in lists for turn in answer.turns)
+        own = self.keeper.state.turns.records
+        required = self.keeper.required_copies
+        return (
+            turn for turn, count in held.items() if count < required and turn not in own
+        )
+
+    async def fetch_accounts(self, others: list[Member]) -> bool:
+        """Fetch the accounts of some other keepers; return whether all were fetched."""
+        fetched = [await self.fetch(member, PullAccounts()) for member in others]
+        return all(fetched)
+
+    async def fetch(self, member: Member, request: PullAccounts | PullTurns) -> bool:
+        """Fetch and store what another keeper sends for a request.
+
+        Returns:
+            Whether everything was fetched and the other keeper is complete.
+        """
+        keeper = self.keeper
+        peer = Peer(member.address, keeper.network, keeper.clock, keeper.tasks)
+        count = 0
+        complete = True
+        try:
+            async for batch in self.fetch_batches(peer, request):
+                complete = complete and batch.complete
+                count += await keeper.state.add_records(batch.records)
+        except (PollenwalkError, TimeoutError) as error:
+            logger.warning('fetch_failed', keeper=member.name, reason=repr(error))
+            return False
+        finally:
+            await peer.close()
+        logger.info(
+            'fetched',
+            keeper=member.name,
+            what=type(request).__name__,
+            new=count,
+            complete=complete,
+        )
+        return complete
+
+    async def fetch_batches(
+        self, peer: Peer, request: PullAccounts | PullTurns
+    ) -> AsyncIterator[RecordBatch]:
+        """Yield the batches of records that a keeper sends.
+
+        Raises:
+            TimeoutError: the next batch did not arrive within the timeout.
+        """
+        stream = peer.stream(request)
+        while True:
+            async with self.keeper.clock.timeout_ms(BATCH_TIMEOUT_MS):
+                batch = await anext(stream, None)
+            if batch is None:
+                return
+            yield batch
--- a/pollenwalk/process/succession.py
+++ b/pollenwalk/process/succession.py
@@ -10,8 +10,6 @@
 """
 
 import asyncio
-from collections import Counter
-from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from loguru import logger
@@ -19,10 +17,9 @@
 from pollenwalk.errors import StoreConflict, StoreUnavailable
 from pollenwalk.process.keeper import Keeper, log_store_unavailable
 from pollenwalk.process.keeper_members import KEEPERS_PREFIX, Member, Members, names
-from pollenwalk.process.keeper_questions import all_miss, ask
-from pollenwalk.process.record_fetch import BATCH_TIMEOUT_MS, fetch_records
+from pollenwalk.process.keeper_questions import one_reaches
+from pollenwalk.process.record_fetch import RecordFetch
 from pollenwalk.process.store import ABSENT, Backoff
-from pollenwalk.program.turns import ListTurns, PullTurns, TurnList
 
 # How long a keeper tries to take the place of a lost one before it is listed beside it.
 MAX_ENTRY_MS = 6000.0
@@ -43,11 +40,16 @@
 
 
 class Succession:
-    """Lets one keeper enter the list."""
+    """Lets one keeper enter the list.
+
+    Attributes:
+        records: fetches turns that too few others have.
+    """
 
     def __init__(self, keeper: Keeper) -> None:
         """Create the succession of `keeper`, which is not listed yet."""
         self.keeper = keeper
+        self.records = RecordFetch(keeper)
 
     async def run(self) -> None:
         """Admit the keeper to the list once it has looked for a place to take."""
@@ -73,7 +75,7 @@
 
         Returns:
             Whether this keeper may be listed: it has taken a place, has one already, or
-            no keeper is lost.
+            no keeper is lost as far as the others know.
 
         Raises:
             StoreUnavailable: the store did not answer.
@@ -90,11 +92,13 @@
         if others.missing > keeper.settings.tolerated_losses or not others.complete:
             return False
         lost = others.lost[0]
-        agreed, copied = await asyncio.gather(
-            all_miss(keeper.links, lost, others.complete),
-            self.copy_turns(others.complete),
+        reached, copied = await asyncio.gather(
+            one_reaches(keeper.links, lost, others.complete),
+            self.records.fetch_turns(others.complete),
         )
-        return agreed and copied and await self.take_place(lost, listed)
+        if reached:
+            logger.info('keeper_kept', keeper=lost.name, reason='another reaches it')
+        return reached or (copied and await self.take_place(lost, listed))
 
     async def look_around(self, listed: Members) -> OtherKeepers:
         """Ask all other keepers whether they are complete."""
@@ -112,38 +116,6 @@
             complete.count(False),
         )
 
-    async def copy_turns(self, others: list[Member]) -> bool:
-        """Fetch the turns that too few of some other keepers have.
-
-        Returns:
-            Whether this keeper has all of them now.
-        """
-        question = ListTurns()
-        links = self.keeper.links
-        lists = await asyncio.gather(
-            *(ask(links, other, question, BATCH_TIMEOUT_MS) for other in others)
-        )
-        if not all(
-            isinstance(answer, TurnList) and answer.complete for answer in lists
-        ):
-            return False
-        missing = set(self.missing_turns(lists))
-        for member, answer in zip(others, lists, strict=True):
-            wanted = missing.intersection(answer.turns)
-            if wanted:
-                await fetch_records(self.keeper, member, PullTurns(sorted(wanted)))
-            missing.difference_update(self.keeper.state.turns.records)
-        return not missing
-
-    def missing_turns(self, lists: Iterable[TurnList]) -> Iterator[str]:
-        """Yield the turns that too few keepers have, and this one neither."""
-        held = Counter(turn for answer in lists for turn in answer.turns)
-        own = self.keeper.state.turns.records
-        required = self.keeper.required_copies
-        return (
-            turn for turn, count in held.items() if count < required and turn not in own
-        )
-
     async def take_place(self, lost: Member, listed: Members) -> bool:
         """Write this keeper into the object of a lost one.
 
--- a/pollenwalk/program/turns.py
+++ b/pollenwalk/program/turns.py
@@ -121,14 +121,8 @@
     missing: str
 
 
-class PullRecords(NamedTuple):
-    """Asks a keeper for all accounts and for the turns with too few copies.
-
-    Attributes:
-        lost: names of the keepers whose copies may be lost and don't count.
-    """
-
-    lost: list[str]
+class PullAccounts(NamedTuple):
+    """Asks a keeper for the reservations and settlements of all accounts."""
 
 
 class ListTurns(NamedTuple):
--- a/test/process/test_succession.py
+++ b/test/process/test_succession.py
@@ -74,3 +74,24 @@
             await cluster.wait(CATCH_UP_MS)
         self.assertEqual({'b'}, {line['keeper'] for line in lines})
         self.assertFalse(cluster.keepers['d'].links.members.is_counted('b'))
+
+
+class RestoredCopiesTest(testtools.TestCase):
+    """A keeper with an empty disk gets what really lacks copies."""
+
+    @virtual
+    async def test_each_turn_is_fetched_once(self) -> None:
+        # Guards against a transfer of all records from each keeper over a slow link.
+        cluster = KeeperCluster()
+        group = await cluster.start_three_with_group()
+        for turn in TURNS:
+            await group.store_turn(make_record(turn)._replace(input=b'x' * 100_000))
+        await cluster.kill('c')
+        cluster.disks['c'].wipe()
+        await cluster.start_keeper('d')
+        await cluster.wait(CATCH_UP_MS)
+        before_bytes = cluster.fabric.map.crossed_bytes
+        await cluster.start_keeper('c')
+        await cluster.wait(CATCH_UP_MS)
+        crossed_bytes = cluster.fabric.map.crossed_bytes - before_bytes
+        self.assertTrue(crossed_bytes < len(TURNS) * 150_000)
