--- a/test/process/test_keepers.py
+++ b/test/process/test_keepers.py
@@ -52,10 +52,12 @@
         disks: the disks by the names of their keepers; they survive a kill.
         nodes: the node on which each keeper runs.
         keepers: the keepers by name.
+        tolerated_losses: how many disks may be lost at the same time.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, tolerated_losses: int = 1) -> None:
         """Create a store without keepers."""
+        self.tolerated_losses = tolerated_losses
         self.fabric = Fabric()
         self.clock = NodeClock(Node('world', Place('a', 'east')))
         self.store = StatusMemoryStore(self.clock)
@@ -70,7 +72,9 @@
         clock = NodeClock(node)
         disk = self.disks.setdefault(name, MemoryDisk(clock))
         disk.clock = clock
-        settings = KeeperSettings(name, name, REGIONS, f'{name}:1', first_start, 1)
+        settings = KeeperSettings(
+            name, name, REGIONS, f'{name}:1', first_start, self.tolerated_losses
+        )
         network = VirtualNetwork(self.fabric, node)
         state = KeeperState(disk, clock)
         keeper = Keeper(settings, state, self.store_for(node), network, clock)
@@ -119,7 +123,7 @@
         handlers = WatchHandlers(links.members.apply_change, links.members.mark_loaded)
         follower = PrefixWatcher(self.store, clock, KEEPERS_PREFIX, handlers)
         tasks.spawn(follower.run(), 'follow')
-        return KeeperGroup(links, clock, tasks, 1)
+        return KeeperGroup(links, clock, tasks, self.tolerated_losses)
 
     async def start_three_with_group(self, zone: str = 'a') -> KeeperGroup:
         """Start three keepers and a gateway that has read their list."""
