keeper: leave the list on SIGTERM, if enough others remain

Who stops as planned knows it before anybody else. It now says in the store that it leaves, copies what those that stay lack, checks that they stay and leaves the list, within 5 s of the 8 s that a process has. It stays listed if fewer than 2f + 1 would remain. One that comes back enters the list with the records that it has.

Price: a rolling restart of four or more keepers copies turns; three keepers and one tolerated loss do as before.

--- a/pollenwalk/process/keeper_daemon.py
+++ b/pollenwalk/process/keeper_daemon.py
@@ -12,6 +12,7 @@
 from pollenwalk.platform.objects import PlatformStore
 from pollenwalk.process import event_loop
 from pollenwalk.process.clock import LoopClock
+from pollenwalk.process.departure import Departure
 from pollenwalk.process.joining import Joining
 from pollenwalk.process.keeper import Keeper, KeeperSettings
 from pollenwalk.process.keeper_removal import KeeperRemoval
@@ -50,6 +51,12 @@
     page = await start_metrics_page(keeper, settings.section('keeper')['metrics'])
     await wait_for_stop(stopped, keeper)
     await page.stop()
+    await stop_keeper(keeper, store)
+
+
+async def stop_keeper(keeper: Keeper, store: PlatformStore) -> None:
+    """Let a keeper leave the list if it is not needed there, and stop it."""
+    await Departure(keeper, store).run()
     await keeper.stop()
     await store.close()
     logger.info('stop', role='keeper', name=keeper.settings.name)
--- a/pollenwalk/process/retirement.py
+++ b/pollenwalk/process/retirement.py
@@ -51,6 +51,7 @@
     Attributes:
         key: key in the store of the request to retire this keeper.
         started: whether the request has been received.
+        min_staying: how many other keepers must stay.
     """
 
     def __init__(self, keeper: Keeper, store: StatusStore) -> None:
@@ -59,6 +60,7 @@
         self.store = store
         self.key = f'{RETIREMENTS_PREFIX}{keeper.settings.name}'
         self.started = False
+        self.min_staying = keeper.required_copies
 
     async def watch_requests(self) -> None:
         """Watch the requests for retirement until cancelled."""
@@ -139,7 +141,7 @@
         keeper = self.keeper
         await keeper.register()
         staying = await self.read_staying()
-        if len(staying) < keeper.required_copies:
+        if len(staying) < self.min_staying:
             logger.warning(
                 'retirement_waits', reason='too few stay', others=len(staying)
             )
--- a/test/process/membership_search.py
+++ b/test/process/membership_search.py
@@ -175,6 +175,7 @@
                 self.cut_off,
                 self.replace,
                 self.replace,
+                self.replace_as_planned,
             )
         if room > 0 and len(sound) >= 2 * self.fleet.tolerated_losses + 2:
             yield self.retire
@@ -306,6 +307,33 @@
         self.losses.catching_up.discard(lost)
         self.losses.end(name, self.now_ms)
 
+    async def replace_as_planned(self) -> None:
+        """Start a new keeper, then stop one and take its host away."""
+        name = self.rng.choice(self.sound())
+        new = next(self.unused, None)
+        if new is None:
+            return
+        after_ms = self.rng.uniform(300, 2 * CATCH_UP_MS)
+        self.tell(f'{new} is to replace {name}, which is stopped in {after_ms:.0f}')
+        await self.cluster.start_keeper(new)
+        self.hosts.append(new)
+        self.losses.end(new, self.now_ms)
+        self.spawn(self.stop_for_good(name, new, after_ms))
+
+    async def stop_for_good(self, name: str, new: str, after_ms: float) -> None:
+        """Stop a keeper after a while; it counts until its successor has caught up."""
+        self.retiring.add(name)
+        await self.cluster.wait(after_ms)
+        while name in self.away:
+            await self.cluster.wait(20)
+        self.tell(f'{name} is stopped for good')
+        self.hosts.remove(name)
+        self.losses.begin(name)
+        await self.cluster.terminate(name)
+        self.losses.until_ms.pop(name)
+        if self.losses.is_disturbed:
+            self.losses.end(new, self.now_ms)
+
     async def add(self) -> None:
         """Start one more keeper."""
         name = next(self.unused, None)
--- a/test/process/test_keepers.py
+++ b/test/process/test_keepers.py
@@ -6,6 +6,7 @@
 import testtools
 
 from pollenwalk.errors import Refusal, RefusalCode
+from pollenwalk.process.departure import Departure
 from pollenwalk.process.keeper import Keeper, KeeperSettings
 from pollenwalk.process.keeper_daemon import start_membership_tasks
 from pollenwalk.process.keeper_group import KeeperGroup
@@ -102,6 +103,12 @@
         await node.tasks.cancel()
         self.fabric.streams.pop(f'{name}:1', None)
 
+    async def terminate(self, name: str) -> None:
+        """Stop a keeper as planned; its host is taken away afterwards."""
+        keeper = self.keepers[name]
+        await Departure(keeper, self.store_for(self.nodes[name])).run()
+        await self.lose_host(name)
+
     async def lose_host(self, name: str) -> None:
         """Lose a keeper's host for good; its address answers nothing any more."""
         bound = self.fabric.streams[f'{name}:1']
