keeper: fetch the accounts before entering the list again

Cause: a keeper that leaves on SIGTERM and comes back, or was removed while it was dark, entered the list with the accounts that were on its disk. Reservations that were made meanwhile are at a majority of the others; after one of these had left too, a majority could consist of keepers that don't know them. Class: a list that shrinks and grows by single steps keeps majorities overlapping only if who enters knows what the others do.

Now a keeper that is not listed fetches the accounts of a majority before it is. Callers have not seen this. test_restarted_keeper_knows_what_was_reserved fails before.

--- a/pollenwalk/process/keeper_daemon.py
+++ b/pollenwalk/process/keeper_daemon.py
@@ -78,9 +78,10 @@
 
 async def enter_list(keeper: Keeper) -> None:
     """Fetch the records that a keeper lacks, then let it be listed."""
-    if not keeper.state.complete:
+    is_empty = not keeper.state.complete
+    if is_empty:
         await Joining(keeper).run()
-    await Succession(keeper).run()
+    await Succession(keeper, knows_accounts=is_empty).run()
 
 
 async def wait_for_stop(stopped: asyncio.Event, keeper: Keeper) -> None:
--- a/pollenwalk/process/succession.py
+++ b/pollenwalk/process/succession.py
@@ -43,13 +43,16 @@
     """Lets one keeper enter the list.
 
     Attributes:
-        records: fetches turns that too few others have.
+        records: fetches what this keeper lacks.
+        knows_accounts: whether this keeper has the accounts as they were when it
+            started. One that comes back lacks what was reserved meanwhile.
     """
 
-    def __init__(self, keeper: Keeper) -> None:
+    def __init__(self, keeper: Keeper, knows_accounts: bool) -> None:
         """Create the succession of `keeper`, which is not listed yet."""
         self.keeper = keeper
         self.records = RecordFetch(keeper)
+        self.knows_accounts = knows_accounts
 
     async def run(self) -> None:
         """Admit the keeper to the list once it has looked for a place to take."""
@@ -83,14 +86,19 @@
         keeper = self.keeper
         listing = await keeper.store.scan(KEEPERS_PREFIX)
         listed = Members(listing.objects)
-        if listed.is_counted(keeper.settings.name):
+        is_overwritten = keeper.own_member.key in listed.unreadable.versions
+        if is_overwritten or listed.is_counted(keeper.settings.name):
             return True
         others = await self.look_around(listed)
         keeper.waits.update('place', names(others.lost), 'not proven to be needless')
-        if not others.lost:
+        if not (others.lost or others.missing or others.complete):
             return True
         if others.missing > keeper.settings.tolerated_losses or not others.complete:
             return False
+        if not await self.fetch_accounts(others.complete, len(listed.by_name)):
+            return False
+        if not others.lost:
+            return True
         lost = others.lost[0]
         reached, copied = await asyncio.gather(
             one_reaches(keeper.links, lost, others.complete),
@@ -116,6 +124,18 @@
             complete.count(False),
         )
 
+    async def fetch_accounts(self, others: list[Member], listed: int) -> bool:
+        """Fetch the accounts from a majority, unless this keeper knows them.
+
+        Returns:
+            Whether it knows them now.
+        """
+        majority = listed // 2 + 1
+        if not self.knows_accounts:
+            asked = others[:majority]
+            self.knows_accounts = await self.records.fetch_accounts(asked)
+        return self.knows_accounts
+
     async def take_place(self, lost: Member, listed: Members) -> bool:
         """Write this keeper into the object of a lost one.
 
--- a/test/process/test_departure.py
+++ b/test/process/test_departure.py
@@ -5,6 +5,7 @@
 import testtools
 
 from pollenwalk.process.keeper_removal import LIST_SETTLED_MS, REMOVE_AFTER_MS
+from pollenwalk.program.turns import ReserveTokens
 from standin.store import Faults
 from test.helper import virtual
 from test.process.test_keeper_removal import listed
@@ -56,6 +57,22 @@
         members = cluster.keepers['b'].links.members
         self.assertFalse(members.by_name['a'].retiring)
 
+    @virtual
+    async def test_restarted_keeper_knows_what_was_reserved(self) -> None:
+        # Guards against a majority of which nobody knows a reservation.
+        cluster = KeeperCluster()
+        await self.start_four(cluster)
+        await cluster.terminate('a')
+        group = cluster.start_group('other')
+        await cluster.wait(500)
+        message = ReserveTokens('p', 'r', 10, 60_000.0)
+        for name in 'bc':
+            link = group.links.link(group.links.members.by_name[name])
+            await group.links.request(link, message)
+        keeper = await cluster.start_keeper('a')
+        await cluster.wait(2000)
+        self.assertIn('r', keeper.state.ledger.accounts['p'].entries)
+
     @virtual
     async def test_needed_keeper_stays_listed(self) -> None:
         cluster = KeeperCluster()
