--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -18,6 +18,7 @@
 from pollenwalk.process.call_placer import CallPlacer
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.gateway_follower import GatewayFollower
+from pollenwalk.process.gateway_gauges import awaited_processes, refresh_gauges
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.host_table import HostTable
 from pollenwalk.process.keeper_feed import KeeperFeed
@@ -236,41 +237,18 @@
     async def watch_waits(self) -> None:
         """Note at regular intervals what this gateway waits for."""
         while True:
-            for what, names in self.awaited().items():
+            awaited = awaited_processes(
+                self.active_configuration, self.host_table, self.links
+            )
+            for what, names in awaited.items():
                 self.waits.update(what, names)
             await self.clock.sleep_ms(WAITS_INTERVAL_MS)
 
-    def awaited(self) -> dict[str, list[str]]:
-        """Return, for all that is needed to serve, from whom it is awaited now."""
-        is_loaded = {
-            'configuration': self.active_configuration.current is not None,
-            'hosts': self.host_table.loaded,
-            'keepers': self.links.members.loaded,
-        }
-        awaited = {what: [] if done else ['store'] for what, done in is_loaded.items()}
-        lost = [link.member.name for link in self.links.ordered() if link.is_lost]
-        awaited['majority'] = [] if self.links.has_majority else lost
-        return awaited
-
     def refresh_metrics(self) -> None:
         """Update the gauges."""
-        current = self.active_configuration.current
-        links = self.links.ordered()
-        self.metrics.version.set({}, current.version if current else 0)
-        self.metrics.hosts.set({}, len(self.host_table.states))
-        unreadable = {
-            'configuration': self.active_configuration.unreadable,
-            'hosts': self.host_table.unreadable,
-            'keepers': self.links.members.unreadable,
-        }
-        for what, objects in unreadable.items():
-            self.metrics.unreadable.set({'what': what}, objects.total)
-        limits = self.host_table.limits
-        self.metrics.limited_hosts.set({}, len(limits.limited()))
-        self.metrics.limits_per_second.set({}, limits.total_per_second())
-        self.metrics.keepers.set({}, len(links))
-        lost = sum(link.is_lost for link in links)
-        self.metrics.keepers_lost.set({}, lost)
+        refresh_gauges(
+            self.metrics, self.active_configuration, self.host_table, self.links
+        )
 
     async def stop(self) -> None:
         """Cancel all tasks and close the connections to the hosts."""
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -16,7 +16,6 @@
 from pollenwalk.connection.limit_messages import (
     BorrowShares,
     ExchangeLimits,
-    LimitNews,
     RequestPermit,
     TellLimits,
 )
@@ -28,7 +27,6 @@
 )
 from pollenwalk.connection.wire import Done, Hello
 from pollenwalk.errors import (
-    PollenwalkError,
     Refusal,
     RefusalCode,
     StoreUnavailable,
@@ -40,12 +38,10 @@
 from pollenwalk.process.keeper_members import KEEPERS_PREFIX, Member
 from pollenwalk.process.keeper_metrics import KeeperMetrics
 from pollenwalk.process.keeper_state import KeeperState
-from pollenwalk.process.permit_allocator import (
-    RENEWAL_INTERVAL_MS,
-    PermitAllocator,
-)
+from pollenwalk.process.permit_allocator import PermitAllocator
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
 from pollenwalk.process.record_batches import batched
+from pollenwalk.process.share_borrowing import ShareBorrowing
 from pollenwalk.process.store import Backoff, ObjectStore
 from pollenwalk.process.store_mirror import StoreMirrors
 from pollenwalk.process.stream_origins import StreamOrigins
@@ -199,7 +195,10 @@
         self.tasks.spawn(watcher.run(), 'follow_keepers')
         self.tasks.spawn(self.keep_registered(), 'register')
         self.tasks.spawn(self.expire(), 'expire')
-        self.tasks.spawn(self.borrow_shares(), 'borrow_shares')
+        borrowing = ShareBorrowing(
+            self.permits, self.links, self.clock, self.settings.name
+        )
+        self.tasks.spawn(borrowing.run(), 'borrow_shares')
 
     async def stop(self) -> None:
         """Cancel all tasks and close the connections and the log."""
@@ -307,30 +306,6 @@
             self.metrics.permits_total.inc({'outcome': outcome})
         return answer
 
-    async def borrow_shares(self) -> None:
-        """Borrow the shares of the hosts whose first owner this keeper is."""
-        while True:
-            await self.clock.sleep_ms(RENEWAL_INTERVAL_MS)
-            wanted = self.permits.shares_to_borrow()
-            await asyncio.gather(
-                *(self.borrow_from(name, limits) for name, limits in wanted.items())
-            )
-
-    async def borrow_from(self, lender: str, limits: list[LimitNews]) -> None:
-        """Borrow the shares of one other owner, if it answers in time."""
-        member = self.links.members.by_name.get(lender)
-        if member is None:
-            return
-        request = BorrowShares(self.settings.name, limits)
-        asked_at_ms = self.clock.now_ms()
-        try:
-            async with self.clock.timeout_ms(RENEWAL_INTERVAL_MS):
-                answer = await self.links.request(self.links.link(member), request)
-        except (PollenwalkError, TimeoutError) as error:
-            logger.debug('share_not_lent', keeper=lender, reason=str(error))
-            return
-        self.permits.record_loans(lender, request, answer, asked_at_ms)
-
     async def store_records(self, message: Any) -> None:
         """Store the records of a message on disk.
 
--- a/test/process/test_waits.py
+++ b/test/process/test_waits.py
@@ -2,8 +2,11 @@
 
 import testtools
 
+from pollenwalk.process.gateway_gauges import awaited_processes
+from pollenwalk.process.host_table import HostTable
 from pollenwalk.process.keeper_metrics import KeeperMetrics
 from pollenwalk.process.waits import Waits
+from pollenwalk.version.active_configuration import ActiveConfiguration
 from test.helper import logged, make_clock, virtual
 from test.process.test_keepers import KeeperCluster
 
@@ -35,3 +38,16 @@
         awaited = [line['awaited'] for line in lines if line['what'] == 'records']
         self.assertEqual(['b'], awaited[-1])
         self.assertEqual(1, keeper.metrics.awaited.get({'what': 'records'}))
+
+    @virtual
+    async def test_gateway_without_a_majority_names_the_lost(self) -> None:
+        cluster = KeeperCluster()
+        group = await cluster.start_three_with_group()
+        parts = (ActiveConfiguration(), HostTable(cluster.clock), group.links)
+        self.assertEqual([], awaited_processes(*parts)['majority'])
+        for name in 'ab':
+            await cluster.kill(name)
+            await group.links.is_complete(group.links.by_name[name])
+        awaited = awaited_processes(*parts)
+        self.assertEqual(['a', 'b'], sorted(awaited['majority']))
+        self.assertEqual(['store'], awaited['configuration'])
