--- a/pollenwalk/process/succession.py
+++ b/pollenwalk/process/succession.py
@@ -90,7 +90,7 @@
         if is_overwritten or listed.is_counted(keeper.settings.name):
             return True
         others = await self.look_around(listed)
-        keeper.waits.update('place', names(others.lost), 'not proven to be needless')
+        keeper.waits.update('place', names(others.lost), 'turns need other copies')
         if not (others.lost or others.missing or others.complete):
             return True
         if others.missing > keeper.settings.tolerated_losses or not others.complete:
--- a/test/process/test_departure.py
+++ b/test/process/test_departure.py
@@ -8,9 +8,10 @@
 from pollenwalk.program.turns import ReserveTokens
 from standin.store import Faults
 from test.helper import virtual
+from test.process.host_losses import CATCH_UP_MS
 from test.process.test_keeper_removal import listed
 from test.process.test_keepers import KeeperCluster, clear_cache, make_record
-from test.process.test_succession import CATCH_UP_MS, RECOVER_MS, TURNS
+from test.process.test_succession import RECOVER_MS, TURNS
 
 
 class DepartureTest(testtools.TestCase):
--- a/test/process/test_succession.py
+++ b/test/process/test_succession.py
@@ -5,13 +5,12 @@
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_removal import LIST_SETTLED_MS, REMOVE_AFTER_MS
 from test.helper import logged, virtual
+from test.process.host_losses import CATCH_UP_MS
 from test.process.test_keeper_removal import listed
 from test.process.test_keepers import KeeperCluster, clear_cache, make_record
 
 # Longest time from the return of all hosts until the keepers must serve again.
 RECOVER_MS = 12_000.0
-# Time from the start of a new keeper until another disk may be lost.
-CATCH_UP_MS = 4400.0
 TURNS = [f't{number}' for number in range(10)]
 
 
