quotas: owners at keepers and tokens at gateways

No request was counted against an organisation's quota. Up to three keepers own an equal share of each quota; the first borrows the others' under one lease for all organisations. Gateways obtain tokens that expire, so that requests in any window stay within the bound whichever process fails. The ownership of shares is extracted from the permits of limited hosts.

--- a/pollenwalk/connection/wire.py
+++ b/pollenwalk/connection/wire.py
@@ -23,6 +23,14 @@
     TellLimits,
 )
 from pollenwalk.connection.load_messages import FleetState, GatewayLoad
+from pollenwalk.connection.quota_messages import (
+    BorrowQuotas,
+    FindQuota,
+    LentQuotas,
+    QuotaGrant,
+    QuotaState,
+    RequestQuota,
+)
 from pollenwalk.connection.store_messages import (
     FollowedPrefix,
     FollowPrefix,
@@ -511,6 +519,12 @@
     LentShares,
     GatewayLoad,
     FleetState,
+    RequestQuota,
+    QuotaGrant,
+    BorrowQuotas,
+    LentQuotas,
+    FindQuota,
+    QuotaState,
 )
 DECODERS = {
     message_type.__name__: msgspec.msgpack.Decoder(message_type)
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -27,6 +27,7 @@
 from pollenwalk.process.keeper_members import KEEPERS_PREFIX
 from pollenwalk.process.load_reporter import LoadReporter
 from pollenwalk.process.permit_client import PermitClient
+from pollenwalk.process.quota_client import QuotaClient
 from pollenwalk.process.store import ObjectStore
 from pollenwalk.process.stream_registry import StreamRegistry
 from pollenwalk.process.tasks import TaskSet
@@ -35,6 +36,7 @@
 from pollenwalk.request.call_sender import ForwardingContext
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.request.http_messages import Request
+from pollenwalk.request.program_starts import ProgramStarts
 from pollenwalk.request.program_turn import ProgramTurn
 from pollenwalk.request.reply import Reply
 from pollenwalk.request.streaming import StandaloneTurn, Turn, run_stream
@@ -79,6 +81,8 @@
             that it leaves.
         revocation_ms: time within which the revocation of a key must be in force, also
             at gateways that are cut off; 0 if those may go on with what they know.
+        quota_window_ms: length of the windows in which the requests of an organisation
+            are counted; 0 if no quotas are kept.
     """
 
     name: str
@@ -88,6 +92,7 @@
     change_delay_ms: float
     leave_notice_ms: float
     revocation_ms: float = 0
+    quota_window_ms: float = 0
 
 
 class Gateway:
@@ -149,6 +154,10 @@
             store, self.links, clock, self.host_table.record_store_failure
         )
         self.permits = PermitClient(self.keepers, self.host_table, self.metrics)
+        self.quotas = QuotaClient(
+            self.keepers, self.metrics, settings.name, settings.quota_window_ms
+        )
+        self.program_starts = ProgramStarts()
         self.forwarding_context = ForwardingContext(
             clock,
             self.pool,
@@ -157,6 +166,7 @@
             rng,
             StreamRegistry(self.keepers),
             self.permits,
+            self.quotas,
         )
 
     @property
@@ -185,6 +195,7 @@
         self.tasks.spawn(self.follow_store(), 'follow_store')
         self.tasks.spawn(self.watch_waits(), 'watch_waits')
         self.tasks.spawn(self.permits.exchange_limits(), 'exchange_limits')
+        self.tasks.spawn(self.quotas.run(), 'return_quotas')
         reporter = LoadReporter(
             self.links,
             self.clock,
@@ -331,6 +342,21 @@
             raise deadline_passed() from error
 
     async def run(self, call: Call, reply: Reply) -> None:
+        """Take a token of the organisation's quota if it has one, and run a call.
+
+        Raises:
+            Refusal: the call was refused, for instance as it has crashed hosts.
+        """
+        begins_program = self.program_starts.begins_program(call)
+        await self.quotas.obtain(call, begins_program)
+        if begins_program:
+            self.program_starts.admit(call)
+        try:
+            await self.forward(call, reply)
+        finally:
+            self.quotas.release(call)
+
+    async def forward(self, call: Call, reply: Reply) -> None:
         """Run a call as a stream or as one request, depending on its route.
 
         Raises:
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -86,6 +86,7 @@
                 options['change_delay_ms'],
                 options['leave_notice_ms'],
                 options.get('revocation_ms', 0),
+                options.get('quota_window_s', 0) * MS_PER_SECOND,
             ),
             self.store,
             TcpNetwork(),
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -21,6 +21,12 @@
 )
 from pollenwalk.connection.load_messages import GatewayLoad
 from pollenwalk.connection.peer_server import PeerServer
+from pollenwalk.connection.quota_messages import (
+    BorrowQuotas,
+    FindQuota,
+    QuotaGrant,
+    RequestQuota,
+)
 from pollenwalk.connection.store_messages import (
     FollowPrefix,
     ReadPrefix,
@@ -32,6 +38,7 @@
     StoreUnavailable,
 )
 from pollenwalk.policy.fleet_load import FleetLoad
+from pollenwalk.policy.quota_bucket import QuotaBound
 from pollenwalk.process.clock import MS_PER_SECOND, Clock
 from pollenwalk.process.keeper_feed import KeeperFeed
 from pollenwalk.process.keeper_links import KeeperLinks
@@ -40,6 +47,8 @@
 from pollenwalk.process.keeper_state import KeeperState
 from pollenwalk.process.permit_allocator import PermitAllocator
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
+from pollenwalk.process.quota_borrowing import QuotaBorrowing
+from pollenwalk.process.quota_owner import QuotaOwner
 from pollenwalk.process.record_batches import batched
 from pollenwalk.process.share_borrowing import ShareBorrowing
 from pollenwalk.process.store import Backoff, ObjectStore
@@ -84,7 +93,10 @@
 WATCH_WAIT_MS = 2500
 LimitMessage = RequestPermit | TellLimits | ExchangeLimits | BorrowShares
 CopyMessage = KeepTurns | FindMissing | ListTurns | CheckReachable | EnsureCopies
-MemoryMessage = LimitMessage | StreamOrigin | FindStreamOrigin | GatewayLoad
+QuotaMessage = RequestQuota | BorrowQuotas | FindQuota
+MemoryMessage = (
+    LimitMessage | QuotaMessage | StreamOrigin | FindStreamOrigin | GatewayLoad
+)
 
 
 class KeeperSettings(NamedTuple):
@@ -99,6 +111,7 @@
             stored anything.
         tolerated_losses: how many keepers may be lost at the same time without
             loss of data.
+        quota_bound: how exactly quotas of organisations are kept; None if none are.
     """
 
     name: str
@@ -107,6 +120,7 @@
     address: str
     first_start: bool
     tolerated_losses: int
+    quota_bound: QuotaBound | None = None
 
 
 class Keeper:
@@ -121,6 +135,8 @@
         stream_origins: where the latest streams began, in memory only.
         permits: gives permits for hosts with a limit, in memory only, and passes on
             reports of crashes, which are on disk.
+        quotas: grants tokens of organisations' quotas, in memory only; None if no
+            quotas are kept.
         was_member: whether the store listed this keeper when it started, and nobody
             had taken its place.
         admitted: whether this keeper may be listed. One that is not listed at its start
@@ -168,6 +184,11 @@
             clock, settings.name, self.links.members, settings.regions, state.crashes
         )
         self.permits.on_crash = self.store_crash
+        self.quotas: QuotaOwner | None = None
+        if settings.quota_bound is not None:
+            self.quotas = QuotaOwner(
+                clock, settings.name, self.links.members, settings.quota_bound
+            )
         self.server = PeerServer(clock, self.answer, settings.name, 0)
         self.own_member = Member(settings.name, settings.address, settings.zone)
         self.was_member = False
@@ -199,6 +220,9 @@
             self.permits, self.links, self.clock, self.settings.name
         )
         self.tasks.spawn(borrowing.run(), 'borrow_shares')
+        if self.quotas is not None:
+            quota_borrowing = QuotaBorrowing(self.quotas, self.links, self.clock)
+            self.tasks.spawn(quota_borrowing.run(), 'borrow_quotas')
 
     async def stop(self) -> None:
         """Cancel all tasks and close the connections and the log."""
@@ -241,6 +265,9 @@
         self.metrics.complete.set({}, int(self.state.complete))
         limits = self.permits.limits
         self.metrics.limits_per_second.set({}, limits.total_per_second())
+        if self.quotas is not None:
+            known = len(self.quotas.shares.by_organisation)
+            self.metrics.quota_organisations.set({}, known)
 
     def records_to_send(self, message: PullAccounts | PullTurns) -> Iterator[bytes]:
         """Return the encoded records that another keeper asks for."""
@@ -286,6 +313,8 @@
         """Return the answer to a message about what is not on disk."""
         if isinstance(message, LimitMessage):
             return self.answer_about_limits(message)
+        if isinstance(message, QuotaMessage):
+            return self.answer_about_quotas(message)
         if isinstance(message, GatewayLoad):
             state = self.fleet_load.record(message, self.clock.now_ms())
             return state._replace(leaving=self.permits.leaving.recent())
@@ -306,6 +335,19 @@
             self.metrics.permits_total.inc({'outcome': outcome})
         return answer
 
+    def answer_about_quotas(self, message: QuotaMessage) -> Any:
+        """Return the answer to a message about quotas, and count tokens.
+
+        Raises:
+            Refusal: this keeper keeps no quotas.
+        """
+        if self.quotas is None:
+            raise Refusal(RefusalCode.PROTOCOL, 'this keeper keeps no quotas')
+        answer = self.quotas.answer(message)
+        if isinstance(answer, QuotaGrant):
+            self.metrics.quota_tokens_total.inc({}, answer.granted)
+        return answer
+
     async def store_records(self, message: Any) -> None:
         """Store the records of a message on disk.
 
--- a/pollenwalk/process/keeper_daemon.py
+++ b/pollenwalk/process/keeper_daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import sys
 from pathlib import Path
+from typing import Any
 
 from loguru import logger
 
@@ -10,8 +11,9 @@
 from pollenwalk.connection.tcp_network import TcpNetwork
 from pollenwalk.errors import UserError
 from pollenwalk.platform.objects import PlatformStore
+from pollenwalk.policy.quota_bucket import QuotaBound
 from pollenwalk.process import event_loop
-from pollenwalk.process.clock import LoopClock
+from pollenwalk.process.clock import MS_PER_SECOND, LoopClock
 from pollenwalk.process.departure import Departure
 from pollenwalk.process.joining import Joining
 from pollenwalk.process.keeper import Keeper, KeeperSettings
@@ -98,6 +100,18 @@
         await keeper.log_writer
 
 
+def quota_bound(options: dict[str, Any]) -> QuotaBound | None:
+    """Return how exactly quotas are kept by the settings; None if none are."""
+    window_s = options.get('quota_window_s', 0)
+    if not window_s:
+        return None
+    return QuotaBound(
+        window_s * MS_PER_SECOND,
+        options.get('quota_excess', 0),
+        options.get('quota_slack', 0),
+    )
+
+
 def make_keeper(settings: Settings, store: PlatformStore) -> Keeper:
     """Create a keeper from validated settings."""
     options = settings.section('keeper')
@@ -110,6 +124,7 @@
             options['address'],
             options['first_start'] == 'true',
             options['tolerated_losses'],
+            quota_bound(options),
         ),
         KeeperState(RecordLog(Path(options['folder'])), clock),
         store,
--- a/pollenwalk/process/keeper_metrics.py
+++ b/pollenwalk/process/keeper_metrics.py
@@ -40,3 +40,11 @@
             'keeper_permits_total',
             'Permits for hosts with a limit, by whether they were given.',
         )
+        self.quota_tokens_total = self.counter(
+            'keeper_quota_tokens_total',
+            'Tokens of quotas that were granted.',
+        )
+        self.quota_organisations = self.gauge(
+            'keeper_quota_organisations',
+            'Organisations that this keeper was asked for tokens of lately.',
+        )
--- a/pollenwalk/process/permit_allocator.py
+++ b/pollenwalk/process/permit_allocator.py
@@ -34,15 +34,24 @@
 from pollenwalk.process.host_limits import HostLimits
 from pollenwalk.process.keeper_members import Member, Members
 from pollenwalk.process.leaving_hosts import LeavingHosts
+from pollenwalk.process.share_ownership import (
+    LEASE_MS,
+    MAX_OWNERS,
+    RENEWAL_INTERVAL_MS,
+    SETTLE_MS,
+    OwnerList,
+    ShareLeases,
+)
+
+__all__ = (
+    'LEASE_MS',
+    'MAX_OWNERS',
+    'RENEWAL_INTERVAL_MS',
+    'SETTLE_MS',
+    'PermitAllocator',
+    'rank_owners',
+)
 
-MAX_OWNERS = 3
-LEASE_MS = 1500.0
-# Part of a lease that the borrower does not use, as clocks run at different speeds.
-LEASE_MARGIN_MS = 100.0
-# Interval at which leases are renewed: a lost renewal does not end a lease.
-RENEWAL_INTERVAL_MS = 400.0
-# Longer than a lease, and than the time until a change of the list is known.
-SETTLE_MS = 2000.0
 # Wait that is told to gateways while no permit can be given here.
 UNAVAILABLE_WAIT_MS = RENEWAL_INTERVAL_MS
 BOOT_ID_BYTES = 6
@@ -61,21 +70,17 @@
     return ranked[:MAX_OWNERS]
 
 
-class HostShare:
+class HostShare(ShareLeases):
     """The share of one host's limit that a keeper owns.
 
     Attributes:
         schedule: the permits given.
-        lent_until_ms: time until which the share is lent.
-        borrowed_until_ms: time until which the share of another owner is borrowed,
-            by the name of that owner.
     """
 
     def __init__(self, now_ms: float) -> None:
         """Create a share that is not lent and has given no permit yet."""
+        super().__init__()
         self.schedule = PermitSchedule(now_ms)
-        self.lent_until_ms = 0.0
-        self.borrowed_until_ms: dict[str, float] = {}
 
 
 class PermitAllocator:
@@ -87,9 +92,7 @@
         on_crash: called with each new report of a crash.
         leaving: the hosts that have said that they leave, likewise.
         shares: its shares, by the start of the host.
-        current: the keepers listed at the last message.
-        settled: the keepers listed before the list began to change.
-        changed_at_ms: time of the last change of the list.
+        owner_list: who owns which share.
         boot_id: identifies this start of the keeper.
     """
 
@@ -104,16 +107,17 @@
         """Create the allocator of the keeper `name`, which starts now."""
         self.clock = clock
         self.name = name
-        self.members = members
-        self.regions = regions
+        self.owner_list = OwnerList(
+            name,
+            members,
+            lambda host, listed: rank_owners(host, listed, regions),
+            clock.now_ms,
+        )
         self.limits = HostLimits(clock)
         self.crashes = crashes or CrashRecords(clock)
         self.on_crash: Callable[[CrashNote], None] = lambda note: None
         self.leaving = LeavingHosts(clock)
         self.shares: dict[HostStart, HostShare] = {}
-        self.current: dict[str, Member] = {}
-        self.settled: dict[str, Member] = {}
-        self.changed_at_ms = clock.now_ms()
         self.boot_id = secrets.token_hex(BOOT_ID_BYTES)
 
     def answer(
@@ -179,42 +183,14 @@
 
     def usable_part(self, host: HostStart) -> float:
         """Return the part of a host's limit that this keeper may use now, 0 to 1."""
-        owners = self.owners(host)
-        if not self.is_settled_owner(host, owners):
+        owners = self.owner_list.owners(host)
+        if not self.owner_list.is_settled_owner(host, owners):
             return 0
         now_ms = self.clock.now_ms()
         share = self.share_of(host)
-        if share.lent_until_ms > now_ms:
+        if share.all_returned_at_ms > now_ms:
             return 0
-        borrowed = sum(share.borrowed_until_ms.get(name, 0) > now_ms for name in owners)
-        return (1 + borrowed) / len(owners)
-
-    def owners(self, host: HostStart) -> list[str]:
-        """Return the owners of a host by the present list of keepers."""
-        self.note_members()
-        return rank_owners(host, self.current, self.regions)
-
-    def note_members(self) -> None:
-        """Note the time if the list of keepers has changed."""
-        if self.members.by_name == self.current:
-            return
-        now_ms = self.clock.now_ms()
-        if self.is_list_settled(now_ms):
-            self.settled = self.current
-        self.current = dict(self.members.by_name)
-        self.changed_at_ms = now_ms
-
-    def is_list_settled(self, now_ms: float) -> bool:
-        """Return whether the list of keepers has not changed lately."""
-        return now_ms - self.changed_at_ms >= SETTLE_MS
-
-    def is_settled_owner(self, host: HostStart, owners: list[str]) -> bool:
-        """Return whether this keeper is one of the owners, and not only since lately."""
-        if self.name not in owners:
-            return False
-        if self.is_list_settled(self.clock.now_ms()):
-            return True
-        return self.name in rank_owners(host, self.settled, self.regions)
+        return (1 + share.count_borrowed(owners, now_ms)) / len(owners)
 
     def lend(self, request: BorrowShares) -> LentShares:
         """Lend the shares of those hosts whose first owner asks for them."""
@@ -225,12 +201,12 @@
 
     def lend_share(self, host: HostStart, borrower: str) -> bool:
         """Lend the share of one host; return whether it is lent."""
-        owners = self.owners(host)
+        owners = self.owner_list.owners(host)
         if borrower == self.name or borrower not in owners[:1]:
             return False
-        if not self.is_settled_owner(host, owners):
+        if not self.owner_list.is_settled_owner(host, owners):
             return False
-        self.share_of(host).lent_until_ms = self.clock.now_ms() + LEASE_MS
+        self.share_of(host).lend(borrower, self.clock.now_ms())
         return True
 
     def shares_to_borrow(self) -> dict[str, list[LimitNews]]:
@@ -239,13 +215,13 @@
         It is called regularly, so that changes of the list of keepers are noted in
         time.
         """
-        self.note_members()
+        self.owner_list.refresh()
         self.limits.remove_old()
         self.crashes.remove_old()
         self.forget_shares()
         wanted: dict[str, list[LimitNews]] = {}
         for news in self.limits.limited():
-            owners = self.owners(news.host)
+            owners = self.owner_list.owners(news.host)
             if owners[:1] == [self.name]:
                 for lender in owners[1:]:
                     wanted.setdefault(lender, []).append(news)
@@ -267,7 +243,7 @@
             answer: its answer.
             asked_at_ms: when the request was sent, as the leases may have begun then.
         """
-        until_ms = asked_at_ms + LEASE_MS - LEASE_MARGIN_MS
+        now_ms = self.clock.now_ms()
         for news, lent in zip(request.limits, answer.lent, strict=True):
             if lent:
-                self.share_of(news.host).borrowed_until_ms[lender] = until_ms
+                self.share_of(news.host).borrow(lender, asked_at_ms, now_ms)
--- a/pollenwalk/process/quick_metrics.py
+++ b/pollenwalk/process/quick_metrics.py
@@ -24,10 +24,10 @@
         self.pending: dict[LabelItems, int] = {}
         super().__init__(*options, **named)
 
-    def inc(self, labels: Labels) -> None:
-        """Increment the counter by 1."""
+    def inc(self, labels: Labels, count: int = 1) -> None:
+        """Increment the counter, by 1 unless `count` differs."""
         key = tuple(labels.items())
-        self.pending[key] = self.pending.get(key, 0) + 1
+        self.pending[key] = self.pending.get(key, 0) + count
 
     def add_pending(self) -> None:
         """Add the increments since the last reading."""
--- /dev/null
+++ b/pollenwalk/process/quota_borrowing.py
@@ -0,0 +1,58 @@
+"""Renewal of the leases of quotas, and agreement on the list of keepers."""
+
+import asyncio
+
+from loguru import logger
+
+from pollenwalk.connection.quota_messages import BorrowQuotas
+from pollenwalk.errors import PollenwalkError
+from pollenwalk.process.clock import Clock
+from pollenwalk.process.keeper_links import KeeperLinks
+from pollenwalk.process.quota_owner import QuotaOwner
+from pollenwalk.process.share_ownership import RENEWAL_INTERVAL_MS
+
+
+class QuotaBorrowing:
+    """Borrows the shares of the quotas whose first owner a keeper is."""
+
+    def __init__(self, quotas: QuotaOwner, links: KeeperLinks, clock: Clock) -> None:
+        """Borrow nothing yet.
+
+        Args:
+            quotas: uses the shares.
+            links: the connections to the other owners.
+            clock: the clock of the keeper.
+        """
+        self.quotas = quotas
+        self.links = links
+        self.clock = clock
+
+    async def run(self) -> None:
+        """Ask all other keepers at regular intervals until cancelled.
+
+        Keepers without quotas are asked, too: a new one must borrow what its first
+        requests need.
+        """
+        shares = self.quotas.shares
+        while True:
+            await self.clock.sleep_ms(RENEWAL_INTERVAL_MS)
+            shares.refresh()
+            self.quotas.forget_idle()
+            others = shares.owner_list.current.keys() - {shares.name}
+            await asyncio.gather(*map(self.borrow_from, others))
+
+    async def borrow_from(self, lender: str) -> None:
+        """Borrow the shares of one other keeper, if it answers in time."""
+        member = self.links.members.by_name.get(lender)
+        if member is None:
+            return
+        shares = self.quotas.shares
+        request = BorrowQuotas(shares.name, shares.digest)
+        asked_at_ms = self.clock.boot_ms()
+        try:
+            async with self.clock.timeout_ms(RENEWAL_INTERVAL_MS):
+                answer = await self.links.request(self.links.link(member), request)
+        except (PollenwalkError, TimeoutError) as error:
+            logger.debug('quotas_not_lent', keeper=lender, reason=str(error))
+            return
+        shares.record_answer(lender, asked_at_ms, request.members, answer)
--- a/pollenwalk/process/settings.py
+++ b/pollenwalk/process/settings.py
@@ -69,6 +69,9 @@
         'change_delay_ms': number_field(100, 600_000),
         'leave_notice_ms': number_field(100, 600_000),
         'revocation_ms': number_field(0, 600_000),
+        'quota_window_s': number_field(0, 600),
+        'quota_excess': number_field(0, 10),
+        'quota_slack': number_field(0, 10_000),
         'tolerated_losses': int_field(0, 16),
     },
     'keeper': {
@@ -79,6 +82,9 @@
         'folder': TEXT,
         'first_start': choice_field('true', 'false'),
         'tolerated_losses': int_field(0, 16),
+        'quota_window_s': number_field(0, 600),
+        'quota_excess': number_field(0, 10),
+        'quota_slack': number_field(0, 10_000),
     },
     'load': {
         'entries': URLS,
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -26,6 +26,7 @@
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.host_table import HostState
 from pollenwalk.process.permit_client import PermitClient
+from pollenwalk.process.quota_client import QuotaClient
 from pollenwalk.process.stream_registry import StreamRegistry
 from pollenwalk.request.call_crashes import CallCrashes
 from pollenwalk.request.call_permits import CallPermits
@@ -60,6 +61,8 @@
         rng: the process's random number generator.
         streams: records and finds where streams began.
         permits: obtains permits for hosts with a limit.
+        quotas: takes a token of the organisation's quota for each send; None if no
+            quotas are kept.
     """
 
     clock: Clock
@@ -69,6 +72,7 @@
     rng: random.Random
     streams: StreamRegistry
     permits: PermitClient
+    quotas: QuotaClient | None = None
 
 
 class CallSender:
@@ -344,7 +348,9 @@
                 host refused the request.
             BrokenAnswer: the answer broke off, is not valid HTTP, has no host's
                 signature, or has an encoded body.
+            Refusal: the quota of the organisation does not cover one more send.
         """
+        await pay_for_send(self.context, self.call, self.runs)
         request = self.call.request
         state = exchange.state
         self.log_send(state, last_event_id)
@@ -472,6 +478,25 @@
         self.crashes.check(self.runs)
 
 
+async def pay_for_send(context: ForwardingContext, call: Call, runs: int) -> None:
+    """Take a token of the organisation's quota for a send beyond the first.
+
+    Args:
+        context: the parts of the gateway that are used to forward calls.
+        call: the call.
+        runs: how many times a host has run the call or may have run it.
+
+    Raises:
+        Refusal: no token comes in time.
+    """
+    if context.quotas is None or await context.quotas.pay(call):
+        return
+    reason = 'the quota of the organisation does not cover one more send'
+    if runs:
+        raise Refusal(RefusalCode.UPSTREAM_FAILED, reason, Outcome.UNKNOWN)
+    raise Refusal(RefusalCode.QUOTA_EXHAUSTED, reason, retry_after_ms=RETRY_AFTER_MS)
+
+
 def record_head(
     context: ForwardingContext, call: Call, state: HostState, head: AnswerHead
 ) -> None:
