keeper: a share that was not asked for tokens yet must not end the borrowing

A gateway may ask a keeper that grants nothing yet. Its share then has no rate, and the division by it ended the task that borrows the shares of all quotas.

--- a/pollenwalk/policy/quota_bucket.py
+++ b/pollenwalk/policy/quota_bucket.py
@@ -66,6 +66,8 @@
 
         Tokens that are used in a window were granted in it or at most this long before.
         """
+        if rate_per_s <= 0:
+            return MAX_VALIDITY_MS
         usable = VALIDITY_SHARE * self.beyond(rate_per_s, burst)
         longest_ms = usable / rate_per_s * MS_PER_SECOND
         return max(min(MAX_VALIDITY_MS, longest_ms), MIN_VALIDITY_MS)
