gateway: place calls of sticky routes where their prompts are cached

Hosts were chosen by load and distance alone, so nearly every turn's prompt was computed anew. On routes with 'sticky' the expected finish now holds the prefill of what a host is not believed to have cached, by a bounded table of the parts and objects of calls that each host has begun to answer. Choices on other routes are as before.

--- a/pollenwalk/platform/headers.py
+++ b/pollenwalk/platform/headers.py
@@ -27,6 +27,8 @@
 LENGTH_HINT = b'x-pollenwalk-length-hint'
 # Parts of the prompt, as `id:tokens` separated by commas.
 PROMPT_PARTS = b'x-pollenwalk-prompt-prefix'
+# The object that a request works on, for routes whose hosts keep objects at hand.
+AFFINITY_KEY = b'x-pollenwalk-affinity-key'
 PREVIOUS_TURN = b'x-pollenwalk-previous-turn'
 LAST_EVENT_ID = b'last-event-id'
 # Id of the request that brought the first event of the stream that is resumed.
@@ -115,6 +117,7 @@
         resumes=LAST_EVENT_ID in found,
         resumed_attempt=found.get(RESUMES, ''),
         api_key=read_api_key(received),
+        affinity=found.get(AFFINITY_KEY, ''),
     )
 
 
--- a/pollenwalk/policy/host_choice.py
+++ b/pollenwalk/policy/host_choice.py
@@ -1,6 +1,7 @@
 """Choice of the upstream host that is expected to finish a call first."""
 
 import random
+import zlib
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
@@ -14,6 +15,22 @@
 TIE_TOLERANCE_MS = 4.0
 # Share by which a call's run time grows at a full host.
 FULL_HOST_SLOWDOWN = 0.2
+# An odd multiplier with irregular bits (2^64 divided by the golden ratio), which lets
+# each bit of a key affect the rank, and the bits that are kept.
+RANK_MULTIPLIER = 0x9E3779B97F4A7C15
+RANK_BITS = 0xFFFFFFFFFFFFFFFF
+
+
+class CachedPart(NamedTuple):
+    """A part of a prompt that hosts may have cached.
+
+    Attributes:
+        key: stands for the part's id.
+        tokens: number of tokens of the part.
+    """
+
+    key: int
+    tokens: int
 
 
 class Candidate(NamedTuple):
@@ -50,11 +67,19 @@
         run_ms: expected run time at an idle host.
         prompt_tokens: tokens of the prompt; prefill computes those not cached.
         prefill_ms_per_token: time to compute one token of the prompt.
+        batch_delay_share: share of the delay by which the prefill holds up each
+            other call of the batch that counts as a cost of this call.
+        parts: parts of the prompt in order, as tables of cached parts hold them.
+        affinity: key that all calls share that gain at the same host; None if the call
+            gains at none.
     """
 
     run_ms: float
     prompt_tokens: int = 0
     prefill_ms_per_token: float = 0.0
+    batch_delay_share: float = 0.0
+    parts: tuple[CachedPart, ...] = ()
+    affinity: int | None = None
 
 
 class HostChoice(Protocol):
@@ -83,7 +108,10 @@
         """Return the host with the earliest expected finish.
 
         Suspected hosts are considered only if all hosts are suspected. Among
-        hosts within `TIE_TOLERANCE_MS` of the best one, the choice is random.
+        hosts within `TIE_TOLERANCE_MS` of the best one, those with the longest
+        cached part of the prompt go first. Among them, the choice is random, or by
+        rendezvous hashing for a call with an affinity, so that several gateways choose
+        the same host for the same program or object, but others for others.
         """
         all_candidates = list(candidates)
         trusted = [one for one in all_candidates if not one.suspected] or all_candidates
@@ -94,7 +122,21 @@
         tied = [
             one for estimate, one in estimates if estimate <= best + TIE_TOLERANCE_MS
         ]
-        return self.rng.choice(tied)
+        return self.choose_equal(tied, cost.affinity)
+
+    def choose_equal(self, tied: list[Candidate], affinity: int | None) -> Candidate:
+        """Return one of the candidates whose estimates count as equal."""
+        most_cached = max(one.cached_tokens for one in tied)
+        equal = [one for one in tied if one.cached_tokens >= most_cached]
+        if affinity is None:
+            return self.rng.choice(equal)
+        return max(equal, key=lambda one: rendezvous_rank(one.host, affinity))
+
+
+def rendezvous_rank(host: str, affinity: int) -> int:
+    """Return the rank of a host for an affinity, the same at all gateways."""
+    checksum = zlib.crc32(host.encode())
+    return ((checksum ^ affinity) * RANK_MULTIPLIER) & RANK_BITS
 
 
 def round_trip_ms(candidate: Candidate) -> float:
@@ -127,12 +169,14 @@
     """Estimate in how many ms a host would finish a call, less its idle run time.
 
     The estimate is the sum of the round trip, the wait for a permit or a slot, the slowdown
-    by other calls and the prefill of uncached tokens. The run time at an idle
+    by other calls and the prefill of uncached tokens. The prefill also holds up the
+    batch, so it counts for more at a host with many calls. The run time at an idle
     host is left out, as it is the same everywhere.
     """
     load_share = candidate.load / max(candidate.slots, 1)
     slowdown_ms = cost.run_ms * FULL_HOST_SLOWDOWN * min(load_share, 1)
     uncached_tokens = max(cost.prompt_tokens - candidate.cached_tokens, 0)
-    prefill_ms = uncached_tokens * cost.prefill_ms_per_token
+    delayed_calls = 1 + cost.batch_delay_share * min(candidate.load, candidate.slots)
+    prefill_ms = uncached_tokens * cost.prefill_ms_per_token * delayed_calls
     total_wait_ms = round_trip_ms(candidate) + wait_ms(candidate, cost)
     return total_wait_ms + slowdown_ms + prefill_ms
--- a/pollenwalk/process/call_placer.py
+++ b/pollenwalk/process/call_placer.py
@@ -13,8 +13,10 @@
     wait_ms,
 )
 from pollenwalk.policy.own_load import OwnLoad
+from pollenwalk.policy.prompt_cost import PromptHeaders, prompt_cost
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.host_table import SMOOTHING, HostState, HostTable
+from pollenwalk.process.prompt_cache import PromptCache
 from pollenwalk.request.gateway_call import Call
 
 # Expected run time of a route's calls at an idle host, until one is measured.
@@ -26,6 +28,7 @@
 
     Attributes:
         run_times: the moving average of the run time in ms, by route name.
+        prompt_cache: keeps what the hosts are believed to have cached in bounds.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         self.resume_at_leaving_ms = resume_at_leaving_ms
         self.own_load = own_load or OwnLoad()
         self.run_times: dict[str, float] = {}
+        self.prompt_cache = PromptCache()
 
     def choose_host(
         self, call: Call, cost: CallCost, avoid: set[str]
@@ -106,7 +110,7 @@
         """Pick one of some hosts by the policy; None if there are none."""
         now_ms = self.clock.now_ms()
         states = {state.registration.id: state for state in hosts}
-        candidates = (self.candidate(state, now_ms) for state in states.values())
+        candidates = (self.candidate(state, now_ms, cost) for state in states.values())
         chosen = self.choice.choose(candidates, cost)
         return None if chosen is None else states[chosen.host]
 
@@ -118,7 +122,7 @@
         """
         now_ms = self.clock.now_ms()
         candidates = (
-            self.candidate(state, now_ms)._replace(
+            self.candidate(state, now_ms, cost)._replace(
                 permit_wait_ms=self.host_table.usual_permit_wait_ms(state, now_ms)
             )
             for state in self.host_table.available_hosts(call.upstream)
@@ -147,19 +151,22 @@
         now_ms = self.clock.now_ms()
         hosts = self.host_table.available_hosts(call.upstream)
         others = [
-            self.candidate(other, now_ms)
+            self.candidate(other, now_ms, cost)
             for other in without(hosts, avoid | {state.registration.id})
         ]
         finishes = [finish_ms(one, cost) for one in others if not one.suspected]
         if not finishes:
             return math.inf
-        own = self.candidate(state, now_ms)
+        own = self.candidate(state, now_ms, cost)
         without_wait = own._replace(permit_wait_ms=0)
         gain_ms = min(finishes) - finish_ms(without_wait, cost)
         return max(gain_ms, own.permit_wait_ms + TIE_TOLERANCE_MS)
 
-    def candidate(self, state: HostState, now_ms: float) -> Candidate:
+    def candidate(self, state: HostState, now_ms: float, cost: CallCost) -> Candidate:
         """Return a host in the form in which the policy compares hosts."""
+        cached_tokens = (
+            state.cached_parts.prefix_tokens(cost.parts) if cost.parts else 0
+        )
         registration = state.registration
         region = self.regions.get(self.zone)
         return Candidate(
@@ -168,7 +175,7 @@
             load=state.load(now_ms),
             same_zone=registration.zone == self.zone,
             same_region=self.regions.get(registration.zone) == region,
-            cached_tokens=0,
+            cached_tokens=cached_tokens,
             warm_up_ms=registration.warm_up_ms,
             suspected=state.suspected_until_ms > now_ms,
             permit_wait_ms=self.host_table.permit_wait_ms(state, now_ms),
@@ -181,6 +188,23 @@
         """
         state.record_failure(self.clock.now_ms())
 
+    def record_prompt(self, state: HostState, call: Call, cost: CallCost) -> None:
+        """Record that a host has begun to answer, so that it has read the prompt."""
+        if cost.parts:
+            self.prompt_cache.record(state.cached_parts, cost.parts, call.memory_tokens)
+
+    def expected_cost(self, call: Call) -> CallCost:
+        """Return the expected cost of a call, with its prompt if the route is sticky."""
+        run_ms = self.expected_run_ms(call)
+        if not call.route.sticky:
+            return CallCost(run_ms)
+        metadata = call.request.metadata
+        sequence = metadata.session or metadata.program
+        return prompt_cost(
+            run_ms,
+            PromptHeaders(metadata.prompt_parts, metadata.affinity, sequence),
+        )
+
     def expected_run_ms(self, call: Call) -> float:
         """Return the expected run time of a call that does not wait for a slot."""
         return self.run_times.get(call.route.name, DEFAULT_RUN_MS)
--- a/pollenwalk/process/host_table.py
+++ b/pollenwalk/process/host_table.py
@@ -16,6 +16,7 @@
 from pollenwalk.platform.documents import HOSTS_PREFIX, decode_host
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.host_limits import HostLimits
+from pollenwalk.process.prompt_cache import HostParts
 from pollenwalk.process.store import StoredObject
 from pollenwalk.process.unreadable_objects import UnreadableObjects
 
@@ -90,6 +91,7 @@
             not leave, or did so when it was first seen.
         said_leaving: whether the host has said in an answer that it leaves. It then
             leaves whatever its registration says, which may be older.
+        cached_parts: the parts of prompts that the host is believed to have cached.
     """
 
     def __init__(self, registration: UpstreamHost) -> None:
@@ -105,6 +107,7 @@
         self.permit_waits = RecentMean()
         self.leaving_since_ms: float | None = None
         self.said_leaving = False
+        self.cached_parts = HostParts()
 
     def update(self, registration: UpstreamHost, now_ms: float) -> None:
         """Replace the registration; note the time if the host begins to leave."""
--- a/pollenwalk/request/call_preparation.py
+++ b/pollenwalk/request/call_preparation.py
@@ -121,14 +121,16 @@
 ) -> Call:
     """Create a call with its upstream and its deadline."""
     metadata = request.metadata
+    upstream = pick_upstream(route, metadata.program or metadata.id)
     return Call(
         request=request,
         route=route,
-        upstream=pick_upstream(route, metadata.program or metadata.id),
+        upstream=upstream,
         version=current.version,
         deadline_at_ms=call_deadline_at_ms(request, route),
         tokens_per_event=current.tokens_per_event(route),
         organisation=organisation,
+        memory_tokens=current.memory_tokens(upstream),
     )
 
 
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -15,7 +15,6 @@
 from pollenwalk.connection.connection_pool import ConnectionPool
 from pollenwalk.errors import BrokenAnswer, NotSent, Outcome, Refusal, RefusalCode
 from pollenwalk.platform.headers import added_headers, resume_header
-from pollenwalk.policy.host_choice import CallCost
 from pollenwalk.policy.program_admission import (
     draw_elsewhere_retry_ms,
     draw_retry_after_ms,
@@ -96,7 +95,7 @@
         self.context = context
         self.call = call
         self.body = body
-        self.cost = CallCost(context.call_placer.expected_run_ms(call))
+        self.cost = context.call_placer.expected_cost(call)
         self.runs = 0
         self.sent_ms = 0.0
         self.found_no_free_slot = False
@@ -366,6 +365,8 @@
             raise BrokenAnswer(
                 f'status {head.status}, but the answer is unsigned or encoded'
             )
+        if exchange.succeeded:
+            self.context.call_placer.record_prompt(state, self.call, self.cost)
         self.context.metrics.count_send('answered')
 
     async def skip_refusal_body(self, exchange: Exchange) -> None:
--- a/pollenwalk/request/gateway_call.py
+++ b/pollenwalk/request/gateway_call.py
@@ -23,6 +23,8 @@
             process's clock.
         tokens_per_event: tokens that one event of the stream counts for.
         organisation: the caller's organisation; None if the route needs no key.
+        memory_tokens: tokens that fit into the memory of a host of the upstream; 0 if
+            not declared.
     """
 
     request: Request
@@ -32,6 +34,7 @@
     deadline_at_ms: float
     tokens_per_event: int
     organisation: Organisation | None = None
+    memory_tokens: int = 0
 
     @property
     def id(self) -> str:
--- a/pollenwalk/request/http_messages.py
+++ b/pollenwalk/request/http_messages.py
@@ -41,6 +41,7 @@
         resumed_attempt: id of the caller's attempt that brought the first event of
             that stream; empty if not stated.
         api_key: key that identifies the caller's organisation; empty if not stated.
+        affinity: the object that the request works on; empty if not stated.
     """
 
     id: str
@@ -57,6 +58,7 @@
     resumes: bool = False
     resumed_attempt: str = ''
     api_key: str = ''
+    affinity: str = ''
 
 
 class Request(NamedTuple):
--- a/pollenwalk/version/routes.py
+++ b/pollenwalk/version/routes.py
@@ -171,6 +171,16 @@
             return 1
         return upstream.engine.tokens_per_event
 
+    def memory_tokens(self, upstream_name: str) -> int:
+        """Return how many tokens fit into the memory of an upstream's host.
+
+        0 if the upstream is not declared or runs no model.
+        """
+        upstream = self.upstreams.get(upstream_name)
+        if upstream is None or upstream.engine is None:
+            return 0
+        return upstream.engine.memory_tokens
+
 
 def index_routes(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
     """Group routes by host name, the longest path prefix first."""
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -31,9 +31,11 @@
                 (b'x-pollenwalk-previous-turn', b'e5b2'),
                 (b'last-event-id', b'12'),
                 (b'resumes', b'77aa'),
+                (b'x-pollenwalk-affinity-key', b'obj-7'),
             ],
         )
         self.assertEqual('9c41', metadata.id)
+        self.assertEqual('obj-7', metadata.affinity)
         self.assertEqual(3000, metadata.deadline_ms)
         self.assertEqual(('p1', 's1'), (metadata.program, metadata.session))
         self.assertEqual(5200, metadata.program_remaining_ms)
--- a/test/request/test_forwarding.py
+++ b/test/request/test_forwarding.py
@@ -393,6 +393,24 @@
         self.assertEqual([0, 1], hosts.request_counts())
         hosts.hosts[1].stop()
 
+    @on_loop
+    async def test_refusing_host_has_read_nothing(self) -> None:
+        """Later calls would be drawn to a host that has not cached their object."""
+        hosts = Hosts(refuses_unrun, answers_with_error, answers_hello)
+        context = await hosts.start()
+        call = make_call(UNSAFE._replace(sticky=True))
+        metadata = call.request.metadata._replace(affinity='object')
+        call = call._replace(request=call.request._replace(metadata=metadata))
+        states = list(context.call_placer.host_table.states.values())
+        for avoided in ([], states[:2]):
+            for state in avoided:
+                state.record_failure(context.clock.now_ms())
+            await run_unary(context, call, RecordedReply())
+        for host in hosts.hosts:
+            host.stop()
+        cached = [len(state.cached_parts.tokens) for state in states]
+        self.assertEqual([0, 0, 1], cached)
+
     @on_loop
     async def test_headers_sent_to_the_host(self) -> None:
         hosts = Hosts(answers_hello)
