gateway: weigh hosts by the pace that they report

A host that works slowly for a while looked like any other with the same load. The load header may now have a fourth figure, how long work takes there. It scales the expected queue, slowdown, prefill and run, and decays within a few hundred ms to what the gateway's own unary calls took. Malformed figures are ignored; hosts that send three figures are compared as before.

--- a/pollenwalk/platform/headers.py
+++ b/pollenwalk/platform/headers.py
@@ -41,8 +41,10 @@
 ORGANISATION = b'x-pollenwalk-tenant'
 SIGNATURE = b'x-pollenwalk-server-signature'
 NOT_EXECUTED = b'x-pollenwalk-not-executed'
-# Running requests, waiting requests and slots of a host, separated by commas.
+# Running requests, waiting requests and slots of a host, separated by commas. Some hosts
+# add how long work takes there now, in percent of the usual.
 SERVER_LOAD = b'x-pollenwalk-server-load'
+LOAD_FIGURES = (3, 4)
 # Requests a second that a host in need takes from all gateways together.
 SERVER_LIMIT = b'server-limit'
 # A host that leaves sets it to LEAVING in all its answers.
@@ -93,6 +95,10 @@
 DECIMAL_NUMBER = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+')
 # Limits above this are no bound in practice, and too long a number has no value.
 MAX_LIMIT_PER_S = 1e6
+PERCENT = 100
+# Figures outside of these percentages tell nothing of a host's pace.
+MIN_SLOWNESS_PERCENT = 10
+MAX_SLOWNESS_PERCENT = 10_000
 # HTTP status by which a host refuses a request that was meant for another host.
 MISDIRECTED = 421
 
@@ -231,6 +237,7 @@
         misdirected=status == MISDIRECTED,
         encoded=CONTENT_ENCODING in found,
         load=read_load(found.get(SERVER_LOAD, '')),
+        slowness=read_slowness(found.get(SERVER_LOAD, '')),
         keep_alive_ms=read_keep_alive(found.get(KEEP_ALIVE, '')),
         retry_after_ms=None if retry_s is None else retry_s * MS_PER_SECOND,
         limit=read_limit(headers),
@@ -252,13 +259,26 @@
 
     None if the header is absent or malformed.
     """
-    numbers = [read_int(part) for part in text.split(',')]
-    if len(numbers) != 3 or None in numbers:
+    parts = text.split(',')
+    numbers = [read_int(part) for part in parts[:3]]
+    if len(parts) not in LOAD_FIGURES or None in numbers:
         return None
     running, waiting, slots = (number or 0 for number in numbers)
     return running, waiting, slots
 
 
+def read_slowness(text: str) -> float | None:
+    """Return how long work takes at a host, as a multiple of the usual time.
+
+    None if the figure is absent, malformed or absurd.
+    """
+    parts = text.split(',')
+    percent = read_float(parts[-1]) if len(parts) == max(LOAD_FIGURES) else None
+    if percent is None or not MIN_SLOWNESS_PERCENT <= percent <= MAX_SLOWNESS_PERCENT:
+        return None
+    return percent / PERCENT
+
+
 def read_limit(headers: Headers) -> NamedLimit | None:
     """Return the limit that a host names; None if it names none.
 
--- a/pollenwalk/policy/host_choice.py
+++ b/pollenwalk/policy/host_choice.py
@@ -47,6 +47,8 @@
         suspected: whether the host has failed recently.
         permit_wait_ms: estimated time until a permit for the host is free; 0 if the
             host has no limit.
+        slowness: how long a run takes at the host now, as a multiple of the usual
+            time.
     """
 
     host: str
@@ -58,6 +60,7 @@
     warm_up_ms: float
     suspected: bool
     permit_wait_ms: float = 0
+    slowness: float = 1
 
 
 class CallCost(NamedTuple):
@@ -153,8 +156,10 @@
 def queue_wait_ms(candidate: Candidate, cost: CallCost) -> float:
     """Return the expected wait in ms for a slot at a host."""
     slots = max(candidate.slots, 1)
-    queued = max(candidate.load + 1 - slots, 0)
-    return queued * cost.run_ms / slots
+    queued = candidate.load + 1 - slots
+    if queued <= 0:
+        return 0
+    return queued * cost.run_ms / slots * candidate.slowness
 
 
 def wait_ms(candidate: Candidate, cost: CallCost) -> float:
@@ -166,17 +171,28 @@
 
 
 def finish_ms(candidate: Candidate, cost: CallCost) -> float:
-    """Estimate in how many ms a host would finish a call, less its idle run time.
+    """Estimate in how many ms a host would finish a call, less its usual run time.
 
     The estimate is the sum of the round trip, the wait for a permit or a slot, the slowdown
-    by other calls and the prefill of uncached tokens. The prefill also holds up the
-    batch, so it counts for more at a host with many calls. The run time at an idle
-    host is left out, as it is the same everywhere.
+    by other calls and the prefill of uncached tokens. At a slow host the wait for a
+    slot, the slowdown, the prefill and the run take longer. The usual run time at
+    an idle host is left out, as it is the same everywhere.
     """
     load_share = candidate.load / max(candidate.slots, 1)
     slowdown_ms = cost.run_ms * FULL_HOST_SLOWDOWN * min(load_share, 1)
-    uncached_tokens = max(cost.prompt_tokens - candidate.cached_tokens, 0)
-    delayed_calls = 1 + cost.batch_delay_share * min(candidate.load, candidate.slots)
-    prefill_ms = uncached_tokens * cost.prefill_ms_per_token * delayed_calls
+    busy_ms = slowdown_ms + prefill_ms(candidate, cost)
     total_wait_ms = round_trip_ms(candidate) + wait_ms(candidate, cost)
-    return total_wait_ms + slowdown_ms + prefill_ms
+    slowness = candidate.slowness
+    return total_wait_ms + busy_ms * slowness + cost.run_ms * (slowness - 1)
+
+
+def prefill_ms(candidate: Candidate, cost: CallCost) -> float:
+    """Return the time to compute the uncached part of a prompt, as it is weighed.
+
+    The prefill also holds up the batch, so it counts for more at a host with many calls.
+    """
+    uncached_tokens = cost.prompt_tokens - candidate.cached_tokens
+    if uncached_tokens <= 0:
+        return 0
+    delayed_calls = cost.batch_delay_share * min(candidate.load, candidate.slots)
+    return uncached_tokens * cost.prefill_ms_per_token * (1 + delayed_calls)
--- a/pollenwalk/process/call_placer.py
+++ b/pollenwalk/process/call_placer.py
@@ -12,6 +12,7 @@
     round_trip_ms,
     wait_ms,
 )
+from pollenwalk.policy.host_pace import run_excess
 from pollenwalk.policy.own_load import OwnLoad
 from pollenwalk.policy.prompt_cost import PromptHeaders, prompt_cost
 from pollenwalk.process.clock import Clock
@@ -168,17 +169,19 @@
             state.cached_parts.prefix_tokens(cost.parts) if cost.parts else 0
         )
         registration = state.registration
+        same_zone = registration.zone == self.zone
         region = self.regions.get(self.zone)
         return Candidate(
             host=registration.id,
             slots=registration.slots,
             load=state.load(now_ms),
-            same_zone=registration.zone == self.zone,
-            same_region=self.regions.get(registration.zone) == region,
+            same_zone=same_zone,
+            same_region=same_zone or self.regions.get(registration.zone) == region,
             cached_tokens=cached_tokens,
             warm_up_ms=registration.warm_up_ms,
             suspected=state.suspected_until_ms > now_ms,
             permit_wait_ms=self.host_table.permit_wait_ms(state, now_ms),
+            slowness=state.slowness(now_ms, cost.run_ms),
         )
 
     def record_refusal(self, state: HostState, _reason: str) -> None:
@@ -209,15 +212,20 @@
         """Return the expected run time of a call that does not wait for a slot."""
         return self.run_times.get(call.route.name, DEFAULT_RUN_MS)
 
-    def record_run_time(self, call: Call, run_ms: float) -> None:
-        """Update the average run time of a route.
+    def record_run_time(self, state: HostState, call: Call, run_ms: float) -> None:
+        """Update the average run time of a route, and what is seen of a host's pace.
+
+        Streams tell nothing of the pace, as their lengths differ several-fold.
 
         Args:
+            state: the host.
             call: a call that was answered completely and did not wait for a
                 slot.
             run_ms: its run time.
         """
         mean_ms = self.expected_run_ms(call)
+        if not call.route.is_streaming:
+            state.run_excess.add(run_excess(run_ms, mean_ms), self.clock.now_ms())
         updated_ms = mean_ms + (run_ms - mean_ms) * SMOOTHING
         self.run_times[call.route.name] = updated_ms
 
--- a/pollenwalk/process/host_table.py
+++ b/pollenwalk/process/host_table.py
@@ -14,6 +14,7 @@
 from pollenwalk.connection.limit_messages import HostStart
 from pollenwalk.errors import MalformedObject
 from pollenwalk.platform.documents import HOSTS_PREFIX, decode_host
+from pollenwalk.policy.host_pace import ReportedPace, expected_slowness
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.host_limits import HostLimits
 from pollenwalk.process.prompt_cache import HostParts
@@ -92,6 +93,8 @@
         said_leaving: whether the host has said in an answer that it leaves. It then
             leaves whatever its registration says, which may be older.
         cached_parts: the parts of prompts that the host is believed to have cached.
+        reported_pace: what the host has last said of its pace; None if nothing.
+        run_excess: the shares by which this gateway's calls took longer than usual.
     """
 
     def __init__(self, registration: UpstreamHost) -> None:
@@ -108,6 +111,8 @@
         self.leaving_since_ms: float | None = None
         self.said_leaving = False
         self.cached_parts = HostParts()
+        self.reported_pace: ReportedPace | None = None
+        self.run_excess = RecentMean()
 
     def update(self, registration: UpstreamHost, now_ms: float) -> None:
         """Replace the registration; note the time if the host begins to leave."""
@@ -144,6 +149,17 @@
         self.other_calls = max(running + waiting - self.in_flight, 0)
         self.reported_at_ms = now_ms
 
+    def slowness(self, now_ms: float, run_ms: float) -> float:
+        """Estimate how long a run takes at the host, as a multiple of the usual time.
+
+        1 if the host has not said anything of its pace.
+        """
+        if self.reported_pace is None:
+            return 1
+        excess = self.run_excess
+        mean_excess = excess.estimate(now_ms) if excess.mean else 0
+        return expected_slowness(self.reported_pace, now_ms, run_ms, mean_excess)
+
     def load(self, now_ms: float) -> float:
         """Estimate the number of all gateways' calls at the host."""
         age_ms = self.report_age_ms(now_ms)
@@ -318,6 +334,8 @@
 
     def limit_of(self, state: HostState) -> float | None:
         """Return a host's limit in requests a second; None if it has none."""
+        if not self.limits.by_start:
+            return None
         return self.limits.limit_of(state.registration.start)
 
     def limited_hosts(self, upstream: str) -> list[HostState]:
--- a/pollenwalk/process/prompt_cache.py
+++ b/pollenwalk/process/prompt_cache.py
@@ -36,11 +36,12 @@
         A part that has grown since, as a session does, ends it.
         """
         found = 0
-        for part in parts:
-            cached = self.tokens.get(part.key, 0)
-            if cached < part.tokens:
+        known = self.tokens
+        for key, tokens in parts:
+            cached = known.get(key, 0)
+            if cached < tokens:
                 return found + cached
-            found += part.tokens
+            found += tokens
         return found
 
     def use(self, part: CachedPart) -> None:
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -15,6 +15,7 @@
 from pollenwalk.connection.connection_pool import ConnectionPool
 from pollenwalk.errors import BrokenAnswer, NotSent, Outcome, Refusal, RefusalCode
 from pollenwalk.platform.headers import added_headers, resume_header
+from pollenwalk.policy.host_pace import ReportedPace
 from pollenwalk.policy.program_admission import (
     draw_elsewhere_retry_ms,
     draw_retry_after_ms,
@@ -173,8 +174,8 @@
         limited = len(host_table.limited_hosts(upstream))
         return limited == sum(1 for _ in host_table.available_hosts(upstream))
 
-    def record_run_time(self) -> None:
-        """Record the time since the last send, once the answer is complete.
+    def record_run_time(self, state: HostState) -> None:
+        """Record the time since the last send, once a host's answer is complete.
 
         A call that may have waited for a slot is left out, so that run times do
         not include waits.
@@ -182,7 +183,7 @@
         if self.found_no_free_slot:
             return
         run_ms = self.context.clock.now_ms() - self.sent_ms
-        self.context.call_placer.record_run_time(self.call, run_ms)
+        self.context.call_placer.record_run_time(state, self.call, run_ms)
 
     def may_send(self) -> bool:
         """Return whether the call may be sent once more."""
@@ -396,6 +397,7 @@
             host=state.registration.id,
             load=round(state.load(now_ms), 1),
             load_age_ms=state.report_age_ms(now_ms),
+            slowness=round(state.slowness(now_ms, self.cost.run_ms), 2),
             limit=self.context.call_placer.host_table.limit_of(state),
             run=self.runs + 1,
             version=self.call.version,
@@ -480,6 +482,8 @@
     now_ms = context.clock.now_ms()
     if head.load is not None:
         state.record_load(head.load, now_ms)
+    if head.slowness is not None and head.speaks_for_host:
+        state.reported_pace = ReportedPace(head.slowness, now_ms)
     if head.speaks_for_host:
         context.permits.record_answer(state, head.limit)
     if head.leaving and not head.misdirected and state.record_leaving(now_ms):
--- a/pollenwalk/request/http_messages.py
+++ b/pollenwalk/request/http_messages.py
@@ -122,6 +122,8 @@
         encoded: whether the body has a content encoding; a plain one is expected.
         load: calls running at the host, calls waiting there, and its slots; None
             if not stated.
+        slowness: how long work takes at the host now, as a multiple of the usual
+            time; None if not stated.
         keep_alive_ms: how long the connection may stay idle; None if not stated.
         retry_after_ms: time after which the host may be tried again, as it states;
             None if not stated.
@@ -140,6 +142,7 @@
     misdirected: bool = False
     encoded: bool = False
     load: tuple[int, int, int] | None = None
+    slowness: float | None = None
     keep_alive_ms: float | None = None
     retry_after_ms: float | None = None
     limit: NamedLimit | None = None
--- a/pollenwalk/request/streaming.py
+++ b/pollenwalk/request/streaming.py
@@ -177,7 +177,7 @@
             exchange = await self.sender.open_exchange(self.last_event_id)
             self.check_resumed_status(exchange)
         if exchange.succeeded:
-            self.sender.record_run_time()
+            self.sender.record_run_time(exchange.state)
 
     async def open_first_exchange(self) -> Exchange:
         """Send the call until a host begins to answer.
--- a/pollenwalk/request/unary.py
+++ b/pollenwalk/request/unary.py
@@ -30,7 +30,7 @@
                 'the upstream host broke off its answer',
                 Outcome.UNKNOWN,
             )
-    sender.record_run_time()
+    sender.record_run_time(exchange.state)
     sender.crashes.record_completion()
     await reply.send_complete(exchange.head.status, exchange.head.headers, body)
 
--- a/test/platform/test_headers.py
+++ b/test/platform/test_headers.py
@@ -230,6 +230,19 @@
             self.assertEqual(expected, head.is_event_stream, name)
         self.assertTrue(read_answer_head(200, []).is_event_stream)
 
+    def test_fourth_figure_of_the_load(self) -> None:
+        """A malformed or absurd one must not hide the other three."""
+        absurd = (b'', b',', b',x', b',nan', b',inf', b',-5', b',0', b',9', b',1e9')
+        stated = ((b',250', 2.5), (b', 40.0 ', 0.4))
+        for text, slowness in (*stated, *((one, None) for one in absurd)):
+            head = read_answer_head(
+                200, [(b'x-pollenwalk-server-load', b'3,1,8' + text)]
+            )
+            self.assertEqual(((3, 1, 8), slowness), (head.load, head.slowness), text)
+        for text in (b'3,1,8,100,100', b'3,x,8,100', b'3,1'):
+            head = read_answer_head(200, [(b'x-pollenwalk-server-load', text)])
+            self.assertIsNone(head.load, text)
+
     def test_malformed_load_is_ignored(self) -> None:
         self.assertIsNone(
             read_answer_head(200, [(b'x-pollenwalk-server-load', b'3,x')]).load,
--- a/test/process/test_prompt_cache.py
+++ b/test/process/test_prompt_cache.py
@@ -5,6 +5,7 @@
 import testtools
 
 from pollenwalk.policy.host_choice import CachedPart, CallCost, EarliestFinish
+from pollenwalk.policy.host_pace import HALF_LIFE_MS, ReportedPace
 from pollenwalk.policy.prompt_cost import (
     MAX_PART_TOKENS,
     MAX_PARTS,
@@ -50,6 +51,10 @@
         kept = [host.prefix_tokens((shared, session)) for session in sessions]
         self.assertEqual([10, 50, 50], kept)
         self.assertEqual((90, 3), (host.total_tokens, cache.entries))
+        whole = parts_of(10, 40, 40, 10)
+        cache.record(host, whole, 100)
+        cache.record(host, (CachedPart(7, 20),), 100)
+        self.assertEqual(50, host.prefix_tokens(whole))
 
     def test_prompt_beyond_the_memory_evicts_nothing(self) -> None:
         host, cache = HostParts(), PromptCache()
@@ -147,6 +152,19 @@
         placer.host_table.apply_change(registration('i-2', 2, version='s2'))
         self.assertEqual({'i-0', 'i-1', 'i-2'}, self.chosen(placer, call))
 
+    @virtual
+    async def test_pace_counts_only_while_its_report_is_recent(self) -> None:
+        placer = self.make_placer(2)
+        call = make_call(UNSAFE)
+        state = placer.host_table.states['i-0']
+        state.reported_pace = ReportedPace(3, placer.clock.now_ms())
+        self.assertEqual({'i-1'}, self.chosen(placer, call))
+        placer.host_table.states['i-1'].in_flight = 40
+        self.assertEqual({'i-0'}, self.chosen(placer, call))
+        placer.host_table.states['i-1'].in_flight = 0
+        await placer.clock.sleep_ms(10 * HALF_LIFE_MS)
+        self.assertEqual({'i-0', 'i-1'}, self.chosen(placer, call))
+
     @virtual
     async def test_object_goes_where_it_was_handled(self) -> None:
         placer = self.make_placer(4)
--- a/test/request/test_forwarding.py
+++ b/test/request/test_forwarding.py
@@ -1,6 +1,7 @@
 """Forwarding of calls to upstream hosts that refuse, break off or hang."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -411,6 +412,28 @@
         cached = [len(state.cached_parts.tokens) for state in states]
         self.assertEqual([0, 0, 1], cached)
 
+    @on_loop
+    async def test_pace_is_the_word_of_the_host(self) -> None:
+        """A foreign server at a host's former address must not slow the host."""
+        load = b'X-Pollenwalk-Server-Load: 1,0,4,300\r\n'
+        for more, expected in (
+            (b'X-Pollenwalk-Server-Signature: s1\r\n', 3),
+            (b'', None),
+        ):
+
+            async def says_pace(
+                line: Line, request: Received, more: bytes = more
+            ) -> None:
+                line.say(answer(request, more=more + load))
+
+            hosts = Hosts(says_pace)
+            context = await hosts.start()
+            with contextlib.suppress(Refusal):
+                await run_unary(context, make_call(UNSAFE), RecordedReply())
+            hosts.hosts[0].stop()
+            pace = context.call_placer.host_table.states['i-0'].reported_pace
+            self.assertEqual(expected, pace and pace.slowness)
+
     @on_loop
     async def test_headers_sent_to_the_host(self) -> None:
         hosts = Hosts(answers_hello)
