gateway: leave full hosts to others among equal estimates of sticky calls

At run times below 30 ms a full host with a hit counted as equal to an idle one and was then preferred for its hit, so calls with one object would have queued there.

--- a/pollenwalk/policy/host_choice.py
+++ b/pollenwalk/policy/host_choice.py
@@ -111,10 +111,8 @@
         """Return the host with the earliest expected finish.
 
         Suspected hosts are considered only if all hosts are suspected. Among
-        hosts within `TIE_TOLERANCE_MS` of the best one, those with the longest
-        cached part of the prompt go first. Among them, the choice is random, or by
-        rendezvous hashing for a call with an affinity, so that several gateways choose
-        the same host for the same program or object, but others for others.
+        hosts within `TIE_TOLERANCE_MS` of the best one, the choice is random, unless
+        the call gains at some hosts by what they have cached.
         """
         all_candidates = list(candidates)
         trusted = [one for one in all_candidates if not one.suspected] or all_candidates
@@ -125,12 +123,22 @@
         tied = [
             one for estimate, one in estimates if estimate <= best + TIE_TOLERANCE_MS
         ]
-        return self.choose_equal(tied, cost.affinity)
+        return self.choose_equal(tied, cost) if cost.parts else self.rng.choice(tied)
 
-    def choose_equal(self, tied: list[Candidate], affinity: int | None) -> Candidate:
-        """Return one of the candidates whose estimates count as equal."""
-        most_cached = max(one.cached_tokens for one in tied)
-        equal = [one for one in tied if one.cached_tokens >= most_cached]
+    def choose_equal(self, tied: list[Candidate], cost: CallCost) -> Candidate:
+        """Choose for a call that gains at some hosts among estimates that count as equal.
+
+        Full hosts are left out if there are others: at short run times they count as
+        equal too, and all calls with the same object would queue there. Of the others,
+        those with the longest cached part of the prompt go first. Among them, the
+        choice is by rendezvous hashing for a call with an affinity, so that several
+        gateways choose the same host for the same program or object, but others for
+        others; else it is random.
+        """
+        free = [one for one in tied if one.load < one.slots] or tied
+        most_cached = max(one.cached_tokens for one in free)
+        equal = [one for one in free if one.cached_tokens >= most_cached]
+        affinity = cost.affinity
         if affinity is None:
             return self.rng.choice(equal)
         return max(equal, key=lambda one: rendezvous_rank(one.host, affinity))
--- a/test/process/test_prompt_cache.py
+++ b/test/process/test_prompt_cache.py
@@ -174,6 +174,9 @@
         self.assertEqual({'i-3'}, self.chosen(placer, call))
         placer.host_table.states['i-3'].in_flight = 8
         self.assertNotIn('i-3', self.chosen(placer, call))
+        # At so short a run time a full host is within the tolerance.
+        placer.run_times[call.route.name] = 10
+        self.assertNotIn('i-3', self.chosen(placer, call))
 
     @virtual
     async def test_gateways_agree_on_the_host_of_a_new_object(self) -> None:
