--- a/pollenwalk/policy/host_choice.py
+++ b/pollenwalk/policy/host_choice.py
@@ -1,6 +1,7 @@
 """Choice of the upstream host that is expected to finish a call first."""
 
 import random
+import zlib
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
@@ -14,6 +15,22 @@
 TIE_TOLERANCE_MS = 4.0
 # Share by which a call's run time grows at a full host.
 FULL_HOST_SLOWDOWN = 0.2
+# An odd multiplier with irregular bits (2^64 divided by the golden ratio), which lets
+# each bit of a key affect the rank, and the bits that are kept.
+RANK_MULTIPLIER = 0x9E3779B97F4A7C15
+RANK_BITS = 0xFFFFFFFFFFFFFFFF
+
+
+class CachedPart(NamedTuple):
+    """A part of a prompt that hosts may have cached.
+
+    Attributes:
+        key: stands for the part's id.
+        tokens: number of tokens of the part.
+    """
+
+    key: int
+    tokens: int
 
 
 class Candidate(NamedTuple):
@@ -30,6 +47,8 @@
         suspected: whether the host has failed recently.
         permit_wait_ms: estimated time until a permit for the host is free; 0 if the
             host has no limit.
+        slowness: how long a run takes at the host now, as a multiple of the usual
+            time.
     """
 
     host: str
@@ -41,6 +60,7 @@
     warm_up_ms: float
     suspected: bool
     permit_wait_ms: float = 0
+    slowness: float = 1
 
 
 class CallCost(NamedTuple):
@@ -50,11 +70,19 @@
         run_ms: expected run time at an idle host.
         prompt_tokens: tokens of the prompt; prefill computes those not cached.
         prefill_ms_per_token: time to compute one token of the prompt.
+        batch_delay_share: share of the delay by which the prefill holds up each
+            other call of the batch that counts as a cost of this call.
+        parts: parts of the prompt in order, as tables of cached parts hold them.
+        affinity: key that all calls share that gain at the same host; None if the call
+            gains at none.
     """
 
     run_ms: float
     prompt_tokens: int = 0
     prefill_ms_per_token: float = 0.0
+    batch_delay_share: float = 0.0
+    parts: tuple[CachedPart, ...] = ()
+    affinity: int | None = None
 
 
 class HostChoice(Protocol):
@@ -83,7 +111,8 @@
         """Return the host with the earliest expected finish.
 
         Suspected hosts are considered only if all hosts are suspected. Among
-        hosts within `TIE_TOLERANCE_MS` of the best one, the choice is random.
+        hosts within `TIE_TOLERANCE_MS` of the best one, the choice is random, unless
+        the call gains at some hosts by what they have cached.
         """
         all_candidates = list(candidates)
         trusted = [one for one in all_candidates if not one.suspected] or all_candidates
@@ -94,7 +123,31 @@
         tied = [
             one for estimate, one in estimates if estimate <= best + TIE_TOLERANCE_MS
         ]
-        return self.rng.choice(tied)
+        return self.choose_equal(tied, cost) if cost.parts else self.rng.choice(tied)
+
+    def choose_equal(self, tied: list[Candidate], cost: CallCost) -> Candidate:
+        """Choose for a call that gains at some hosts among estimates that count as equal.
+
+        Full hosts are left out if there are others: at short run times they count as
+        equal too, and all calls with the same object would queue there. Of the others,
+        those with the longest cached part of the prompt go first. Among them, the
+        choice is by rendezvous hashing for a call with an affinity, so that several
+        gateways choose the same host for the same program or object, but others for
+        others; else it is random.
+        """
+        free = [one for one in tied if one.load < one.slots] or tied
+        most_cached = max(one.cached_tokens for one in free)
+        equal = [one for one in free if one.cached_tokens >= most_cached]
+        affinity = cost.affinity
+        if affinity is None:
+            return self.rng.choice(equal)
+        return max(equal, key=lambda one: rendezvous_rank(one.host, affinity))
+
+
+def rendezvous_rank(host: str, affinity: int) -> int:
+    """Return the rank of a host for an affinity, the same at all gateways."""
+    checksum = zlib.crc32(host.encode())
+    return ((checksum ^ affinity) * RANK_MULTIPLIER) & RANK_BITS
 
 
 def round_trip_ms(candidate: Candidate) -> float:
@@ -111,8 +164,10 @@
 def queue_wait_ms(candidate: Candidate, cost: CallCost) -> float:
     """Return the expected wait in ms for a slot at a host."""
     slots = max(candidate.slots, 1)
-    queued = max(candidate.load + 1 - slots, 0)
-    return queued * cost.run_ms / slots
+    queued = candidate.load + 1 - slots
+    if queued <= 0:
+        return 0
+    return queued * cost.run_ms / slots * candidate.slowness
 
 
 def wait_ms(candidate: Candidate, cost: CallCost) -> float:
@@ -124,15 +179,28 @@
 
 
 def finish_ms(candidate: Candidate, cost: CallCost) -> float:
-    """Estimate in how many ms a host would finish a call, less its idle run time.
+    """Estimate in how many ms a host would finish a call, less its usual run time.
 
     The estimate is the sum of the round trip, the wait for a permit or a slot, the slowdown
-    by other calls and the prefill of uncached tokens. The run time at an idle
-    host is left out, as it is the same everywhere.
+    by other calls and the prefill of uncached tokens. At a slow host the wait for a
+    slot, the slowdown, the prefill and the run take longer. The usual run time at
+    an idle host is left out, as it is the same everywhere.
     """
     load_share = candidate.load / max(candidate.slots, 1)
     slowdown_ms = cost.run_ms * FULL_HOST_SLOWDOWN * min(load_share, 1)
-    uncached_tokens = max(cost.prompt_tokens - candidate.cached_tokens, 0)
-    prefill_ms = uncached_tokens * cost.prefill_ms_per_token
+    busy_ms = slowdown_ms + prefill_ms(candidate, cost)
     total_wait_ms = round_trip_ms(candidate) + wait_ms(candidate, cost)
-    return total_wait_ms + slowdown_ms + prefill_ms
+    slowness = candidate.slowness
+    return total_wait_ms + busy_ms * slowness + cost.run_ms * (slowness - 1)
+
+
+def prefill_ms(candidate: Candidate, cost: CallCost) -> float:
+    """Return the time to compute the uncached part of a prompt, as it is weighed.
+
+    The prefill also holds up the batch, so it counts for more at a host with many calls.
+    """
+    uncached_tokens = cost.prompt_tokens - candidate.cached_tokens
+    if uncached_tokens <= 0:
+        return 0
+    delayed_calls = cost.batch_delay_share * min(candidate.load, candidate.slots)
+    return uncached_tokens * cost.prefill_ms_per_token * (1 + delayed_calls)
--- a/pollenwalk/request/http_messages.py
+++ b/pollenwalk/request/http_messages.py
@@ -41,6 +41,7 @@
         resumed_attempt: id of the caller's attempt that brought the first event of
             that stream; empty if not stated.
         api_key: key that identifies the caller's organisation; empty if not stated.
+        affinity: the object that the request works on; empty if not stated.
     """
 
     id: str
@@ -57,6 +58,7 @@
     resumes: bool = False
     resumed_attempt: str = ''
     api_key: str = ''
+    affinity: str = ''
 
 
 class Request(NamedTuple):
@@ -120,6 +122,8 @@
         encoded: whether the body has a content encoding; a plain one is expected.
         load: calls running at the host, calls waiting there, and its slots; None
             if not stated.
+        slowness: how long work takes at the host now, as a multiple of the usual
+            time; None if not stated.
         keep_alive_ms: how long the connection may stay idle; None if not stated.
         retry_after_ms: time after which the host may be tried again, as it states;
             None if not stated.
@@ -138,6 +142,7 @@
     misdirected: bool = False
     encoded: bool = False
     load: tuple[int, int, int] | None = None
+    slowness: float | None = None
     keep_alive_ms: float | None = None
     retry_after_ms: float | None = None
     limit: NamedLimit | None = None
--- a/test/request/test_forwarding.py
+++ b/test/request/test_forwarding.py
@@ -1,6 +1,7 @@
 """Forwarding of calls to upstream hosts that refuse, break off or hang."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -393,6 +394,46 @@
         self.assertEqual([0, 1], hosts.request_counts())
         hosts.hosts[1].stop()
 
+    @on_loop
+    async def test_refusing_host_has_read_nothing(self) -> None:
+        """Later calls would be drawn to a host that has not cached their object."""
+        hosts = Hosts(refuses_unrun, answers_with_error, answers_hello)
+        context = await hosts.start()
+        call = make_call(UNSAFE._replace(sticky=True))
+        metadata = call.request.metadata._replace(affinity='object')
+        call = call._replace(request=call.request._replace(metadata=metadata))
+        states = list(context.call_placer.host_table.states.values())
+        for avoided in ([], states[:2]):
+            for state in avoided:
+                state.record_failure(context.clock.now_ms())
+            await run_unary(context, call, RecordedReply())
+        for host in hosts.hosts:
+            host.stop()
+        cached = [len(state.cached_parts.tokens) for state in states]
+        self.assertEqual([0, 0, 1], cached)
+
+    @on_loop
+    async def test_pace_is_the_word_of_the_host(self) -> None:
+        """A foreign server at a host's former address must not slow the host."""
+        load = b'X-Pollenwalk-Server-Load: 1,0,4,300\r\n'
+        for more, expected in (
+            (b'X-Pollenwalk-Server-Signature: s1\r\n', 3),
+            (b'', None),
+        ):
+
+            async def says_pace(
+                line: Line, request: Received, more: bytes = more
+            ) -> None:
+                line.say(answer(request, more=more + load))
+
+            hosts = Hosts(says_pace)
+            context = await hosts.start()
+            with contextlib.suppress(Refusal):
+                await run_unary(context, make_call(UNSAFE), RecordedReply())
+            hosts.hosts[0].stop()
+            pace = context.call_placer.host_table.states['i-0'].reported_pace
+            self.assertEqual(expected, pace and pace.slowness)
+
     @on_loop
     async def test_headers_sent_to_the_host(self) -> None:
         hosts = Hosts(answers_hello)
