--- a/pollenwalk/policy/quota_bucket.py
+++ b/pollenwalk/policy/quota_bucket.py
@@ -31,6 +31,8 @@
 # Tokens for expected requests are granted above this level only.
 SPARE_LEVEL_SHARE = 0.5
 
+# Least rate that times are computed with.
+MIN_RATE_PER_S = 0.001
 # Fractions of tokens that are lost when times are rounded.
 ROUNDING = 1e-6
 
@@ -67,7 +69,7 @@
         Tokens that are used in a window were granted in it or at most this long before.
         """
         usable = VALIDITY_SHARE * self.beyond(rate_per_s, burst)
-        longest_ms = usable / rate_per_s * MS_PER_SECOND
+        longest_ms = usable / max(rate_per_s, MIN_RATE_PER_S) * MS_PER_SECOND
         return max(min(MAX_VALIDITY_MS, longest_ms), MIN_VALIDITY_MS)
 
     def capacity(self, rate_per_s: float, burst: float) -> float:
--- a/pollenwalk/process/quota_owner.py
+++ b/pollenwalk/process/quota_owner.py
@@ -21,6 +21,7 @@
 )
 from pollenwalk.policy.quota_bucket import (
     IDLE_LEVEL_SHARE,
+    MIN_RATE_PER_S,
     MS_PER_SECOND,
     ROUNDING,
     SPARE_LEVEL_SHARE,
@@ -74,11 +75,13 @@
     def grant(self, request: RequestQuota) -> QuotaGrant:
         """Grant tokens of an organisation's quota."""
         share = self.shares.find(request.organisation)
-        part = self.usable_part(share)
-        if share is None or not part:
+        if share is None:
             return unavailable(self.boot_id)
         now_ms = self.clock.boot_ms()
         self.learn(share, request, now_ms)
+        part = self.usable_part(share)
+        if not part:
+            return unavailable(self.boot_id)
         self.shares.fill(share, now_ms)
         share.asked_at_ms = now_ms
         self.take_back(share, request, now_ms)
@@ -95,9 +98,9 @@
             return_ms=return_ms(share, refused, next_start_ms, now_ms),
         )
 
-    def usable_part(self, share: OrganisationShare | None) -> float:
+    def usable_part(self, share: OrganisationShare) -> float:
         """Return the part of a quota that may be granted now, 0 to 1."""
-        if share is None or not self.shares.has_majority:
+        if not self.shares.has_majority:
             return 0
         return self.shares.part_at(share, self.clock.boot_ms())
 
@@ -295,7 +298,8 @@
     """
     first_ms = now_ms + next_start_ms
     return_at_ms = max(first_ms, min(share.return_at_ms, first_ms + MAX_SPREAD_MS))
-    starts_per_ms = share.rate_per_s / share.programs.mean / MS_PER_SECOND
+    rate_per_s = max(share.rate_per_s, MIN_RATE_PER_S)
+    starts_per_ms = rate_per_s / share.programs.mean / MS_PER_SECOND
     share.return_at_ms = return_at_ms + max(refused, 0) / starts_per_ms
     return return_at_ms - now_ms
 
--- a/test/process/test_keepers.py
+++ b/test/process/test_keepers.py
@@ -6,6 +6,7 @@
 import testtools
 
 from pollenwalk.errors import Refusal, RefusalCode
+from pollenwalk.policy.quota_bucket import QuotaBound
 from pollenwalk.process.departure import Departure
 from pollenwalk.process.keeper import Keeper, KeeperSettings
 from pollenwalk.process.keeper_daemon import start_membership_tasks
@@ -54,8 +55,11 @@
         nodes: the node on which each keeper runs.
         keepers: the keepers by name.
         tolerated_losses: how many disks may be lost at the same time.
+        quota_bound: how exactly the keepers keep quotas; None if they keep none.
     """
 
+    quota_bound: QuotaBound | None = None
+
     def __init__(self, tolerated_losses: int = 1) -> None:
         """Create a store without keepers."""
         self.tolerated_losses = tolerated_losses
@@ -74,7 +78,13 @@
         disk = self.disks.setdefault(name, MemoryDisk(clock))
         disk.clock = clock
         settings = KeeperSettings(
-            name, name, REGIONS, f'{name}:1', first_start, self.tolerated_losses
+            name,
+            name,
+            REGIONS,
+            f'{name}:1',
+            first_start,
+            self.tolerated_losses,
+            self.quota_bound,
         )
         network = VirtualNetwork(self.fabric, node)
         state = KeeperState(disk, clock)
