gateway: second attempts for slow idempotent calls

A few slow hosts show in the slowest answers of repeatable unary calls. With [gateway] hedge_share above 0, a call that takes longer than its route's usual times goes to a second host; the first complete answer is forwarded and the other attempt's connection closed. A budget keeps second attempts to that share of sends over any window. With 0, the default, calls run as before.

--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -20,6 +20,7 @@
 from pollenwalk.process.gateway_follower import GatewayFollower
 from pollenwalk.process.gateway_gauges import awaited_processes, refresh_gauges
 from pollenwalk.process.gateway_metrics import GatewayMetrics
+from pollenwalk.process.hedging import make_hedging
 from pollenwalk.process.host_table import HostTable
 from pollenwalk.process.keeper_feed import KeeperFeed
 from pollenwalk.process.keeper_group import KeeperGroup
@@ -79,6 +80,8 @@
             that it leaves.
         revocation_ms: time within which the revocation of a key must be in force, also
             at gateways that are cut off; 0 if those may go on with what they know.
+        hedge_share: share of sends that may be second attempts for slow calls; 0 for
+            none.
     """
 
     name: str
@@ -88,6 +91,7 @@
     change_delay_ms: float
     leave_notice_ms: float
     revocation_ms: float = 0
+    hedge_share: float = 0
 
 
 class Gateway:
@@ -157,6 +161,7 @@
             rng,
             StreamRegistry(self.keepers),
             self.permits,
+            make_hedging(settings.hedge_share, self.metrics),
         )
 
     @property
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -86,6 +86,7 @@
                 options['change_delay_ms'],
                 options['leave_notice_ms'],
                 options.get('revocation_ms', 0),
+                options.get('hedge_share', 0),
             ),
             self.store,
             TcpNetwork(),
--- a/pollenwalk/process/gateway_metrics.py
+++ b/pollenwalk/process/gateway_metrics.py
@@ -92,6 +92,10 @@
             'gateway_permits_total',
             'Permits for hosts with a limit, by what came of asking for them.',
         )
+        self.hedges_total = self.counter(
+            'gateway_hedges_total',
+            'Second attempts for slow calls, by what came of them.',
+        )
         self.keepers = self.gauge('gateway_keepers', 'Keepers listed.')
         self.keepers_lost = self.gauge(
             'gateway_keepers_lost',
@@ -127,6 +131,10 @@
         """Count a permit that was asked for, by its outcome."""
         self.permits_total.inc({'outcome': outcome})
 
+    def count_hedge(self, outcome: str) -> None:
+        """Count what became of a second attempt: started, won or refused."""
+        self.hedges_total.inc({'outcome': outcome})
+
     def count_store_failure(self, what: str) -> None:
         """Count a read of the store that was not answered, by what was read."""
         self.store_losses_total.inc({'what': what})
--- a/pollenwalk/request/call_crashes.py
+++ b/pollenwalk/request/call_crashes.py
@@ -22,6 +22,11 @@
         """Return whether the call should run on a host without other calls."""
         return needs_idle_host(self.guard.crashes(self.call.request))
 
+    @property
+    def any_known(self) -> bool:
+        """Return whether a host is known to have crashed on the call."""
+        return self.guard.crashes(self.call.request) > 0
+
     def check(self, runs: int) -> None:
         """Refuse the call if too many hosts have crashed on it.
 
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -24,6 +24,7 @@
 from pollenwalk.process.call_placer import CallPlacer
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.gateway_metrics import GatewayMetrics
+from pollenwalk.process.hedging import Hedging
 from pollenwalk.process.host_table import HostState
 from pollenwalk.process.permit_client import PermitClient
 from pollenwalk.process.stream_registry import StreamRegistry
@@ -60,6 +61,7 @@
         rng: the process's random number generator.
         streams: records and finds where streams began.
         permits: obtains permits for hosts with a limit.
+        hedging: allows second attempts; None if no call has one.
     """
 
     clock: Clock
@@ -69,6 +71,7 @@
     rng: random.Random
     streams: StreamRegistry
     permits: PermitClient
+    hedging: Hedging | None = None
 
 
 class CallSender:
@@ -354,13 +357,13 @@
             self.build_headers(state, last_event_id),
             self.body,
         )
-        self.runs += 1
+        self.record_sent()
         head = await exchange.connection.read_head(self.call.id)
         exchange.head = head
         record_head(self.context, self.call, state, head)
         if head.refused:
             self.runs -= 1
-            await self.skip_refusal_body(exchange)
+            await skip_refusal_body(self.context.clock, exchange)
             raise NotSent(f'refused with status {head.status}')
         if not head.signed or head.encoded:
             raise BrokenAnswer(
@@ -368,16 +371,9 @@
             )
         self.context.metrics.count_send('answered')
 
-    async def skip_refusal_body(self, exchange: Exchange) -> None:
-        """Read the body of a host's refusal, so that the connection can be reused.
-
-        The exchange stays incomplete, which closes the connection, if the body is
-        broken, exceeds MAX_REFUSAL_BODY_BYTES or takes longer than
-        REFUSAL_BODY_TIMEOUT_MS. The head alone proves that the call was not run.
-        """
-        with contextlib.suppress(BrokenAnswer, TimeoutError):
-            async with self.context.clock.timeout_ms(REFUSAL_BODY_TIMEOUT_MS):
-                await exchange.skip_body(MAX_REFUSAL_BODY_BYTES)
+    def record_sent(self) -> None:
+        """Count a request that has been written, which the host may run."""
+        self.runs += 1
 
     def log_send(self, state: HostState, last_event_id: str) -> None:
         """Log the chosen host and its estimated load, just before the send.
@@ -472,6 +468,18 @@
         self.crashes.check(self.runs)
 
 
+async def skip_refusal_body(clock: Clock, exchange: Exchange) -> None:
+    """Read the body of a host's refusal, so that the connection can be reused.
+
+    The exchange stays incomplete, which closes the connection, if the body is
+    broken, exceeds MAX_REFUSAL_BODY_BYTES or takes longer than
+    REFUSAL_BODY_TIMEOUT_MS. The head alone proves that the call was not run.
+    """
+    with contextlib.suppress(BrokenAnswer, TimeoutError):
+        async with clock.timeout_ms(REFUSAL_BODY_TIMEOUT_MS):
+            await exchange.skip_body(MAX_REFUSAL_BODY_BYTES)
+
+
 def record_head(
     context: ForwardingContext, call: Call, state: HostState, head: AnswerHead
 ) -> None:
--- a/pollenwalk/request/unary.py
+++ b/pollenwalk/request/unary.py
@@ -4,6 +4,7 @@
 from pollenwalk.request.call_sender import CallSender, ForwardingContext
 from pollenwalk.request.exchange import Exchange
 from pollenwalk.request.gateway_call import Call
+from pollenwalk.request.hedged_unary import may_be_hedged, run_hedged
 from pollenwalk.request.reply import Reply
 
 
@@ -18,6 +19,9 @@
     Raises:
         Refusal: no host gave a complete answer.
     """
+    if context.hedging is not None and may_be_hedged(call.route):
+        await run_hedged(context, call, reply, context.hedging)
+        return
     sender = CallSender(context, call, call.request.body)
     while True:
         exchange = await sender.open_exchange()
