commands: explain-route says where a gateway would send a request

Logs show where a request went, not where one would go now. The gateway's metrics listener explains a request without sending it: route, upstream, program admission, and the figures by which a host is chosen.

--- a/pollenwalk/commands/main.py
+++ b/pollenwalk/commands/main.py
@@ -20,6 +20,7 @@
     'deployment',
     'status',
     'explain',
+    'explain_route',
     'demo',
     'standin',
     'scenarios',
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from pollenwalk.connection.addresses import split_address
+from pollenwalk.connection.explain_page import ExplainPage
 from pollenwalk.connection.gateway_app import GatewayApp
 from pollenwalk.connection.http_server import HttpServer
 from pollenwalk.connection.plain_page import Page, PlainPage
@@ -21,6 +22,7 @@
 from pollenwalk.process.load_monitor import LoadMonitor, peak_memory_mib
 from pollenwalk.process.logs import set_up_logs
 from pollenwalk.process.metrics_page import metrics_server
+from pollenwalk.process.route_explanation import RouteExplainer
 from pollenwalk.process.settings import Settings, read_settings
 from pollenwalk.process.signals import stop_on_signals
 
@@ -121,8 +123,15 @@
             self.gateway.metrics,
             self.refresh_metrics,
             options['metrics'],
+            self.add_explanations,
         )
 
+    def add_explanations(self, page: PlainPage) -> ExplainPage:
+        """Return an application that also explains where requests would go."""
+        gateway = self.gateway
+        explainer = RouteExplainer(gateway.preparation, gateway.forwarding_context)
+        return ExplainPage(page, explainer.explain, self.clock.now_ms)
+
     def readiness(self) -> Page:
         """Return the answer to a load balancer's check."""
         return Page(OK if self.gateway.ready else NOT_READY)
--- a/pollenwalk/process/metrics_page.py
+++ b/pollenwalk/process/metrics_page.py
@@ -49,6 +49,7 @@
     metrics: MetricSet,
     refresh: Callable[[], None],
     address: str,
+    wrap: Callable[[PlainPage], object] | None = None,
 ) -> HttpServer:
     """Create the HTTP server for a process's metrics, without starting it.
 
@@ -56,10 +57,13 @@
         metrics: the metrics to serve.
         refresh: updates the gauges before each scrape.
         address: `ip:port` to listen on.
+        wrap: returns an application that serves other paths besides; None for no
+            others.
     """
 
     def show() -> Page:  # noqa: WPS430
         refresh()
         return metrics.render()
 
-    return HttpServer(PlainPage(PATH, show), *split_address(address))
+    page = PlainPage(PATH, show)
+    return HttpServer(wrap(page) if wrap else page, *split_address(address))
