gateway: answer times of a route are kept by upstream

If one upstream of a route was slow and another one was not, each call of the slow one looked like an outlier and could get a second attempt.

--- a/pollenwalk/policy/answer_times.py
+++ b/pollenwalk/policy/answer_times.py
@@ -1,4 +1,8 @@
-"""The recent answer times of each route, and after which time a call is unusually slow."""
+"""The recent answer times of each route, and after which time a call is unusually slow.
+
+The upstreams of a route are kept apart: a call of a slow upstream must not look like an
+outlier because another upstream answers in time.
+"""
 
 import math
 from collections import deque
@@ -15,8 +19,8 @@
 # A call is slow only if it takes this many times the median: answers whose times
 # differ little are not worth a second attempt.
 MEDIAN_FACTOR = 2.0
-# Shortest delay: on a gateway with a part of a core, the event loop alone may take
-# this long.
+# Shortest delay; chosen, not measured. Below it, the delay of the event loop of a busy
+# gateway would decide (policy/own_load.py).
 MIN_DELAY_MS = 20.0
 # Answers after which the delay is computed again, as it sorts all samples.
 UPDATE_INTERVAL = 8
@@ -25,9 +29,12 @@
 # Routes whose samples are kept; the one without an answer for longest is removed.
 MAX_ROUTES = 256
 
+# Names of a route and of one of its upstreams.
+RouteKey = tuple[str, str]
+
 
 class RouteTimes:
-    """The recent answer times of one route.
+    """The recent answer times of one route at one upstream.
 
     Attributes:
         samples: answer times in ms, the oldest first.
@@ -61,18 +68,18 @@
     """The recent answer times of all routes.
 
     Attributes:
-        routes: the times by route name, the route answered last at the end.
+        routes: the times by route and upstream, the one answered last at the end.
     """
 
     def __init__(self) -> None:
         """Create times without any route."""
-        self.routes: dict[str, RouteTimes] = {}
+        self.routes: dict[RouteKey, RouteTimes] = {}
 
-    def record(self, route: str, sent_ms: float, now_ms: float) -> None:
+    def record(self, route: RouteKey, sent_ms: float, now_ms: float) -> None:
         """Record that a call was answered completely.
 
         Args:
-            route: name of the call's route.
+            route: the call's route and upstream.
             sent_ms: time at which the attempt that was answered began.
             now_ms: the current time.
         """
@@ -84,14 +91,14 @@
         if len(self.routes) > MAX_ROUTES:
             self.routes.pop(next(iter(self.routes)))
 
-    def delay_ms(self, route: str, now_ms: float) -> float | None:
+    def delay_ms(self, route: RouteKey, now_ms: float) -> float | None:
         """Return the time after which a call is unusually slow; None if not known."""
         times = self.routes.get(route)
         if times is None or is_outdated(times, now_ms):
             return None
         return times.delay_ms
 
-    def is_outlier(self, route: str, sent_ms: float) -> bool:
+    def is_outlier(self, route: RouteKey, sent_ms: float) -> bool:
         """Return whether a call sent no earlier than `sent_ms` was answered in time.
 
         If none was, all hosts may be slow, and a second attempt would only add to
--- a/pollenwalk/request/gateway_call.py
+++ b/pollenwalk/request/gateway_call.py
@@ -38,6 +38,11 @@
         """Return the id of the request."""
         return self.request.metadata.id
 
+    @property
+    def route_key(self) -> tuple[str, str]:
+        """Return the names of the route and of the upstream."""
+        return self.route.name, self.upstream
+
     @property
     def organisation_name(self) -> str:
         """Return the name of the caller's organisation; empty for none."""
--- a/pollenwalk/request/hedged_unary.py
+++ b/pollenwalk/request/hedged_unary.py
@@ -228,11 +228,11 @@
 
     def hedge_delay_ms(self) -> float | None:
         """Return after which time the first attempt is slow; None for no second one."""
-        route = self.first.call.route
-        if self.runs_with_first >= route.max_attempts:
+        call = self.first.call
+        if self.runs_with_first >= call.route.max_attempts:
             return None
         now_ms = self.first.context.clock.now_ms()
-        return self.hedging.answer_times.delay_ms(route.name, now_ms)
+        return self.hedging.answer_times.delay_ms(call.route_key, now_ms)
 
     async def run_second(self, delay_ms: float) -> Answer | None:
         """Start the second attempt once the first is slow; return its answer, if any.
@@ -243,7 +243,7 @@
         clock = self.first.context.clock
         began_ms = clock.now_ms()
         await clock.sleep_ms(delay_ms)
-        route = self.first.call.route.name
+        route = self.first.call.route_key
         while not self.hedging.answer_times.is_outlier(route, began_ms):
             await clock.sleep_ms(delay_ms * RECHECK_SHARE)
         if self.first.crashes.any_known:
@@ -334,7 +334,7 @@
     answer = await obtain_answer(sender)
     now_ms = context.clock.now_ms()
     if answer.succeeded:
-        hedging.answer_times.record(call.route.name, answer.sender.sent_ms, now_ms)
+        hedging.answer_times.record(call.route_key, answer.sender.sent_ms, now_ms)
     if answer.sender is not sender:
         hedging.metrics.count_hedge('won')
         logger.info(
--- a/test/policy/test_hedging_policy.py
+++ b/test/policy/test_hedging_policy.py
@@ -17,6 +17,7 @@
 
 NOW_MS = 5000.0
 SENDS = 3000
+KEY = ('r', 'up')
 
 
 def sends_with_hedges(share: float, rng: random.Random) -> list[int]:
@@ -34,7 +35,7 @@
     """Return times with enough samples, `samples` in turn."""
     times = AnswerTimes()
     for number in range(MIN_SAMPLES):
-        times.record('r', NOW_MS - samples[number % len(samples)], NOW_MS)
+        times.record(KEY, NOW_MS - samples[number % len(samples)], NOW_MS)
     return times
 
 
@@ -77,47 +78,47 @@
     def test_too_few_samples(self) -> None:
         times = AnswerTimes()
         for _ in range(MIN_SAMPLES - 1):
-            times.record('r', NOW_MS - 50, NOW_MS)
-        self.assertIsNone(times.delay_ms('r', NOW_MS))
-        times.record('r', NOW_MS - 50, NOW_MS)
-        self.assertEqual(100, times.delay_ms('r', NOW_MS))
-        self.assertIsNone(times.delay_ms('other', NOW_MS))
+            times.record(KEY, NOW_MS - 50, NOW_MS)
+        self.assertIsNone(times.delay_ms(KEY, NOW_MS))
+        times.record(KEY, NOW_MS - 50, NOW_MS)
+        self.assertEqual(100, times.delay_ms(KEY, NOW_MS))
+        self.assertIsNone(times.delay_ms((KEY[0], 'other'), NOW_MS))
 
     def test_one_slow_host_of_ten_leaves_the_delay(self) -> None:
         """Guards against a delay that is the time of the slow host."""
         times = times_of(*[50] * 9, 900)
-        self.assertEqual(100, times.delay_ms('r', NOW_MS))
+        self.assertEqual(100, times.delay_ms(KEY, NOW_MS))
 
     def test_widely_spread_times(self) -> None:
         times = times_of(50, 50, 50, 400)
-        self.assertEqual(400, times.delay_ms('r', NOW_MS))
+        self.assertEqual(400, times.delay_ms(KEY, NOW_MS))
 
     def test_short_answers(self) -> None:
         """Guards against a loop that never sleeps."""
-        self.assertEqual(MIN_DELAY_MS, times_of(0).delay_ms('r', NOW_MS))
+        self.assertEqual(MIN_DELAY_MS, times_of(0).delay_ms(KEY, NOW_MS))
 
     def test_only_timely_answers_show_an_outlier(self) -> None:
         """Guards against extra work while all hosts are slow."""
         times = times_of(50)
         later_ms = NOW_MS + 500
-        times.record('r', later_ms - 101, later_ms)
-        self.assertFalse(times.is_outlier('r', NOW_MS))
-        times.record('r', later_ms - 100, later_ms)
-        self.assertTrue(times.is_outlier('r', later_ms - 100))
-        self.assertFalse(times.is_outlier('r', later_ms - 99))
+        times.record(KEY, later_ms - 101, later_ms)
+        self.assertFalse(times.is_outlier(KEY, NOW_MS))
+        times.record(KEY, later_ms - 100, later_ms)
+        self.assertTrue(times.is_outlier(KEY, later_ms - 100))
+        self.assertFalse(times.is_outlier(KEY, later_ms - 99))
 
     def test_memory_is_bounded(self) -> None:
         times = AnswerTimes()
         for number in range(MAX_ROUTES + 5):
-            times.record(f'r{number}', NOW_MS, NOW_MS)
+            times.record(('r', f'up{number}'), NOW_MS, NOW_MS)
         for _ in range(MAX_SAMPLES + 5):
-            times.record('r99', NOW_MS, NOW_MS)
+            times.record(('r', 'up99'), NOW_MS, NOW_MS)
         self.assertEqual(MAX_ROUTES, len(times.routes))
-        self.assertEqual(MAX_SAMPLES, len(times.routes['r99'].samples))
+        self.assertEqual(MAX_SAMPLES, len(times.routes['r', 'up99'].samples))
 
     def test_old_times_are_forgotten(self) -> None:
         times = times_of(50)
         later_ms = NOW_MS + MAX_IDLE_MS + 1
-        self.assertIsNone(times.delay_ms('r', later_ms))
-        times.record('r', later_ms - 50, later_ms)
-        self.assertIsNone(times.delay_ms('r', later_ms))
+        self.assertIsNone(times.delay_ms(KEY, later_ms))
+        times.record(KEY, later_ms - 50, later_ms)
+        self.assertIsNone(times.delay_ms(KEY, later_ms))
--- a/test/request/test_hedged_unary.py
+++ b/test/request/test_hedged_unary.py
@@ -33,6 +33,7 @@
 DELAY_S = 0.06
 SLOW_S = 0.5
 ALWAYS = 1.0
+KEY = make_call(ROUTE).route_key
 
 
 def after(delay_s: float, script: Script = answers_hello) -> Script:
@@ -73,7 +74,7 @@
         self.hedging = Hedging(share, context.metrics)
         now_ms = context.clock.now_ms()
         for _ in range(MIN_SAMPLES):
-            self.hedging.answer_times.record('r', now_ms - USUAL_S * 1000, now_ms)
+            self.hedging.answer_times.record(KEY, now_ms - USUAL_S * 1000, now_ms)
         self.hedging.budget.count_send()
         self.addCleanup(self.stop)
         return context._replace(hedging=self.hedging)
@@ -98,7 +99,7 @@
         running = asyncio.ensure_future(run_unary(context, make_call(route), reply))
         while not running.done():
             now_ms = context.clock.now_ms()
-            self.hedging.answer_times.record('r', now_ms - USUAL_S * 1000, now_ms)
+            self.hedging.answer_times.record(KEY, now_ms - USUAL_S * 1000, now_ms)
             await asyncio.wait((running,), timeout=DELAY_S / 4)
         error = None
         try:
