--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -20,6 +20,7 @@
 from pollenwalk.process.gateway_follower import GatewayFollower
 from pollenwalk.process.gateway_gauges import awaited_processes, refresh_gauges
 from pollenwalk.process.gateway_metrics import GatewayMetrics
+from pollenwalk.process.hedging import make_hedging
 from pollenwalk.process.host_table import HostTable
 from pollenwalk.process.keeper_feed import KeeperFeed
 from pollenwalk.process.keeper_group import KeeperGroup
@@ -83,6 +84,8 @@
             at gateways that are cut off; 0 if those may go on with what they know.
         quota_window_ms: length of the windows in which the requests of an organisation
             are counted; 0 if no quotas are kept.
+        hedge_share: share of sends that may be second attempts for slow calls; 0 for
+            none.
     """
 
     name: str
@@ -93,6 +96,7 @@
     leave_notice_ms: float
     revocation_ms: float = 0
     quota_window_ms: float = 0
+    hedge_share: float = 0
 
 
 class Gateway:
@@ -167,6 +171,7 @@
             StreamRegistry(self.keepers),
             self.permits,
             self.quotas,
+            make_hedging(settings.hedge_share, self.metrics, self.quotas.prepay),
         )
 
     @property
--- a/pollenwalk/process/gateway_metrics.py
+++ b/pollenwalk/process/gateway_metrics.py
@@ -96,6 +96,10 @@
             'gateway_quota_tokens_total',
             'Tokens of quotas by what came of them.',
         )
+        self.hedges_total = self.counter(
+            'gateway_hedges_total',
+            'Second attempts for slow calls, by what came of them.',
+        )
         self.keepers = self.gauge('gateway_keepers', 'Keepers listed.')
         self.keepers_lost = self.gauge(
             'gateway_keepers_lost',
@@ -136,6 +140,10 @@
         if count:
             self.quota_tokens_total.inc({'outcome': outcome}, count)
 
+    def count_hedge(self, outcome: str) -> None:
+        """Count what became of a second attempt: started, won or refused."""
+        self.hedges_total.inc({'outcome': outcome})
+
     def count_store_failure(self, what: str) -> None:
         """Count a read of the store that was not answered, by what was read."""
         self.store_losses_total.inc({'what': what})
--- a/pollenwalk/process/quota_client.py
+++ b/pollenwalk/process/quota_client.py
@@ -202,17 +202,32 @@
         self.metrics.count_quota_tokens('used')
         return True
 
+    def prepay(self, call: Call) -> bool:
+        """Take a token for a further send that follows at once, if there is one.
+
+        `pay` uses it; `release` puts it back if the call is not sent after all.
+        """
+        state = self.state_of(call)
+        if state is None:
+            return True
+        token = state.request(False, self.clock.boot_ms())
+        if token is None:
+            return False
+        self.metrics.count_quota_tokens('used')
+        self.unsent.setdefault(call.owned_key(call.id), []).append(token)
+        return True
+
     def release(self, call: Call) -> None:
-        """Put back the token of a call of which nothing was sent."""
-        tokens = self.unsent.get(call.owned_key(call.id))
+        """Put back the tokens of sends of a call that did not take place."""
+        tokens = self.unsent.pop(call.owned_key(call.id), [])
         state = self.by_organisation.get(call.organisation_name)
-        if not tokens or state is None:
+        if state is None:
             return
-        token = tokens[-1]
-        self.is_first_send(call)
-        self.metrics.count_quota_tokens('unsent')
-        if token.expires_at_ms > self.clock.boot_ms():
-            state.calls.put_back(token)
+        now_ms = self.clock.boot_ms()
+        self.metrics.count_quota_tokens('unsent', len(tokens))
+        for token in tokens:
+            if token.expires_at_ms > now_ms:
+                state.calls.put_back(token)
 
     def state_of(self, call: Call) -> OrganisationState | None:
         """Return what is known of a call's organisation; None if it has no quota."""
--- a/pollenwalk/process/settings.py
+++ b/pollenwalk/process/settings.py
@@ -72,6 +72,7 @@
         'quota_window_s': number_field(0, 600),
         'quota_excess': number_field(0, 10),
         'quota_slack': number_field(0, 10_000),
+        'hedge_share': number_field(0, 0.2),
         'tolerated_losses': int_field(0, 16),
     },
     'keeper': {
