--- a/pollenwalk/request/hedged_unary.py
+++ b/pollenwalk/request/hedged_unary.py
@@ -344,7 +344,7 @@
             host=answer.host.registration.id,
             took_ms=round(now_ms - answer.sender.sent_ms),
         )
-    answer.sender.record_run_time()
+    answer.sender.record_run_time(answer.host)
     sender.crashes.record_completion()
     await reply.send_complete(answer.head.status, answer.head.headers, answer.body)
 
