gateway: tell hosts the priority of each request

Hosts served urgent and other requests alike in a burst, as no request had a priority: about as many urgent programs ended late as others. Each send now carries a level of 0 to 9 by the priorities of organisation and route, begun before new programs, and late programs behind those in time. One program in four is sent as if its route were the most urgent, so that less urgent routes do not starve. Sent only with organisations in the configuration or host_priorities.

--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -25,6 +25,7 @@
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_links import KeeperLinks
 from pollenwalk.process.keeper_members import KEEPERS_PREFIX
+from pollenwalk.process.load_admission import LoadAdmission
 from pollenwalk.process.load_reporter import LoadReporter
 from pollenwalk.process.permit_client import PermitClient
 from pollenwalk.process.store import ObjectStore
@@ -79,6 +80,8 @@
             that it leaves.
         revocation_ms: time within which the revocation of a key must be in force, also
             at gateways that are cut off; 0 if those may go on with what they know.
+        host_priorities: whether hosts are told priorities even if the configuration
+            has no organisations.
     """
 
     name: str
@@ -88,6 +91,7 @@
     change_delay_ms: float
     leave_notice_ms: float
     revocation_ms: float = 0
+    host_priorities: bool = False
 
 
 class Gateway:
@@ -157,6 +161,7 @@
             rng,
             StreamRegistry(self.keepers),
             self.permits,
+            LoadAdmission(clock, self.active_configuration, settings.host_priorities),
         )
 
     @property
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -86,6 +86,7 @@
                 options['change_delay_ms'],
                 options['leave_notice_ms'],
                 options.get('revocation_ms', 0),
+                options.get('host_priorities') == 'true',
             ),
             self.store,
             TcpNetwork(),
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -25,6 +25,7 @@
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.host_table import HostState
+from pollenwalk.process.load_admission import LoadAdmission
 from pollenwalk.process.permit_client import PermitClient
 from pollenwalk.process.stream_registry import StreamRegistry
 from pollenwalk.request.call_crashes import CallCrashes
@@ -60,6 +61,7 @@
         rng: the process's random number generator.
         streams: records and finds where streams began.
         permits: obtains permits for hosts with a limit.
+        admission: decides on urgent and new programs; None for no such decisions.
     """
 
     clock: Clock
@@ -69,6 +71,7 @@
     rng: random.Random
     streams: StreamRegistry
     permits: PermitClient
+    admission: LoadAdmission | None = None
 
 
 class CallSender:
@@ -416,7 +419,10 @@
         remaining_ms = self.call.remaining_ms(self.context.clock.now_ms())
         try:
             added = added_headers(
-                state.registration.id, remaining_ms, None, self.call.organisation_name
+                state.registration.id,
+                remaining_ms,
+                host_priority(self.context, self.call, self.permits.begins_program),
+                self.call.organisation_name,
             )
         except ValueError as error:
             raise NotSent(f'unusable id of the host: {error}') from error
@@ -472,6 +478,15 @@
         self.crashes.check(self.runs)
 
 
+def host_priority(
+    context: ForwardingContext, call: Call, begins_program: bool
+) -> int | None:
+    """Return the priority that a host is told with a call; None for its default."""
+    if context.admission is None:
+        return None
+    return context.admission.host_priority(call, begins_program)
+
+
 def record_head(
     context: ForwardingContext, call: Call, state: HostState, head: AnswerHead
 ) -> None:
