gateway: refuse new programs while turns of running ones take too long

In a burst no program was refused and nearly all ended late, because the wait at the best host does not show that batches slow down. A gateway now learns the uncrowded time of turns for each route. While turns use too much of the time that programs may take longer, new ones begin only as fast as the turns of others end. Off unless the configuration has organisations or load_admission is set.

--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -25,7 +25,7 @@
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_links import KeeperLinks
 from pollenwalk.process.keeper_members import KEEPERS_PREFIX
-from pollenwalk.process.load_admission import LoadAdmission
+from pollenwalk.process.load_admission import AdmissionSwitches, LoadAdmission
 from pollenwalk.process.load_reporter import LoadReporter
 from pollenwalk.process.permit_client import PermitClient
 from pollenwalk.process.store import ObjectStore
@@ -82,6 +82,8 @@
             at gateways that are cut off; 0 if those may go on with what they know.
         host_priorities: whether hosts are told priorities even if the configuration
             has no organisations.
+        load_admission: whether new programs are refused while running ones can't
+            stay in time, even if the configuration has no organisations.
     """
 
     name: str
@@ -92,6 +94,7 @@
     leave_notice_ms: float
     revocation_ms: float = 0
     host_priorities: bool = False
+    load_admission: bool = False
 
 
 class Gateway:
@@ -161,7 +164,13 @@
             rng,
             StreamRegistry(self.keepers),
             self.permits,
-            LoadAdmission(clock, self.active_configuration, settings.host_priorities),
+            LoadAdmission(
+                clock,
+                self.active_configuration,
+                self.metrics,
+                rng,
+                AdmissionSwitches(settings.host_priorities, settings.load_admission),
+            ),
         )
 
     @property
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -87,6 +87,7 @@
                 options['leave_notice_ms'],
                 options.get('revocation_ms', 0),
                 options.get('host_priorities') == 'true',
+                options.get('load_admission') == 'true',
             ),
             self.store,
             TcpNetwork(),
--- a/pollenwalk/process/gateway_metrics.py
+++ b/pollenwalk/process/gateway_metrics.py
@@ -27,6 +27,10 @@
             'gateway_sends_total',
             'Sends to upstream hosts by what came of them.',
         )
+        self.refused_programs_total = self.counter(
+            'gateway_refused_programs_total',
+            'New programs that were refused, by reason.',
+        )
         self.leaving_total = self.counter(
             'gateway_hosts_leaving_total',
             'Hosts that were known to leave by their answers before the list said so.',
@@ -123,6 +127,10 @@
         """Count an attempt to send a call to a host, by its outcome."""
         self.sends_total.inc({'outcome': outcome})
 
+    def count_refused_program(self, reason: str) -> None:
+        """Count a new program that was refused, by the reason."""
+        self.refused_programs_total.inc({'reason': reason})
+
     def count_permit(self, outcome: str) -> None:
         """Count a permit that was asked for, by its outcome."""
         self.permits_total.inc({'outcome': outcome})
--- a/pollenwalk/process/settings.py
+++ b/pollenwalk/process/settings.py
@@ -70,6 +70,7 @@
         'leave_notice_ms': number_field(100, 600_000),
         'revocation_ms': number_field(0, 600_000),
         'host_priorities': choice_field('true', 'false'),
+        'load_admission': choice_field('true', 'false'),
         'tolerated_losses': int_field(0, 16),
     },
     'keeper': {
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -146,6 +146,7 @@
             retry_after_ms=round(retry_after_ms),
         )
         self.context.metrics.count_send('turned_back')
+        self.context.metrics.count_refused_program('wait')
         raise Refusal(
             RefusalCode.OVERLOADED,
             f'upstream {call.upstream} or this gateway is too busy for one more program',
--- a/pollenwalk/request/streaming.py
+++ b/pollenwalk/request/streaming.py
@@ -15,6 +15,7 @@
 from pollenwalk.request.http_messages import AnswerHead, Framing
 from pollenwalk.request.reply import Reply
 from pollenwalk.request.stream_origin import find_origin, stream_lifetime_ms
+from pollenwalk.request.turn_timer import TurnTimer
 
 
 class Turn(Protocol):
@@ -142,6 +143,23 @@
     sender.permits.begins_program = turn.begins_program
     if turn.begins_program:
         sender.check_program_admission()
+        await check_load(sender, turn)
+
+
+async def check_load(sender: CallSender, turn: Turn) -> None:
+    """Refuse a turn that begins a program while running programs can't stay in time.
+
+    Raises:
+        Refusal: the program may not begin, or too few keepers answered.
+    """
+    admission = sender.context.admission
+    reason = admission.reason_to_refuse(sender.call) if admission else ''
+    if admission is None or not reason:
+        return
+    await turn.confirm_beginning()
+    if turn.begins_program:
+        raise admission.refuse(sender.call, reason)
+    sender.permits.begins_program = False
 
 
 class StreamForwarder:
@@ -153,6 +171,7 @@
         may_resume: whether a host that goes on after `last_event_id` repeats
             nothing: the last event with data that was sent has an id.
         loop_share: lets other tasks run while many events are forwarded.
+        timer: measures the turn.
     """
 
     def __init__(self, sender: CallSender, turn: Turn, reply: Reply) -> None:
@@ -164,6 +183,7 @@
         self.last_event_id = ''
         self.may_resume = True
         self.loop_share = LoopShare()
+        self.timer = TurnTimer(sender.context.clock)
 
     async def run(self) -> None:
         """Forward the stream; if it breaks off, resume it at another host.
@@ -178,6 +198,17 @@
             self.check_resumed_status(exchange)
         if exchange.succeeded:
             self.sender.record_run_time()
+            self.record_turn(exchange)
+
+    def record_turn(self, exchange: Exchange) -> None:
+        """Record how long the turn took, unless several hosts ran parts of it."""
+        admission = self.sender.context.admission
+        if admission is None or self.sender.runs > 1:
+            return
+        host = exchange.state.registration.id
+        turn = self.timer.measure(self.call, host, self.sender.sent_ms)
+        if turn is not None:
+            admission.record_turn(turn)
 
     async def open_first_exchange(self) -> Exchange:
         """Send the call until a host begins to answer.
@@ -266,6 +297,8 @@
 
     async def forward_event(self, exchange: Exchange, event: Event) -> None:
         """Send one event to the caller once the turn permits it."""
+        if event.payload is not None:
+            self.timer.record_arrival(exchange)
         if self.loop_share.is_used_up():
             await self.loop_share.let_others_run()
         await self.turn.before_event(event)
@@ -275,6 +308,8 @@
         self.last_event_id = event.id or self.last_event_id
         if event.id or event.payload is not None:
             self.may_resume = bool(event.id)
+        if event.payload is not None:
+            self.timer.record_forwarded()
 
     def fix_version(self, exchange: Exchange) -> None:
         """Make the stream go on at the version of its host only, and record that."""
--- a/test/process/test_load_admission.py
+++ b/test/process/test_load_admission.py
@@ -1,20 +1,28 @@
-"""Which calls a gateway applies the policies of urgency to."""
+"""Which calls a gateway applies the policies of urgency and admission to."""
+
+import random
 
 import testtools
 
+from pollenwalk.errors import Refusal, RefusalCode
+from pollenwalk.policy.turn_times import TurnTime
 from pollenwalk.process.clock import LoopClock
-from pollenwalk.process.load_admission import LoadAdmission
+from pollenwalk.process.gateway_metrics import GatewayMetrics
+from pollenwalk.process.load_admission import AdmissionSwitches, LoadAdmission
+from pollenwalk.request.streaming import StandaloneTurn, make_sender, run_stream
 from pollenwalk.request.unary import run_unary
 from pollenwalk.version.active_configuration import ActiveConfiguration
 from pollenwalk.version.organisations import Organisation, index_keys
 from pollenwalk.version.routes import CallerLimits, RoutingConfiguration, index_routes
 from test.helper import on_loop
 from test.request.test_forwarding import (
+    RESUMABLE,
     ROUTE,
     Hosts,
     RecordedReply,
     answers_hello,
     make_call,
+    streams_to_end,
 )
 
 PRIORITY_HEADER = 'x-pollenwalk-request-priority'
@@ -30,6 +38,40 @@
     return active
 
 
+def make_admission(
+    active: ActiveConfiguration, *switches: bool, refused: bool = False
+) -> LoadAdmission:
+    """Return the admission of a gateway.
+
+    Args:
+        active: the configuration.
+        switches: those that are not off.
+        refused: whether it lets no program begin now.
+    """
+    rng = random.Random(1)
+    metrics = GatewayMetrics()
+    admission = LoadAdmission(
+        LoopClock(), active, metrics, rng, AdmissionSwitches(*switches)
+    )
+    if refused:
+        admission.stretch.may_begin = lambda *_: False
+    return admission
+
+
+class FirstTurn(StandaloneTurn):
+    """A turn of which the first keepers know no earlier one of its program."""
+
+    def __init__(self, is_first: bool) -> None:
+        """Create a turn of which a majority says whether it is the first."""
+        super().__init__(b'')
+        self.begins_program = True
+        self.is_first = is_first
+
+    async def confirm_beginning(self) -> None:
+        """Learn what the majority knows."""
+        self.begins_program = self.is_first
+
+
 class LoadAdmissionTest(testtools.TestCase):
     """What is done with and without organisations in the configuration."""
 
@@ -45,19 +87,18 @@
     @on_loop
     async def test_priorities_are_sent_only_if_configured(self) -> None:
         # Guards against a changed order at hosts of deployments that did not ask for it.
-        clock = LoopClock()
         plain = make_configuration()
-        self.assertIsNone(await self.sent_priority(LoadAdmission(clock, plain)))
-        told = await self.sent_priority(LoadAdmission(clock, plain, True))
+        self.assertIsNone(await self.sent_priority(make_admission(plain)))
+        told = await self.sent_priority(make_admission(plain, True))
         self.assertIsNotNone(told)
-        told = await self.sent_priority(LoadAdmission(clock, make_configuration(ACME)))
+        told = await self.sent_priority(make_admission(make_configuration(ACME)))
         self.assertIsNotNone(told)
 
     @on_loop
     async def test_levels_follow_the_configuration(self) -> None:
         # Guards against levels of ranks that the configuration no longer has.
         active = make_configuration(ACME)
-        admission = LoadAdmission(LoopClock(), active)
+        admission = make_admission(active)
         call = make_call(ROUTE)._replace(organisation=ACME)
         before = admission.host_priority(call, begins_program=False)
         active.current = make_configuration(ACME._replace(priority=0)).current
@@ -65,3 +106,46 @@
         after = admission.host_priority(urgent, begins_program=False)
         self.assertEqual(0, after)
         self.assertTrue((before or 0) > 0)
+
+    async def begin_program(self, admission: LoadAdmission, is_first: bool) -> str:
+        """Return the code of the refusal of a first turn; empty if it may run."""
+        hosts = Hosts(answers_hello)
+        context = (await hosts.start())._replace(admission=admission)
+        hosts.hosts[0].stop()
+        try:
+            await make_sender(context, make_call(RESUMABLE), FirstTurn(is_first))
+        except Refusal as refusal:
+            self.assertTrue((refusal.retry_after_ms or 0) > 0)
+            return refusal.code
+        return ''
+
+    @on_loop
+    async def test_new_programs_are_refused_only_if_configured(self) -> None:
+        # Guards against refusals in deployments that did not ask for them, and of
+        # turns that a majority of the keepers knows as later ones of their program.
+        plain = make_configuration()
+        off = make_admission(plain, refused=True)
+        self.assertEqual('', await self.begin_program(off, is_first=True))
+        for active, switches in (
+            (plain, (False, True)),
+            (make_configuration(ACME), ()),
+        ):
+            admission = make_admission(active, *switches, refused=True)
+            outcome = await self.begin_program(admission, is_first=True)
+            self.assertEqual(RefusalCode.OVERLOADED, outcome)
+            self.assertEqual('', await self.begin_program(admission, is_first=False))
+
+    @on_loop
+    async def test_streams_are_measured(self) -> None:
+        # Guards against admission that never learns how long turns take.
+        hosts = Hosts(streams_to_end)
+        admission = make_admission(make_configuration())
+        measured: list[TurnTime] = []
+        admission.record_turn = measured.append
+        context = (await hosts.start())._replace(admission=admission)
+        await run_stream(
+            context, make_call(RESUMABLE), StandaloneTurn(b''), RecordedReply()
+        )
+        hosts.hosts[0].stop()
+        self.assertEqual([(4, 'i-0')], [(one.events, one.host) for one in measured])
+        self.assertTrue(0 < measured[0].first_ms <= measured[0].total_ms)
