gateway: refuse new programs of organisations beyond their share first

Each gateway now compares how many programs the active organisations try to begin. One that exceeds its share begins them at that share of the rate at which programs end, and only while hosts are nearly full.

--- a/pollenwalk/policy/stretch_admission.py
+++ b/pollenwalk/policy/stretch_admission.py
@@ -69,6 +69,13 @@
     used: float
 
 
+class Crowding(NamedTuple):
+    """The mean share of spare time used, and of the hosts' slots taken."""
+
+    used: float
+    host_load: float
+
+
 class UpstreamLoad:
     """What one gateway observes of the programs at one upstream.
 
@@ -101,13 +108,24 @@
         Returns:
             The share; 0 if there are too few turns, or their hosts are not full.
         """
+        crowding = self.crowding(now_ms)
+        return crowding.used if crowding.host_load >= MIN_HOST_LOAD else 0
+
+    def crowding(self, now_ms: float) -> Crowding:
+        """Return the means of recent turns; zeros if there are too few."""
         recent = [turn for turn in self.recent if turn.ended_ms >= now_ms - RECENT_MS]
         counted = without_worst_host(recent)
         if len(counted) < MIN_RECENT:
-            return 0
-        if mean(turn.host_load for turn in counted) < MIN_HOST_LOAD:
-            return 0
-        return mean(turn.used for turn in counted)
+            return Crowding(0, 0)
+        return Crowding(
+            mean(turn.used for turn in counted),
+            mean(turn.host_load for turn in counted),
+        )
+
+    def programs_per_ms(self, now_ms: float) -> float:
+        """Return how many programs the turns that end now make up."""
+        begun = max(self.begun.at(now_ms), 1)
+        return self.ended.per_ms(now_ms) / max(self.turns.at(now_ms) / begun, 1)
 
     def fill(self, used: float, now_ms: float) -> None:
         """Add the programs that may begin since the last time.
@@ -116,12 +134,10 @@
             used: the share of their spare time that turns use now.
             now_ms: the current time.
         """
-        begun = self.begun.at(now_ms)
-        turns_each = max(self.turns.at(now_ms) / max(begun, 1), 1)
         factor = min(max(1 + (TARGET_USED - used) * GAIN, MIN_FACTOR), MAX_FACTOR)
-        per_ms = self.ended.per_ms(now_ms) / turns_each * factor
-        gained = per_ms * (now_ms - self.filled_at_ms)
-        has_room = used < ADMIT_ALL_BELOW or begun < MIN_BEGUN
+        since_ms = now_ms - self.filled_at_ms
+        gained = self.programs_per_ms(now_ms) * factor * since_ms
+        has_room = used < ADMIT_ALL_BELOW or self.begun.at(now_ms) < MIN_BEGUN
         self.tokens = MAX_TOKENS if has_room else min(self.tokens + gained, MAX_TOKENS)
         self.filled_at_ms = now_ms
 
--- a/pollenwalk/process/load_admission.py
+++ b/pollenwalk/process/load_admission.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from pollenwalk.errors import Refusal, RefusalCode
+from pollenwalk.policy.fair_shares import FairShares, counted_wait_ms
 from pollenwalk.policy.program_admission import draw_retry_after_ms
 from pollenwalk.policy.request_priority import (
     PriorityScale,
@@ -15,7 +16,7 @@
     is_late,
     is_promoted,
 )
-from pollenwalk.policy.stretch_admission import StretchAdmission
+from pollenwalk.policy.stretch_admission import MAX_RANK_STEPS, StretchAdmission
 from pollenwalk.policy.turn_times import TurnTime
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.gateway_metrics import GatewayMetrics
@@ -25,6 +26,7 @@
 
 # Reasons for which new programs are refused.
 STRETCH = 'stretch'
+SHARE = 'share'
 
 
 class AdmissionSwitches(NamedTuple):
@@ -47,6 +49,7 @@
         active_configuration: the configuration in force.
         switches: what is done without organisations.
         stretch: what was observed of turns, and the admission by it.
+        shares: what organisations asked for lately.
         scale: levels of the configuration's ranks.
         scale_of: the configuration that `scale` belongs to.
     """
@@ -66,6 +69,7 @@
         self.rng = rng
         self.switches = switches
         self.stretch = StretchAdmission()
+        self.shares = FairShares()
         self.scale = PriorityScale([])
         self.scale_of: RoutingConfiguration | None = None
 
@@ -110,11 +114,44 @@
         if not self.switches.refuses_programs and not self.has_organisations:
             return ''
         now_ms = self.clock.now_ms()
-        may_begin = self.stretch.may_begin(call.upstream, self.rank_steps(call), now_ms)
-        return '' if may_begin else STRETCH
+        if self.exceeds_share(call) and not self.may_begin_beyond_share(call):
+            return SHARE
+        if self.stretch.may_begin(call.upstream, self.rank_steps(call), now_ms):
+            return ''
+        return SHARE if self.exceeds_share(call) else STRETCH
+
+    def record_demand(self, call: Call) -> None:
+        """Record that the caller's organisation, if any, tries to begin a program."""
+        organisation = call.organisation
+        if organisation is not None:
+            now_ms = self.clock.now_ms()
+            self.shares.record_demand(
+                organisation.name, organisation.rate_per_s, now_ms
+            )
+
+    def exceeds_share(self, call: Call) -> bool:
+        """Return whether the caller's organisation asked for too much lately."""
+        return self.shares.exceeds_share(call.organisation_name, self.clock.now_ms())
+
+    def may_begin_beyond_share(self, call: Call) -> bool:
+        """Return whether an organisation that exceeds its share may begin a program."""
+        now_ms = self.clock.now_ms()
+        load = self.stretch.load_of(call.upstream, now_ms)
+        return self.shares.may_begin(
+            call.organisation_name,
+            load.crowding(now_ms),
+            load.programs_per_ms(now_ms),
+            now_ms,
+        )
+
+    def counted_wait_ms(self, call: Call, wait_ms: float) -> float:
+        """Return the wait at the best host that counts for a new program."""
+        return counted_wait_ms(wait_ms, self.exceeds_share(call))
 
     def rank_steps(self, call: Call) -> int:
-        """Return the number of ranks that are more urgent than the call's."""
+        """Return how many places a new program leaves to others."""
+        if self.exceeds_share(call):
+            return MAX_RANK_STEPS
         self.follow_configuration()
         return self.scale.position(call.priority_rank, is_promoted(program_of(call)))
 
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -118,7 +118,7 @@
         """Return whether the wait at the best host allows one more program now."""
         route = self.call.route
         call_placer = self.context.call_placer
-        wait_ms = call_placer.min_wait_ms(self.call, self.cost)
+        wait_ms = counted_wait_ms(self)
         wait_ms += call_placer.own_load.expected_wait_ms
         return is_wait_acceptable(wait_ms, route.target_ms, route.priority)
 
@@ -133,12 +133,13 @@
             return
         call = self.call
         call_placer = self.context.call_placer
-        wait_ms = call_placer.min_wait_ms(call, self.cost)
+        wait_ms = counted_wait_ms(self)
         retry_after_ms = self.program_retry_after_ms(wait_ms)
         logger.info(
             'turned_back',
             request=call.id,
             program=call.request.metadata.program,
+            organisation=call.organisation_name,
             wait_ms=round(wait_ms),
             own_wait_ms=round(call_placer.own_load.expected_wait_ms),
             run_ms=round(self.cost.run_ms),
@@ -479,6 +480,15 @@
         self.crashes.check(self.runs)
 
 
+def counted_wait_ms(sender: CallSender) -> float:
+    """Return the wait at the best host that counts for a new program."""
+    context = sender.context
+    wait_ms = context.call_placer.min_wait_ms(sender.call, sender.cost)
+    if context.admission is None:
+        return wait_ms
+    return context.admission.counted_wait_ms(sender.call, wait_ms)
+
+
 def host_priority(
     context: ForwardingContext, call: Call, begins_program: bool
 ) -> int | None:
--- a/pollenwalk/request/streaming.py
+++ b/pollenwalk/request/streaming.py
@@ -138,6 +138,9 @@
     Raises:
         Refusal: the program may not begin, or too few keepers answered.
     """
+    admission = sender.context.admission
+    if turn.begins_program and admission is not None:
+        admission.record_demand(sender.call)
     if turn.begins_program and not sender.admits_new_program:
         await turn.confirm_beginning()
     sender.permits.begins_program = turn.begins_program
--- a/test/process/test_load_admission.py
+++ b/test/process/test_load_admission.py
@@ -149,3 +149,19 @@
         hosts.hosts[0].stop()
         self.assertEqual([(4, 'i-0')], [(one.events, one.host) for one in measured])
         self.assertTrue(0 < measured[0].first_ms <= measured[0].total_ms)
+
+    @on_loop
+    async def test_the_greedy_organisation_is_refused_first(self) -> None:
+        # Guards against demand that is not counted for the organisation of the key.
+        admission = make_admission(make_configuration(ACME))
+        admission.shares.may_begin = lambda *_: False
+        acme = make_call(ROUTE)._replace(organisation=ACME)
+        other = acme._replace(organisation=Organisation('other'))
+        admission.record_demand(other)
+        for _ in range(10):
+            admission.record_demand(acme)
+        self.assertEqual('share', admission.reason_to_refuse(acme))
+        self.assertEqual('', admission.reason_to_refuse(other))
+        self.assertTrue(admission.counted_wait_ms(acme, 10) > 10)
+        self.assertEqual(10, admission.counted_wait_ms(other, 10))
+        self.assertEqual(10, admission.counted_wait_ms(make_call(ROUTE), 10))
