--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -26,6 +26,7 @@
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_links import KeeperLinks
 from pollenwalk.process.keeper_members import KEEPERS_PREFIX
+from pollenwalk.process.load_admission import AdmissionSwitches, LoadAdmission
 from pollenwalk.process.load_reporter import LoadReporter
 from pollenwalk.process.permit_client import PermitClient
 from pollenwalk.process.quota_client import QuotaClient
@@ -34,14 +35,11 @@
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.process.waits import Waits
 from pollenwalk.request.call_preparation import CallPreparation
+from pollenwalk.request.call_runner import CallRunner
 from pollenwalk.request.call_sender import ForwardingContext
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.request.http_messages import Request
-from pollenwalk.request.program_starts import ProgramStarts
-from pollenwalk.request.program_turn import ProgramTurn
 from pollenwalk.request.reply import Reply
-from pollenwalk.request.streaming import StandaloneTurn, Turn, run_stream
-from pollenwalk.request.unary import run_unary
 from pollenwalk.version.active_configuration import ActiveConfiguration
 
 # Largest request body that is read before a configuration is known. The
@@ -86,6 +84,10 @@
             are counted; 0 if no quotas are kept.
         hedge_share: share of sends that may be second attempts for slow calls; 0 for
             none.
+        host_priorities: whether hosts are told priorities even if the configuration
+            has no organisations.
+        load_admission: whether new programs are refused while running ones can't
+            stay in time, even if the configuration has no organisations.
     """
 
     name: str
@@ -97,6 +99,8 @@
     revocation_ms: float = 0
     quota_window_ms: float = 0
     hedge_share: float = 0
+    host_priorities: bool = False
+    load_admission: bool = False
 
 
 class Gateway:
@@ -161,7 +165,6 @@
         self.quotas = QuotaClient(
             self.keepers, self.metrics, settings.name, settings.quota_window_ms
         )
-        self.program_starts = ProgramStarts()
         self.forwarding_context = ForwardingContext(
             clock,
             self.pool,
@@ -172,7 +175,15 @@
             self.permits,
             self.quotas,
             make_hedging(settings.hedge_share, self.metrics, self.quotas.prepay),
+            LoadAdmission(
+                clock,
+                self.active_configuration,
+                self.metrics,
+                rng,
+                AdmissionSwitches(settings.host_priorities, settings.load_admission),
+            ),
         )
+        self.runner = CallRunner(self.forwarding_context, self.keepers)
 
     @property
     def ready(self) -> bool:
@@ -342,48 +353,10 @@
         remaining_ms = call.remaining_ms(self.clock.now_ms())
         try:
             async with self.clock.timeout_ms(remaining_ms):
-                await self.run(call, reply)
+                await self.runner.run(call, reply)
         except TimeoutError as error:
             raise deadline_passed() from error
 
-    async def run(self, call: Call, reply: Reply) -> None:
-        """Take a token of the organisation's quota if it has one, and run a call.
-
-        Raises:
-            Refusal: the call was refused, for instance as it has crashed hosts.
-        """
-        begins_program = self.program_starts.begins_program(call)
-        await self.quotas.obtain(call, begins_program)
-        if begins_program:
-            self.program_starts.admit(call)
-        try:
-            await self.forward(call, reply)
-        finally:
-            self.quotas.release(call)
-
-    async def forward(self, call: Call, reply: Reply) -> None:
-        """Run a call as a stream or as one request, depending on its route.
-
-        Raises:
-            Refusal: the call was refused, for instance as it has crashed hosts.
-        """
-        self.permits.crash_guard.check(call.request)
-        if call.route.is_streaming:
-            await run_stream(self.forwarding_context, call, self.make_turn(call), reply)
-        else:
-            await run_unary(self.forwarding_context, call, reply)
-
-    def make_turn(self, call: Call) -> Turn:
-        """Return the turn of a streaming call.
-
-        It is a turn of a program if the route keeps the history or the request
-        has a token budget.
-        """
-        keeps_history = call.route.keeps_history
-        if keeps_history or call.request.metadata.budget is not None:
-            return ProgramTurn(self.keepers, call, self.metrics)
-        return StandaloneTurn(call.request.body)
-
 
 def deadline_passed() -> Refusal:
     """Return the refusal of a call after its deadline; the call may have run."""
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -90,6 +90,8 @@
                 options.get('revocation_ms', 0),
                 options.get('quota_window_s', 0) * MS_PER_SECOND,
                 options.get('hedge_share', 0),
+                options.get('host_priorities') == 'true',
+                options.get('load_admission') == 'true',
             ),
             self.store,
             TcpNetwork(),
--- a/pollenwalk/process/quota_client.py
+++ b/pollenwalk/process/quota_client.py
@@ -167,7 +167,8 @@
         """
         if self.is_first_send(call):
             return True
-        if self.charge(call):
+        if self.prepay(call):
+            self.is_first_send(call)
             return True
         state = self.by_organisation[call.organisation_name]
         try:
@@ -188,24 +189,11 @@
             self.unsent.pop(key)
         return True
 
-    def charge(self, call: Call) -> bool:
-        """Take one more token if there is one at hand; return whether there was.
-
-        Without one, the call must not be sent once more: a debt of each gateway could
-        exceed what the quota's bound allows.
-        """
-        state = self.state_of(call)
-        if state is None:
-            return True
-        if state.request(False, self.clock.boot_ms()) is None:
-            return False
-        self.metrics.count_quota_tokens('used')
-        return True
-
     def prepay(self, call: Call) -> bool:
         """Take a token for a further send that follows at once, if there is one.
 
-        `pay` uses it; `release` puts it back if the call is not sent after all.
+        Without one, the call must not be sent once more: a debt of each gateway could
+        exceed what the quota's bound allows. `pay` uses the token; `release` puts it back if the call is not sent after all.
         """
         state = self.state_of(call)
         if state is None:
--- a/pollenwalk/process/settings.py
+++ b/pollenwalk/process/settings.py
@@ -73,6 +73,8 @@
         'quota_excess': number_field(0, 10),
         'quota_slack': number_field(0, 10_000),
         'hedge_share': number_field(0, 0.2),
+        'host_priorities': choice_field('true', 'false'),
+        'load_admission': choice_field('true', 'false'),
         'tolerated_losses': int_field(0, 16),
     },
     'keeper': {
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -26,6 +26,7 @@
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.hedging import Hedging
 from pollenwalk.process.host_table import HostState
+from pollenwalk.process.load_admission import LoadAdmission
 from pollenwalk.process.permit_client import PermitClient
 from pollenwalk.process.quota_client import QuotaClient
 from pollenwalk.process.stream_registry import StreamRegistry
@@ -65,6 +66,7 @@
         quotas: takes a token of the organisation's quota for each send; None if no
             quotas are kept.
         hedging: allows second attempts; None if no call has one.
+        admission: decides on urgent and new programs; None for no such decisions.
     """
 
     clock: Clock
@@ -76,6 +78,7 @@
     permits: PermitClient
     quotas: QuotaClient | None = None
     hedging: Hedging | None = None
+    admission: LoadAdmission | None = None
 
 
 class CallSender:
@@ -122,7 +125,7 @@
         """Return whether the wait at the best host allows one more program now."""
         route = self.call.route
         call_placer = self.context.call_placer
-        wait_ms = call_placer.min_wait_ms(self.call, self.cost)
+        wait_ms = counted_wait_ms(self)
         wait_ms += call_placer.own_load.expected_wait_ms
         return is_wait_acceptable(wait_ms, route.target_ms, route.priority)
 
@@ -137,12 +140,13 @@
             return
         call = self.call
         call_placer = self.context.call_placer
-        wait_ms = call_placer.min_wait_ms(call, self.cost)
+        wait_ms = counted_wait_ms(self)
         retry_after_ms = self.program_retry_after_ms(wait_ms)
         logger.info(
             'turned_back',
             request=call.id,
             program=call.request.metadata.program,
+            organisation=call.organisation_name,
             wait_ms=round(wait_ms),
             own_wait_ms=round(call_placer.own_load.expected_wait_ms),
             run_ms=round(self.cost.run_ms),
@@ -150,6 +154,7 @@
             retry_after_ms=round(retry_after_ms),
         )
         self.context.metrics.count_send('turned_back')
+        self.context.metrics.count_refused_program('wait')
         raise Refusal(
             RefusalCode.OVERLOADED,
             f'upstream {call.upstream} or this gateway is too busy for one more program',
@@ -421,7 +426,10 @@
         remaining_ms = self.call.remaining_ms(self.context.clock.now_ms())
         try:
             added = added_headers(
-                state.registration.id, remaining_ms, None, self.call.organisation_name
+                state.registration.id,
+                remaining_ms,
+                host_priority(self.context, self.call, self.permits.begins_program),
+                self.call.organisation_name,
             )
         except ValueError as error:
             raise NotSent(f'unusable id of the host: {error}') from error
@@ -508,6 +516,24 @@
             await exchange.skip_body(MAX_REFUSAL_BODY_BYTES)
 
 
+def counted_wait_ms(sender: CallSender) -> float:
+    """Return the wait at the best host that counts for a new program."""
+    context = sender.context
+    wait_ms = context.call_placer.min_wait_ms(sender.call, sender.cost)
+    if context.admission is None:
+        return wait_ms
+    return context.admission.counted_wait_ms(sender.call, wait_ms)
+
+
+def host_priority(
+    context: ForwardingContext, call: Call, begins_program: bool
+) -> int | None:
+    """Return the priority that a host is told with a call; None for its default."""
+    if context.admission is None:
+        return None
+    return context.admission.host_priority(call, begins_program)
+
+
 def record_head(
     context: ForwardingContext, call: Call, state: HostState, head: AnswerHead
 ) -> None:
