--- a/test/policy/test_fair_shares.py
+++ b/test/policy/test_fair_shares.py
@@ -22,46 +22,29 @@
 
 
 class SharedLoad(Load):
-    """Hosts that several organisations use, with fair shares or without."""
+    """Hosts that several organisations use."""
 
-    def __init__(self, seed: int, uses_shares: bool = True) -> None:
+    def __init__(self, seed: int) -> None:
         """Start with idle hosts."""
         super().__init__(seed)
-        self.uses_shares = uses_shares
         self.shares = FairShares()
 
-    def exceeds_share(self, program: Program, now_ms: float) -> bool:
-        """Record the demand, and return whether it is refused first."""
-        if not self.uses_shares:
-            return False
-        self.shares.record_demand(program.organisation, 0, now_ms)
-        return self.shares.exceeds_share(program.organisation, now_ms)
-
-    def may_begin_beyond_share(self, program: Program, now_ms: float) -> bool:
-        """Return whether a program of an organisation that exceeds its share may begin."""
+    def may_begin(self, program: Program, now_ms: float) -> bool:
+        """Return whether fair shares and the other policies admit a program now."""
+        name = program.organisation
+        self.shares.record_demand(name, 0, now_ms)
+        self.exceeds_share = self.shares.exceeds_share(name, now_ms)
         load = self.admission.load_of('up', now_ms)
-        return self.shares.may_begin(
-            program.organisation,
-            load.crowding(now_ms),
-            load.programs_per_ms(now_ms),
-            now_ms,
-        )
-
-    def in_time_by_organisation(self) -> Counter[str]:
-        """Return how many programs ended in time, of those begun late enough."""
-        return Counter(one.organisation for one in self.counted() if one.in_time)
+        observed = (load.crowding(now_ms), load.programs_per_ms(now_ms), now_ms)
+        if self.exceeds_share and not self.shares.may_begin(name, *observed):
+            return False
+        return super().may_begin(program, now_ms)
 
 
 def shared_arrivals(
     seed: int, greedy_load: float, share: float = SHARE
 ) -> Iterator[Program]:
-    """Yield the programs of all organisations.
-
-    Args:
-        seed: the seed; those of the others are the same for each `greedy_load`.
-        greedy_load: what the greedy organisation sends at last, in shares.
-        share: what each other one sends, as a share of the hosts' capacity.
-    """
+    """Yield the programs of all; the greedy one sends `greedy_load` shares at last."""
     for number, name in enumerate(ORGANISATIONS):
         load = share
         if name == GREEDY:
@@ -73,12 +56,12 @@
                 yield program
 
 
-def in_time(greedy_load: float, uses_shares: bool = True) -> Counter[str]:
+def in_time(greedy_load: float) -> Counter[str]:
     """Return the programs in time of all seeds, by organisation."""
     total: Counter[str] = Counter()
     for seed in SEEDS:
-        load = SharedLoad(seed, uses_shares)
-        total += load.run(shared_arrivals(seed, greedy_load)).in_time_by_organisation()
+        load = SharedLoad(seed).run(shared_arrivals(seed, greedy_load))
+        total.update(one.organisation for one in load.counted() if one.in_time)
     return total
 
 
--- a/test/policy/test_stretch_admission.py
+++ b/test/policy/test_stretch_admission.py
@@ -38,7 +38,6 @@
 SEEDS = (1, 2, 3, 4, 5, 6)
 
 Step = Callable[[float], None]
-Event = tuple[float, float, Step]
 
 
 class Program:
@@ -63,9 +62,7 @@
 
     Attributes:
         slots: for each host, when each of its slots is free.
-        calls: for each host, the calls that run or wait there.
         slowness: for each host, a factor on the time of its turns.
-        refusals: times at which programs were refused.
     """
 
     def __init__(
@@ -75,11 +72,12 @@
         self.rng = random.Random(seed)
         self.uses_stretch = uses_stretch
         self.uses_wait = uses_wait
+        self.exceeds_share = False
         self.admission = StretchAdmission()
         self.slots = [[0.0] * SLOTS for _ in range(HOSTS)]
         self.calls = [0] * HOSTS
         self.slowness = [1.0] * HOSTS
-        self.events: list[Event] = []
+        self.events: list[tuple[float, float, Step]] = []
         self.programs: list[Program] = []
         self.refusals: list[float] = []
 
@@ -110,26 +108,15 @@
 
     def may_begin(self, program: Program, now_ms: float) -> bool:
         """Return whether the policies admit a program now."""
-        exceeds = self.exceeds_share(program, now_ms)
-        if exceeds and not self.may_begin_beyond_share(program, now_ms):
-            return False
         wait_ms = max(min(self.calls) + 1 - SLOTS, 0) * FIRST_MS
-        counted_ms = counted_wait_ms(wait_ms, exceeds)
+        counted_ms = counted_wait_ms(wait_ms, self.exceeds_share)
         accepted = is_wait_acceptable(counted_ms, TARGET_MS, program.rank * 2)
         if self.uses_wait and not accepted:
             return False
         steps = 0 if is_promoted(str(program.begun_ms)) else program.rank
-        steps = MAX_RANK_STEPS if exceeds else steps
+        steps = MAX_RANK_STEPS if self.exceeds_share else steps
         return not self.uses_stretch or self.admission.may_begin('up', steps, now_ms)
 
-    def exceeds_share(self, program: Program, now_ms: float) -> bool:
-        """Return whether the program's organisation had more than its share."""
-        return False
-
-    def may_begin_beyond_share(self, program: Program, now_ms: float) -> bool:
-        """Return whether a program of such an organisation may begin."""
-        return True
-
     def send(self, program: Program, now_ms: float) -> None:
         """Run the next turn at the host with the fewest calls."""
         host = min(range(HOSTS), key=lambda one: self.calls[one])
@@ -182,15 +169,7 @@
 
 
 def learned(host_load: float, factor: float = 1, turns: int = 40) -> StretchAdmission:
-    """Return an admission that has seen calm turns, then some that took longer.
-
-    All turns end before 10 s, the long ones in the last 0.4 s.
-
-    Args:
-        host_load: load of the hosts during the later ones.
-        factor: how much longer these took.
-        turns: number of these.
-    """
+    """Return an admission that has seen calm turns, then, until 10 s, longer ones."""
     admission = StretchAdmission()
     for number in range(200):
         turn = TurnTime('r', 'up', str(number % 5), 30, 330, 61, 0.3)
@@ -198,9 +177,8 @@
         if not number % 5:
             admission.may_begin('up', 0, number * 45.0)
     for number in range(turns):
-        turn = TurnTime(
-            'r', 'up', str(number % 5), 30 * factor, 330 * factor, 61, host_load
-        )
+        times_ms = (30 * factor, 330 * factor)
+        turn = TurnTime('r', 'up', str(number % 5), *times_ms, 61, host_load)
         admission.record(turn, 9600.0 + number * 10)
     return admission
 
--- a/test/process/test_load_admission.py
+++ b/test/process/test_load_admission.py
@@ -41,18 +41,10 @@
 def make_admission(
     active: ActiveConfiguration, *switches: bool, refused: bool = False
 ) -> LoadAdmission:
-    """Return the admission of a gateway.
-
-    Args:
-        active: the configuration.
-        switches: those that are not off.
-        refused: whether it lets no program begin now.
-    """
+    """Return the admission of a gateway, which lets no program begin if `refused`."""
     rng = random.Random(1)
-    metrics = GatewayMetrics()
-    admission = LoadAdmission(
-        LoopClock(), active, metrics, rng, AdmissionSwitches(*switches)
-    )
+    chosen = AdmissionSwitches(*switches)
+    admission = LoadAdmission(LoopClock(), active, GatewayMetrics(), rng, chosen)
     if refused:
         admission.stretch.may_begin = lambda *_: False
     return admission
