--- a/pollenwalk/commands/experiment.py
+++ b/pollenwalk/commands/experiment.py
@@ -9,7 +9,15 @@
 
 from pollenwalk.process.logs import set_up_logs
 
-EXPERIMENTS = ('limits', 'overhead', 'placement', 'recovery', 'slopes', 'storm')
+EXPERIMENTS = (
+    'limits',
+    'overhead',
+    'placement',
+    'quotas',
+    'recovery',
+    'slopes',
+    'storm',
+)
 INDENT = 2
 
 
