--- a/pollenwalk/commands/main.py
+++ b/pollenwalk/commands/main.py
@@ -20,6 +20,7 @@
     'deployment',
     'status',
     'explain',
+    'quota',
     'demo',
     'standin',
     'scenarios',
--- a/pollenwalk/policy/quota_grants.py
+++ b/pollenwalk/policy/quota_grants.py
@@ -13,8 +13,10 @@
 RATE_TIME_MS = 2000.0
 # Tokens are asked for in advance for this time beyond a round trip.
 MARGIN_MS = 100.0
-# Tokens are asked for in advance only where one is used within this part of its validity.
-USED_SHARE = 0.5
+# Tokens are asked for in advance only where one is expected to be used within this part of
+# its validity. With half of it, 0.45 instead of 0.29 of the calls waited for a round trip
+# (80 requests/s over 26 gateways); with twice it, idle gateways hold too many tokens.
+USED_SHARE = 1.0
 # Tokens that are unused after this part of their validity are returned if the expected
 # requests don't need them.
 RETURN_SHARE = 0.5
@@ -30,20 +32,25 @@
     """The rate of events, with exponentially decaying weights.
 
     Attributes:
-        per_ms: the rate as of `at_ms`.
+        per_ms: the rate as of `at_ms`, without the last event. With it, a single event
+            would look like a steady rate.
         at_ms: time of the last event.
+        has_events: whether there was any event.
     """
 
     def __init__(self, now_ms: float) -> None:
         """Start without events."""
         self.per_ms = 0.0
         self.at_ms = now_ms
+        self.has_events = False
 
     def add(self, now_ms: float) -> None:
         """Count one event."""
-        decayed = self.per_ms * math.exp((self.at_ms - now_ms) / RATE_TIME_MS)
-        self.per_ms = decayed + 1 / RATE_TIME_MS
+        last = 1 / RATE_TIME_MS if self.has_events else 0
+        decay = math.exp((self.at_ms - now_ms) / RATE_TIME_MS)
+        self.per_ms = (self.per_ms + last) * decay
         self.at_ms = now_ms
+        self.has_events = True
 
     def at(self, now_ms: float) -> float:
         """Return the rate in events a ms."""
