--- a/pollenwalk/commands/main.py
+++ b/pollenwalk/commands/main.py
@@ -21,6 +21,7 @@
     'status',
     'explain',
     'explain_route',
+    'quota',
     'demo',
     'standin',
     'scenarios',
