quotas: room for the programs of small organisations, and a shorter recovery

Of what the bound allows beyond rate and burst, tokens' validity took 0.8, and a small organisation's second program was refused although its quota was far from used up. Validity is now 1 s at most and the rest is capacity. Programs begin while the bucket and what it gains in 3 s cover the calls that begun ones still make, instead of only above 0.9 of the bucket or at the mean rate of starts.

After a power loss nothing was granted for 2 s and the leases of 1.5 s. Leases of quotas last 0.8 s now, and a keeper that finds itself in the list at its start waits 0.9 s and until a majority has agreed on the list for 0.8 s.

--- a/pollenwalk/policy/quota_bucket.py
+++ b/pollenwalk/policy/quota_bucket.py
@@ -9,15 +9,16 @@
 from typing import NamedTuple
 
 MS_PER_SECOND = 1000
-# Tokens are of use for at most this long, so that they follow changes of the demand.
-MAX_VALIDITY_MS = 5000.0
+# Tokens are valid for at most this long: several pauses between the calls of a program.
+MAX_VALIDITY_MS = 1000.0
 # Below the time of a round trip between regions, tokens would expire on their way.
 MIN_VALIDITY_MS = 100.0
-# Parts of what the quota's bound allows beyond rate and burst: for the validity of
-# tokens, and for a larger bucket, as tokens are asked for in small groups. The rest is
-# for clocks that run at different speeds.
-VALIDITY_SHARE = 0.8
-CAPACITY_SHARE = 0.1
+# Parts of what the quota's bound allows beyond rate and burst: at most this one for the
+# validity of tokens, and both uses together at most the other. What the validity leaves
+# is capacity: a program of a small organisation sends faster than its rate for seconds.
+# The rest is for clocks that run at different speeds.
+VALIDITY_SHARE = 0.6
+USED_SHARE = 0.9
 # Mean number of requests of a program before any was seen, and its limits.
 EXPECTED_CALLS = 8.0
 MAX_CALLS = 64.0
@@ -28,6 +29,12 @@
 # Above this level of the bucket, programs begin without a token for starts: the quota
 # is not used up, whatever was learned of programs.
 IDLE_LEVEL_SHARE = 0.9
+# Programs also begin without one while the bucket and what it gains in this time cover
+# the calls that begun programs are expected to make. Most calls of a program come
+# within it.
+PROGRAM_MS = 3000.0
+# Calls that are expected of programs that have ended early are forgotten in this time.
+PENDING_MEMORY_MS = 2 * PROGRAM_MS
 # Tokens for expected requests are granted above this level only.
 SPARE_LEVEL_SHARE = 0.5
 
@@ -76,7 +83,9 @@
 
     def capacity(self, rate_per_s: float, burst: float) -> float:
         """Return how many tokens the buckets of all owners hold together."""
-        return burst + CAPACITY_SHARE * self.beyond(rate_per_s, burst)
+        validity_s = self.validity_ms(rate_per_s, burst) / MS_PER_SECOND
+        unused = USED_SHARE * self.beyond(rate_per_s, burst) - rate_per_s * validity_s
+        return burst + max(unused, 0)
 
 
 class TokenBucket:
--- a/pollenwalk/process/quota_borrowing.py
+++ b/pollenwalk/process/quota_borrowing.py
@@ -9,7 +9,7 @@
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.keeper_links import KeeperLinks
 from pollenwalk.process.quota_owner import QuotaOwner
-from pollenwalk.process.share_ownership import RENEWAL_INTERVAL_MS
+from pollenwalk.process.quota_shares import QUOTA_RENEWAL_MS
 
 
 class QuotaBorrowing:
@@ -35,7 +35,7 @@
         """
         shares = self.quotas.shares
         while True:
-            await self.clock.sleep_ms(RENEWAL_INTERVAL_MS)
+            await self.clock.sleep_ms(QUOTA_RENEWAL_MS)
             shares.refresh()
             self.quotas.forget_idle()
             others = shares.owner_list.current.keys() - {shares.name}
@@ -50,7 +50,7 @@
         request = BorrowQuotas(shares.name, shares.digest)
         asked_at_ms = self.clock.boot_ms()
         try:
-            async with self.clock.timeout_ms(RENEWAL_INTERVAL_MS):
+            async with self.clock.timeout_ms(QUOTA_RENEWAL_MS):
                 answer = await self.links.request(self.links.link(member), request)
         except (PollenwalkError, TimeoutError) as error:
             logger.debug('quotas_not_lent', keeper=lender, reason=str(error))
--- a/pollenwalk/process/quota_owner.py
+++ b/pollenwalk/process/quota_owner.py
@@ -31,8 +31,12 @@
 from pollenwalk.policy.return_times import MAX_RETRY_AFTER_MS
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.keeper_members import Members
-from pollenwalk.process.quota_shares import OrganisationShare, QuotaShares
-from pollenwalk.process.share_ownership import LEASE_MS, RENEWAL_INTERVAL_MS
+from pollenwalk.process.quota_shares import (
+    QUOTA_RENEWAL_MS,
+    QUOTA_TIMES,
+    OrganisationShare,
+    QuotaShares,
+)
 
 BOOT_ID_BYTES = 6
 # Shares that nobody has asked for in this time are forgotten.
@@ -42,8 +46,8 @@
 # A token with a shorter validity would expire on its way to another region.
 MIN_REUSE_MS = 100.0
 # Tokens are granted ahead of time for at most this long. An owner that starts again, or
-# one that takes its place, waits for SETTLE_MS, which is longer.
-MAX_AHEAD_MS = LEASE_MS
+# one that takes its place, waits for longer.
+MAX_AHEAD_MS = QUOTA_TIMES.lease_ms
 # Returns of refused program starts are spread over this time at most.
 MAX_SPREAD_MS = 2000.0
 
@@ -103,7 +107,7 @@
 
     def usable_part(self, share: OrganisationShare) -> float:
         """Return the part of a quota that may be granted now, 0 to 1."""
-        if not self.shares.has_majority:
+        if not self.shares.is_agreed:
             return 0
         return self.shares.part_at(share, self.clock.boot_ms())
 
@@ -162,11 +166,12 @@
         calls = share.bucket.take(request.calls - reused)
         waiting = request.calls - reused - calls
         waits_ms = self.reserve(share, waiting, request.max_wait_ms, now_ms)
+        share.expect(-(reused + calls + len(waits_ms)), now_ms)
         capacity = capacity_of(part, self.bound.capacity(*share.quota))
-        starts = take_starts(share, request.starts, 0, capacity)
+        starts = self.take_starts(share, request.starts, 0, part, now_ms)
         least = SPARE_LEVEL_SHARE * capacity
         calls += share.bucket.take(request.spare_calls, least)
-        starts += take_starts(share, request.spare_starts, least, capacity)
+        starts += self.take_starts(share, request.spare_starts, least, part, now_ms)
         validity_ms = self.bound.validity_ms(*share.quota)
         return QuotaGrant(
             part,
@@ -180,6 +185,40 @@
             waits_ms,
         )
 
+    def take_starts(
+        self,
+        share: OrganisationShare,
+        wanted: int,
+        least: float,
+        part: float,
+        now_ms: float,
+    ) -> int:
+        """Take the tokens of program starts, as far as they are there.
+
+        A start needs a token of both buckets, or only one of that for all requests if
+        the quota covers the calls of one more program.
+
+        Args:
+            share: the share.
+            wanted: number of program starts.
+            least: level at which the bucket for all requests is left.
+            part: part of the quota that may be granted now.
+            now_ms: the current time.
+        """
+        capacity = capacity_of(part, self.bound.capacity(*share.quota))
+        idle_level = max(IDLE_LEVEL_SHARE * capacity, 1)
+        taken = 0
+        while taken < wanted:
+            is_idle = share.bucket.level >= idle_level or share.has_room(part, now_ms)
+            if not is_idle and share.starts.level + ROUNDING < 1:
+                break
+            if not share.bucket.take(1, least):
+                break
+            share.starts.level = max(share.starts.level - 1, 0)
+            share.expect(share.programs.mean - 1, now_ms)
+            taken += 1
+        return taken
+
     def reserve(
         self,
         share: OrganisationShare,
@@ -249,8 +288,8 @@
     return QuotaGrant(
         0,
         boot_id,
-        next_call_ms=RENEWAL_INTERVAL_MS,
-        next_start_ms=RENEWAL_INTERVAL_MS,
+        next_call_ms=QUOTA_RENEWAL_MS,
+        next_start_ms=QUOTA_RENEWAL_MS,
     )
 
 
@@ -266,31 +305,6 @@
     return count, expires_at_ms - now_ms
 
 
-def take_starts(
-    share: OrganisationShare, wanted: int, least: float, capacity: float
-) -> int:
-    """Take the tokens of program starts from both buckets, as far as they are there.
-
-    Args:
-        share: the share.
-        wanted: number of program starts.
-        least: level at which the bucket for all requests is left.
-        capacity: what that bucket holds. Where it is almost full, the quota is not
-            used up, and a start needs a token of this bucket only.
-    """
-    idle_level = max(IDLE_LEVEL_SHARE * capacity, 1)
-    taken = 0
-    while taken < wanted:
-        is_idle = share.bucket.level >= idle_level
-        if not is_idle and share.starts.level + ROUNDING < 1:
-            break
-        if not share.bucket.take(1, least):
-            break
-        share.starts.level = max(share.starts.level - 1, 0)
-        taken += 1
-    return taken
-
-
 def return_ms(
     share: OrganisationShare, refused: int, next_start_ms: float, now_ms: float
 ) -> float:
--- a/pollenwalk/process/quota_shares.py
+++ b/pollenwalk/process/quota_shares.py
@@ -11,7 +11,11 @@
 from collections.abc import Iterable, Iterator
 
 from pollenwalk.connection.quota_messages import BorrowQuotas, LentQuotas
+from pollenwalk.policy.decayed_count import DecayedCount
 from pollenwalk.policy.quota_bucket import (
+    MS_PER_SECOND,
+    PENDING_MEMORY_MS,
+    PROGRAM_MS,
     CallsPerProgram,
     Piece,
     QuotaBound,
@@ -21,14 +25,22 @@
 from pollenwalk.process.directory import rendezvous
 from pollenwalk.process.keeper_members import Members
 from pollenwalk.process.share_ownership import (
-    LEASE_MS,
     MAX_OWNERS,
+    SETTLE_MS,
+    LeaseTimes,
     OwnerList,
     ShareLeases,
 )
 
+# Leases of quotas are short: after all keepers have lost power, nothing is granted until
+# they have ended. They are renewed several times before, as they lapse if the link
+# between regions is full for a moment.
+QUOTA_LEASE_MS = 800.0
+QUOTA_FIRST_SETTLE_MS = 900.0
+QUOTA_RENEWAL_MS = 200.0
+QUOTA_TIMES = LeaseTimes(QUOTA_LEASE_MS, SETTLE_MS, QUOTA_FIRST_SETTLE_MS)
 # A keeper that has agreed on the list of keepers counts as reached for this long.
-CONTACT_MS = LEASE_MS
+CONTACT_MS = QUOTA_TIMES.lease_ms
 
 
 def rank_quota_owners(organisation: str, names: Iterable[str]) -> list[str]:
@@ -48,6 +60,7 @@
         bucket: tokens for all requests.
         starts: tokens for program starts.
         programs: how many requests a program has.
+        pending: calls that programs which have begun are still expected to make.
         returned: counts of tokens that gateways returned, by their expiry.
         granted: tokens granted so far.
         gateways: tokens granted so far and time of the last grant, by gateway.
@@ -72,6 +85,7 @@
         self.bucket = TokenBucket(began_at_ms)
         self.starts = TokenBucket(began_at_ms)
         self.programs = CallsPerProgram(now_ms)
+        self.pending = DecayedCount(PENDING_MEMORY_MS)
         self.returned: dict[float, int] = {}
         self.granted = 0
         self.gateways: dict[str, tuple[int, float]] = {}
@@ -85,6 +99,22 @@
         calls = self.programs.mean
         self.starts.fill(pieces, rate_per_s / calls, capacity / calls)
 
+    def has_room(self, part: float, now_ms: float) -> bool:
+        """Return whether the quota covers the calls of one more program.
+
+        Args:
+            part: part of the quota that may be granted now.
+            now_ms: the current time.
+        """
+        gained = self.rate_per_s * part * PROGRAM_MS / MS_PER_SECOND
+        needed = self.pending.at(now_ms) + self.programs.mean
+        return self.bucket.level + gained >= needed
+
+    def expect(self, calls: float, now_ms: float) -> None:
+        """Count calls that are expected of begun programs; negative for made ones."""
+        pending = self.pending.at(now_ms)
+        self.pending.add(max(calls, -pending), now_ms)
+
     @property
     def quota(self) -> tuple[float, float]:
         """Return the rate and the burst."""
@@ -113,6 +143,7 @@
         leases: what this keeper lends and borrows.
         by_organisation: the shares that were asked for lately.
         contacts: when each other keeper was asked last that agreed on the list.
+        agreed_since_ms: since when a majority has agreed on it; None before that.
     """
 
     def __init__(
@@ -122,11 +153,14 @@
         self.clock = clock
         self.name = name
         self.bound = bound
-        self.owner_list = OwnerList(name, members, rank_quota_owners, clock.boot_ms)
-        self.leases = ShareLeases()
+        self.owner_list = OwnerList(
+            name, members, rank_quota_owners, clock.boot_ms, QUOTA_TIMES
+        )
+        self.leases = ShareLeases(QUOTA_TIMES)
         self.by_organisation: dict[str, OrganisationShare] = {}
         self.contacts: dict[str, float] = {}
         self.digest = 0
+        self.agreed_since_ms: float | None = None
         self.refresh()
 
     def refresh(self) -> None:
@@ -136,17 +170,21 @@
         any more are forgotten: if it owns them again, it starts with an empty bucket.
         """
         if not self.owner_list.has_changed:
+            self.note_agreement()
             return
         now_ms = self.clock.boot_ms()
         for share in self.by_organisation.values():
             self.fill(share, now_ms)
         self.owner_list.refresh()
+        self.contacts.clear()
+        self.agreed_since_ms = None
         self.digest = zlib.crc32('\n'.join(sorted(self.owner_list.current)).encode())
         for organisation, share in list(self.by_organisation.items()):
             share.owners = self.owner_list.owners(organisation)
             share.former_owners = self.owner_list.settled_owners(organisation)
             if not self.owner_list.is_settled_owner(organisation, share.owners):
                 self.by_organisation.pop(organisation)
+        self.note_agreement()
 
     def find(self, organisation: str) -> OrganisationShare | None:
         """Return the share of an organisation's quota; None if this keeper owns none."""
@@ -230,6 +268,22 @@
         """Return the parts that this keeper may grant, as far as leases are known."""
         return self.pieces(share, now_ms, math.inf)
 
+    @property
+    def is_agreed(self) -> bool:
+        """Return whether a majority of the keepers has agreed on the list for a while.
+
+        Keepers that relied on a former list have lost their majority by then.
+        """
+        self.note_agreement()
+        if self.agreed_since_ms is None or not self.has_majority:
+            return False
+        return self.clock.boot_ms() - self.agreed_since_ms >= CONTACT_MS
+
+    def note_agreement(self) -> None:
+        """Note when a majority of the keepers agrees on a new list."""
+        if self.agreed_since_ms is None and self.has_majority:
+            self.agreed_since_ms = self.clock.boot_ms()
+
     @property
     def has_majority(self) -> bool:
         """Return whether a majority of the keepers agrees on the list."""
@@ -277,6 +331,7 @@
         if digest != self.digest or not answer.same_list:
             return
         self.contacts[lender] = asked_at_ms
+        self.note_agreement()
         if not answer.lent:
             return
         now_ms = self.clock.boot_ms()
--- a/pollenwalk/process/share_ownership.py
+++ b/pollenwalk/process/share_ownership.py
@@ -22,6 +22,23 @@
 # Longer than a lease, and than the time until a change of the list is known.
 SETTLE_MS = 2000.0
 
+
+class LeaseTimes(NamedTuple):
+    """How long shares are lent, and how long owners wait.
+
+    Attributes:
+        lease_ms: duration of a lease.
+        settle_ms: how long a keeper that becomes an owner by a change of the list waits.
+        first_settle_ms: the same for one that starts and was listed before.
+    """
+
+    lease_ms: float
+    settle_ms: float
+    first_settle_ms: float
+
+
+PERMIT_TIMES = LeaseTimes(LEASE_MS, SETTLE_MS, SETTLE_MS)
+
 Ranking = Callable[[Any, Mapping[str, Member]], list[str]]
 
 
@@ -47,16 +64,18 @@
     Attributes:
         lent_until_ms: time until which the own share is lent, by borrower.
         borrowed: leases of the shares of other owners, by lender.
+        times: how long shares are lent.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, times: LeaseTimes = PERMIT_TIMES) -> None:
         """Create a share that is not lent, and borrow none."""
+        self.times = times
         self.lent_until_ms: dict[str, float] = {}
         self.borrowed: dict[str, Lease] = {}
 
     def lend(self, borrower: str, now_ms: float) -> None:
         """Lend the own share from now on."""
-        self.lent_until_ms[borrower] = now_ms + LEASE_MS
+        self.lent_until_ms[borrower] = now_ms + self.times.lease_ms
 
     def borrow(self, lender: str, asked_at_ms: float, now_ms: float) -> None:
         """Record that another owner has lent its share.
@@ -69,7 +88,7 @@
         former = self.borrowed.get(lender)
         is_renewal = former is not None and former.covers(now_ms)
         since_ms = former.since_ms if former and is_renewal else now_ms
-        until_ms = asked_at_ms + LEASE_MS - LEASE_MARGIN_MS
+        until_ms = asked_at_ms + self.times.lease_ms - LEASE_MARGIN_MS
         self.borrowed[lender] = Lease(since_ms, until_ms)
 
     def count_borrowed(self, owners: list[str], at_ms: float) -> int:
@@ -91,10 +110,16 @@
         settled: the keepers listed before the list began to change.
         changed_at_ms: time of the last change of the list.
         revision: number of changes so far.
+        times: how long owners wait after a change.
     """
 
     def __init__(
-        self, name: str, members: Members, rank: Ranking, now_ms: Callable[[], float]
+        self,
+        name: str,
+        members: Members,
+        rank: Ranking,
+        now_ms: Callable[[], float],
+        times: LeaseTimes = PERMIT_TIMES,
     ) -> None:
         """Start as a keeper that owns nothing until the list is settled.
 
@@ -103,7 +128,9 @@
             members: the list of keepers, which changes.
             rank: returns the owners of a key among some keepers.
             now_ms: the clock that leases are measured on.
+            times: how long shares are lent, and how long owners wait.
         """
+        self.times = times
         self.name = name
         self.members = members
         self.rank = rank
@@ -130,13 +157,20 @@
 
     @property
     def settled_at_ms(self) -> float:
-        """Return when the present list is settled."""
-        return self.changed_at_ms + SETTLE_MS
+        """Return when the present list is settled.
+
+        A keeper that starts and finds itself in the list was not replaced meanwhile, so
+        only leases of its former start must end.
+        """
+        was_listed = self.revision == 1 and self.name in self.current
+        times = self.times
+        wait_ms = times.first_settle_ms if was_listed else times.settle_ms
+        return self.changed_at_ms + wait_ms
 
     @property
     def is_settled(self) -> bool:
         """Return whether the list of keepers has not changed lately."""
-        return self.now_ms() - self.changed_at_ms >= SETTLE_MS
+        return self.now_ms() >= self.settled_at_ms
 
     def owners(self, key: Any) -> list[str]:
         """Return the owners by the present list, the one to ask first in front."""
