--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -347,7 +347,9 @@
         Raises:
             Refusal: the call was refused, for instance as it has crashed hosts.
         """
-        begins_program = self.program_starts.begins_program(call)
+        begins_program = False
+        if self.quotas.is_enabled:
+            begins_program = self.program_starts.begins_program(call)
         await self.quotas.obtain(call, begins_program)
         if begins_program:
             self.program_starts.admit(call)
--- a/test/platform/test_templates.py
+++ b/test/platform/test_templates.py
@@ -60,6 +60,21 @@
         ).section('gateway')
         self.assertEqual((4000, 5000), (own['change_delay_ms'], own['leave_notice_ms']))
 
+    def test_bounds_of_quotas(self) -> None:
+        # Without quotas in the settings of either role, none would be kept.
+        bounds = {
+            'bounds.quota_window_s': '5',
+            'bounds.quota_excess': '0.2',
+            'bounds.quota_slack': '30',
+        }
+        for role in ('gateway', 'keeper'):
+            template = (DEPLOY / f'{role}.ini').read_text()
+            for fields, expected in ((bounds, (5, 0.2, 30)), ({}, (0, 0.1, 20))):
+                text = fill_template(template, {**VALUES, **fields})
+                own = parse_settings(text, role, role).section(role)
+                names = ('quota_window_s', 'quota_excess', 'quota_slack')
+                self.assertEqual(expected, tuple(own[name] for name in names))
+
     def test_missing_bounds_have_the_defaults(self) -> None:
         fields_without_bounds = {
             name: text for name, text in VALUES.items() if 'ms' not in name
