--- a/pollenwalk/request/call_runner.py
+++ b/pollenwalk/request/call_runner.py
@@ -32,7 +32,7 @@
             Refusal: the call was refused, for instance as it has crashed hosts.
         """
         quotas = self.context.quotas
-        if quotas is None:
+        if quotas is None or not quotas.is_enabled:
             await self.forward(call, reply)
             return
         begins_program = self.program_starts.begins_program(call)
