connection: bound what each HTTP connection holds

uvicorn resumed reading whenever a request waited for its caller to leave, so that each pipelined request let another 256 KiB be read, and the next request was begun while answers waited to be taken. A request is now read only once the last answer has left the process; reads go through one shared buffer of 16 KiB; a guard bounds bytes and descriptors of all listeners and closes the worst clients first.

--- a/pollenwalk/connection/http_server.py
+++ b/pollenwalk/connection/http_server.py
@@ -4,9 +4,17 @@
 import contextlib
 import socket
 from collections.abc import Iterator
+from typing import Any
 
 import uvicorn
 
+from pollenwalk.connection.bounded_connection import (
+    READ_BYTES,
+    BoundedConnection,
+    SharedReads,
+)
+from pollenwalk.connection.connection_guard import ConnectionGuard
+
 # Limit on the received bytes of a request head that is not complete yet.
 MAX_INCOMPLETE_HEAD_BYTES = 32_768
 # Time that requests in progress get to finish after `stop`.
@@ -53,6 +61,7 @@
         host: str,
         port: int,
         keep_alive_s: int = KEEP_ALIVE_S,
+        guard: ConnectionGuard | None = None,
     ) -> None:
         """Configure the server without starting it.
 
@@ -61,13 +70,17 @@
             host: IP address to listen on.
             port: port to listen on.
             keep_alive_s: time after which an idle connection is closed.
+            guard: bounds the connections of all servers of the process; without one
+                this server has its own.
         """
+        self.guard = guard or ConnectionGuard()
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
         config = uvicorn.Config(
             app,
             host=host,
             port=port,
             loop='none',
-            http='h11',
+            http=self.make_connection,
             lifespan='off',
             log_config=None,
             log_level='error',
@@ -80,6 +93,11 @@
         self.server = EmbeddedServer(config)
         self.task: asyncio.Task[None] | None = None
 
+    def make_connection(self, **parts: Any) -> SharedReads:
+        """Create the protocol of a new connection."""
+        connection = BoundedConnection(self.guard, **parts)
+        return SharedReads(connection, self.read_buffer)
+
     @property
     def connections(self) -> int:
         """Return the number of open connections."""
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -8,8 +8,10 @@
 from loguru import logger
 
 from pollenwalk.connection.addresses import split_address
+from pollenwalk.connection.connection_guard import ConnectionGuard
+from pollenwalk.connection.connection_limits import read_limits
 from pollenwalk.connection.gateway_app import GatewayApp
-from pollenwalk.connection.http_server import HttpServer
+from pollenwalk.connection.http_server import KEEP_ALIVE_S, HttpServer
 from pollenwalk.connection.plain_page import Page, PlainPage
 from pollenwalk.connection.tcp_network import TcpNetwork
 from pollenwalk.errors import UserError
@@ -100,14 +102,20 @@
             self.gateway.max_body_bytes,
             self.gateway.sends_callers_away,
         )
+        self.guard = ConnectionGuard(
+            read_limits(options), self.gateway.metrics.count_closed
+        )
         self.caller_server = HttpServer(
             self.app,
             *split_address(options['http']),
             CALLER_KEEP_ALIVE_S,
+            self.guard,
         )
         self.readiness_server = HttpServer(
             PlainPage(READY_PATH, self.readiness),
             *split_address(options['ready']),
+            KEEP_ALIVE_S,
+            self.guard,
         )
         self.load_monitor = LoadMonitor(
             self.clock,
@@ -120,6 +128,7 @@
             self.gateway.metrics,
             self.refresh_metrics,
             options['metrics'],
+            self.guard,
         )
 
     def readiness(self) -> Page:
@@ -132,6 +141,7 @@
         metrics = self.gateway.metrics
         metrics.in_progress.set({}, self.app.in_progress)
         metrics.connections.set({}, self.caller_server.connections)
+        metrics.held_bytes.set({}, self.guard.held_bytes)
         metrics.memory_bytes.set({}, peak_memory_mib() * BYTES_PER_MIB)
 
     async def run(self) -> None:
--- a/pollenwalk/process/gateway_metrics.py
+++ b/pollenwalk/process/gateway_metrics.py
@@ -63,6 +63,8 @@
             'gateway_caller_connections',
             'Open connections of callers.',
         )
+        self.connections_closed_total = self.closed_connections('gateway')
+        self.held_bytes = self.connection_bytes('gateway')
         self.memory_bytes = self.gauge(
             'gateway_peak_memory_bytes',
             'Largest resident size of the process so far.',
@@ -98,6 +100,10 @@
             'Keepers that give no answer.',
         )
 
+    def count_closed(self, cause: str) -> None:
+        """Count a connection that a limit has closed, by the limit."""
+        self.connections_closed_total.inc({'cause': cause})
+
     def count_refusal(self, refusal: Refusal) -> None:
         """Count a refused request by its code and outcome."""
         self.refused_total.inc(
--- a/pollenwalk/process/keeper_daemon.py
+++ b/pollenwalk/process/keeper_daemon.py
@@ -3,9 +3,12 @@
 import asyncio
 import sys
 from pathlib import Path
+from typing import Any
 
 from loguru import logger
 
+from pollenwalk.connection.connection_guard import ConnectionGuard
+from pollenwalk.connection.connection_limits import read_limits
 from pollenwalk.connection.http_server import HttpServer
 from pollenwalk.connection.tcp_network import TcpNetwork
 from pollenwalk.errors import UserError
@@ -48,7 +51,7 @@
     logger.info('start', role='keeper', name=keeper.settings.name)
     await keeper.start()
     start_membership_tasks(keeper, store)
-    page = await start_metrics_page(keeper, settings.section('keeper')['metrics'])
+    page = await start_metrics_page(keeper, settings.section('keeper'))
     await wait_for_stop(stopped, keeper)
     await page.stop()
     await stop_keeper(keeper, store)
@@ -62,9 +65,15 @@
     logger.info('stop', role='keeper', name=keeper.settings.name)
 
 
-async def start_metrics_page(keeper: Keeper, address: str) -> HttpServer:
-    """Start the HTTP server for the metrics of a keeper."""
-    page = metrics_server(keeper.metrics, keeper.refresh_metrics, address)
+async def start_metrics_page(keeper: Keeper, options: dict[str, Any]) -> HttpServer:
+    """Start the HTTP server for the metrics of a keeper with these settings."""
+    guard = ConnectionGuard(read_limits(options), keeper.metrics.count_closed)
+
+    def refresh() -> None:  # noqa: WPS430
+        keeper.refresh_metrics()
+        keeper.metrics.held_bytes.set({}, guard.held_bytes)
+
+    page = metrics_server(keeper.metrics, refresh, options['metrics'], guard)
     await page.start()
     return page
 
--- a/pollenwalk/process/keeper_metrics.py
+++ b/pollenwalk/process/keeper_metrics.py
@@ -21,6 +21,8 @@
             'keeper_answer_seconds',
             'Time until an answer, syncs included, by kind.',
         )
+        self.connections_closed_total = self.closed_connections('keeper')
+        self.held_bytes = self.connection_bytes('keeper')
         self.turns = self.gauge('keeper_turns', 'Turns held.')
         self.turn_bytes = self.gauge('keeper_turn_bytes', 'Bytes of all turns.')
         self.accounts = self.gauge('keeper_accounts', 'Programs with spent tokens.')
@@ -40,3 +42,7 @@
             'keeper_permits_total',
             'Permits for hosts with a limit, by whether they were given.',
         )
+
+    def count_closed(self, cause: str) -> None:
+        """Count a connection that a limit has closed, by the limit."""
+        self.connections_closed_total.inc({'cause': cause})
--- a/pollenwalk/process/metrics_page.py
+++ b/pollenwalk/process/metrics_page.py
@@ -5,7 +5,8 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from pollenwalk.connection.addresses import split_address
-from pollenwalk.connection.http_server import HttpServer
+from pollenwalk.connection.connection_guard import ConnectionGuard
+from pollenwalk.connection.http_server import KEEP_ALIVE_S, HttpServer
 from pollenwalk.connection.plain_page import Page, PlainPage
 from pollenwalk.process.quick_metrics import QuickCounter, QuickHistogram
 
@@ -39,6 +40,20 @@
             buckets=list(BUCKETS),
         )
 
+    def closed_connections(self, role: str) -> Counter:
+        """Create and register the counter of connections that limits have closed."""
+        return self.counter(
+            f'{role}_connections_closed_total',
+            'HTTP connections closed because of a limit, by cause.',
+        )
+
+    def connection_bytes(self, role: str) -> Gauge:
+        """Create and register the gauge of what connections hold."""
+        return self.gauge(
+            f'{role}_connection_bytes',
+            'Bytes that all HTTP connections hold, by the count that is bounded.',
+        )
+
     def render(self) -> Page:
         """Return all metrics in the Prometheus text format."""
         body, headers = render(self.registry, ['text/plain'])
@@ -49,6 +64,7 @@
     metrics: MetricSet,
     refresh: Callable[[], None],
     address: str,
+    guard: ConnectionGuard,
 ) -> HttpServer:
     """Create the HTTP server for a process's metrics, without starting it.
 
@@ -56,10 +72,12 @@
         metrics: the metrics to serve.
         refresh: updates the gauges before each scrape.
         address: `ip:port` to listen on.
+        guard: bounds the connections of the process.
     """
 
     def show() -> Page:  # noqa: WPS430
         refresh()
         return metrics.render()
 
-    return HttpServer(PlainPage(PATH, show), *split_address(address))
+    page = PlainPage(PATH, show)
+    return HttpServer(page, *split_address(address), KEEP_ALIVE_S, guard)
--- a/pollenwalk/process/settings.py
+++ b/pollenwalk/process/settings.py
@@ -26,6 +26,14 @@
 
 DEFAULTS_FILE = 'default.ini'
 REGIONS_SECTION = 'regions'
+# Limits of HTTP connections, the same for gateways and keepers.
+CONNECTION_LIMITS: dict[str, Field] = {
+    'memory_mb': int_field(0, 1_000_000),
+    'max_descriptors': int_field(0, 1_000_000),
+    'head_timeout_ms': number_field(100, 600_000),
+    'body_timeout_ms': number_field(100, 600_000),
+    'unread_timeout_ms': number_field(100, 600_000),
+}
 SCHEMAS: dict[str, dict[str, Field]] = {
     'process': {
         'log_level': choice_field('DEBUG', 'INFO', 'WARNING', 'ERROR'),
@@ -70,6 +78,7 @@
         'leave_notice_ms': number_field(100, 600_000),
         'revocation_ms': number_field(0, 600_000),
         'tolerated_losses': int_field(0, 16),
+        **CONNECTION_LIMITS,
     },
     'keeper': {
         'name': NAME,
@@ -79,6 +88,7 @@
         'folder': TEXT,
         'first_start': choice_field('true', 'false'),
         'tolerated_losses': int_field(0, 16),
+        **CONNECTION_LIMITS,
     },
     'load': {
         'entries': URLS,
