--- a/test/platform/test_templates.py
+++ b/test/platform/test_templates.py
@@ -69,6 +69,14 @@
         own = parse_settings(text, 'gateway', 'gateway').section('gateway')
         self.assertEqual((3000, 3000), (own['change_delay_ms'], own['leave_notice_ms']))
 
+    def test_limits_of_the_machine(self) -> None:
+        limits = {'limits.memory_mb': '88', 'limits.max_fds': '4100'}
+        for role in ('gateway', 'keeper'):
+            template = (DEPLOY / f'{role}.ini').read_text()
+            text = fill_template(template, {**VALUES, **limits})
+            own = parse_settings(text, role, role).section(role)
+            self.assertEqual((88, 4100), (own['memory_mb'], own['max_descriptors']))
+
 
 class CheckDeploymentTest(testtools.TestCase):
     """The command that checks a deploy file before the deployment."""
