--- a/pollenwalk/connection/bounded_connection.py
+++ b/pollenwalk/connection/bounded_connection.py
@@ -29,6 +29,11 @@
 BODY_COPIES = 2
 
 
+def begins_nothing() -> bool:
+    """Return that no request is read on a connection that has ended."""
+    return False
+
+
 class Guard(Protocol):
     """Follows what all connections of the process hold."""
 
@@ -109,6 +114,9 @@
         """End the connection."""
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
+        # The parser refers to the connection: a cycle would keep both until the next
+        # garbage collection.
+        self.conn.may_begin = begins_nothing
         self.guard.changed(-self.held_bytes)
         self.held_bytes = 0
         self.guard.closed(self)
