connection: read no more of a body than is missing

With reads of 16 KiB during each body, clients that pipeline short bodies had nearly a whole read of further requests held.

--- a/pollenwalk/connection/bounded_connection.py
+++ b/pollenwalk/connection/bounded_connection.py
@@ -174,6 +174,13 @@
         """Return how many bytes of answers the operating system has not taken."""
         return self.transport.get_write_buffer_size()
 
+    @property
+    def read_bytes(self) -> int:
+        """Return how much to read: the rest of a long body, or what a head may need."""
+        if self.phase != Phase.BODY:
+            return HEAD_READ_BYTES
+        return min(max(self.conn.missing_bytes, HEAD_READ_BYTES), READ_BYTES)
+
     @property
     def is_running(self) -> bool:
         """Return whether a request was read and is not answered yet."""
@@ -250,10 +257,8 @@
         self.connection.connection_lost(exc)
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the shared buffer, or a part of it unless a body is incomplete."""
-        if self.connection.phase == Phase.BODY:
-            return self.shared
-        return self.shared[:HEAD_READ_BYTES]
+        """Return as much of the shared buffer as may be read now."""
+        return self.shared[: self.connection.read_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass on what was read."""
