connection: judge unread answers and idle time by what changes

A long stream receives nothing and may have bytes to write whenever it is looked at, so that its caller could count as one that does not read; and a connection counted as idle for long right after a long answer.

--- a/pollenwalk/connection/bounded_connection.py
+++ b/pollenwalk/connection/bounded_connection.py
@@ -80,7 +80,11 @@
     Attributes:
         guard: follows what all connections hold.
         held_bytes: what this connection held when it was last counted.
-        moved_at_s: when bytes were last received or taken, in the loop's time.
+        moved_at_s: when bytes were last received, in the loop's time.
+        last_unread_bytes: how many bytes of answers were not taken at the last count.
+        unread_at_s: since when that has been so. While an answer is written, some bytes
+            may wait at any time; only an amount that does not change shows a client
+            that does not read.
         phase: what the connection was doing when it was last counted.
         phase_at_s: when that began.
         awaits_reader: whether the next request waits until the last answer is taken.
@@ -95,6 +99,8 @@
         )
         self.held_bytes = 0
         self.moved_at_s = self.loop.time()
+        self.last_unread_bytes = 0
+        self.unread_at_s = self.moved_at_s
         self.phase = Phase.UNUSED
         self.phase_at_s = self.moved_at_s
         self.awaits_reader = False
@@ -153,7 +159,7 @@
 
     def resume_writing(self) -> None:
         """Let senders go on, and the next request if it waited for this."""
-        self.moved_at_s = self.loop.time()
+        self.unread_at_s = self.loop.time()
         super().resume_writing()
         if self.awaits_reader:
             self.loop.call_soon(self.begin_next)
@@ -195,11 +201,15 @@
     def count(self) -> None:
         """Count anew what the connection holds."""
         self.update_phase()
+        unread_bytes = self.unread_bytes
+        if unread_bytes != self.last_unread_bytes:
+            self.last_unread_bytes = unread_bytes
+            self.unread_at_s = self.loop.time()
         held_bytes = (
             CONNECTION_BYTES
             + self.conn.unparsed_bytes
             + self.conn.body_bytes * BODY_COPIES
-            + self.unread_bytes
+            + unread_bytes
         )
         if self.is_running:
             held_bytes += REQUEST_BYTES
@@ -233,6 +243,7 @@
             self.phase,
             (now_s - self.phase_at_s) * MS_PER_SECOND,
             (now_s - self.moved_at_s) * MS_PER_SECOND,
+            (now_s - self.unread_at_s) * MS_PER_SECOND,
         )
 
 
--- a/pollenwalk/connection/connection_guard.py
+++ b/pollenwalk/connection/connection_guard.py
@@ -140,7 +140,7 @@
 
     def exceeded_limit(self, use: ConnectionUse) -> str:
         """Return which time limit a connection has exceeded; empty if none."""
-        if use.unread_bytes and use.unmoved_ms > self.limits.unread_timeout_ms:
+        if use.unread_bytes and use.unread_ms > self.limits.unread_timeout_ms:
             return 'unread_timeout'
         if use.phase == Phase.HEAD and use.phase_ms > self.limits.head_timeout_ms:
             return 'head_timeout'
--- a/pollenwalk/policy/connection_shedding.py
+++ b/pollenwalk/policy/connection_shedding.py
@@ -49,8 +49,7 @@
     RECEIVING = 7
 
 
-# How long an ordinary connection may be in a phase: the whole time for a head, the time
-# without progress otherwise.
+# How long an ordinary connection may be in a phase; for a body, without progress.
 PHASE_LIMITS = {
     Phase.UNUSED: (SLOW_MS, Offence.UNUSED),
     Phase.IDLE: (REUSE_MS, Offence.LONG_IDLE),
@@ -69,7 +68,8 @@
         ahead_bytes: bytes of requests that were sent before the last answer.
         phase: what it is doing.
         phase_ms: time since the phase began.
-        unmoved_ms: time since the last byte was received or taken.
+        unmoved_ms: time since the last byte was received.
+        unread_ms: time for which as many bytes of answers as now were not taken.
     """
 
     held_bytes: int
@@ -78,6 +78,7 @@
     phase: Phase
     phase_ms: float
     unmoved_ms: float
+    unread_ms: float
 
 
 def offence_of(use: ConnectionUse, for_memory: bool) -> Offence | None:
@@ -88,13 +89,13 @@
         for_memory: whether memory is short; otherwise descriptors are.
     """
     is_slow = use.unmoved_ms >= SLOW_MS
-    if use.unread_bytes and is_slow:
+    if use.unread_bytes and use.unread_ms >= SLOW_MS:
         return Offence.UNREAD
     if use.ahead_bytes:
         return Offence.SENT_AHEAD
     if use.phase == Phase.BODY and not is_slow:
         return Offence.RECEIVING if for_memory else None
-    waited_ms = use.phase_ms if use.phase == Phase.HEAD else use.unmoved_ms
+    waited_ms = use.unmoved_ms if use.phase == Phase.BODY else use.phase_ms
     limit_ms, offence = PHASE_LIMITS[use.phase]
     return offence if waited_ms >= limit_ms else None
 
