--- a/pollenwalk/process/route_explanation.py
+++ b/pollenwalk/process/route_explanation.py
@@ -110,7 +110,7 @@
     placer: CallPlacer, state: HostState, cost: CallCost, now_ms: float
 ) -> Fields:
     """Return the figures by which a host is chosen."""
-    candidate = placer.candidate(state, now_ms)
+    candidate = placer.candidate(state, now_ms, cost)
     age_ms = state.report_age_ms(now_ms)
     return {
         'host': state.registration.id,
@@ -120,6 +120,7 @@
         'load': round(candidate.load, 1),
         'slots': candidate.slots,
         'in_flight': state.in_flight,
+        'cached_tokens': candidate.cached_tokens,
         'load_age_ms': None if age_ms is None else round(age_ms),
         'distance': distance_of(candidate.same_zone, candidate.same_region),
         'suspected_ms': round(max(state.suspected_until_ms - now_ms, 0)),
