quotas: expect of a new organisation's programs what others' programs need

A small organisation begins few programs, so the mean number of calls stayed at the first expectation for long, and programs began whose later calls found no quota. Calls of begun programs wait up to half of their time instead of a third: a refused caller waits as long and opens a connection besides. The first question to a keeper of another region timed out while the connection was made; gateways connect before.

--- a/pollenwalk/policy/quota_bucket.py
+++ b/pollenwalk/policy/quota_bucket.py
@@ -161,10 +161,13 @@
         requests: number of requests, with decaying weights.
         starts: number of program starts, likewise.
         at_ms: time of these numbers.
+        others: the mean of all organisations, which is expected of one that has begun
+            few programs; None to expect EXPECTED_CALLS.
     """
 
-    def __init__(self, now_ms: float) -> None:
+    def __init__(self, now_ms: float, others: 'CallsPerProgram | None' = None) -> None:
         """Start with the expectation."""
+        self.others = others
         self.requests = 0.0
         self.starts = 0.0
         self.at_ms = now_ms
@@ -179,5 +182,6 @@
     @property
     def mean(self) -> float:
         """Return the mean number of requests of a program."""
-        requests = self.requests + PRIOR_STARTS * EXPECTED_CALLS
+        expected = EXPECTED_CALLS if self.others is None else self.others.mean
+        requests = self.requests + PRIOR_STARTS * expected
         return min(max(requests / (self.starts + PRIOR_STARTS), 1), MAX_CALLS)
--- a/pollenwalk/process/quota_client.py
+++ b/pollenwalk/process/quota_client.py
@@ -25,12 +25,14 @@
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.version.organisations import Organisation
 
-# Timeout of one question for tokens, as of one for a permit.
-QUOTA_TIMEOUT_MS = 200.0
+# Timeout of one question for tokens: the first one to a keeper in another region also
+# waits for a new connection, which takes two round trips and more at a busy keeper.
+QUOTA_TIMEOUT_MS = 400.0
 # How long a keeper is not asked for tokens after one that it did not answer in time.
 SILENCE_MS = 500.0
 # A call of a program that has begun waits for a token for this share of its time.
-WAIT_SHARE = 1 / 3
+# If it is refused, its caller waits as long and opens a new connection besides.
+WAIT_SHARE = 1 / 2
 # Shortest pause before a call asks again that may wait longer.
 MIN_PAUSE_MS = 20.0
 # Longest time for which program starts are refused without a question.
@@ -394,9 +396,18 @@
         return [link for link in owner_links if not link.is_lost]
 
     async def run(self) -> None:
-        """Return tokens that are not needed at regular intervals, until cancelled."""
+        """Return tokens that are not needed at regular intervals, until cancelled.
+
+        Keepers that are new in the list are connected to, so that the first question to
+        them is answered in time.
+        """
+        connected: set[str] = set()
         while self.is_enabled:
             await self.clock.sleep_ms(SWEEP_INTERVAL_MS)
+            links = self.group.links
+            for name in links.members.by_name.keys() - connected:
+                connected.add(name)
+                self.group.tasks.spawn(links.reaches(name), 'connect_keeper')
             for state in list(self.by_organisation.values()):
                 self.sweep(state)
 
--- a/pollenwalk/process/quota_owner.py
+++ b/pollenwalk/process/quota_owner.py
@@ -95,7 +95,8 @@
         grant = self.serve(share, request, part, now_ms)
         # Calls that are refused count, too: a program would need them.
         calls = max(request.calls, grant.granted - grant.starts)
-        share.programs.add(calls + grant.starts, grant.starts, now_ms)
+        for programs in (share.programs, self.shares.programs):
+            programs.add(calls + grant.starts, grant.starts, now_ms)
         count_grant(share, request.gateway, grant.granted, now_ms)
         next_start_ms = self.next_start_ms(share, now_ms)
         refused = request.starts - grant.starts
--- a/pollenwalk/process/quota_shares.py
+++ b/pollenwalk/process/quota_shares.py
@@ -68,7 +68,13 @@
         return_at_ms: when the program start that was refused last may come back.
     """
 
-    def __init__(self, owners: list[str], began_at_ms: float, now_ms: float) -> None:
+    def __init__(
+        self,
+        owners: list[str],
+        began_at_ms: float,
+        now_ms: float,
+        all_programs: CallsPerProgram | None = None,
+    ) -> None:
         """Create a share.
 
         Args:
@@ -76,6 +82,7 @@
             began_at_ms: since when this keeper has owned the share, with nobody asking
                 for its tokens.
             now_ms: the current time.
+            all_programs: how many requests the programs of all organisations have.
         """
         self.owners = owners
         self.former_owners = owners
@@ -84,7 +91,7 @@
         self.burst = 0.0
         self.bucket = TokenBucket(began_at_ms)
         self.starts = TokenBucket(began_at_ms)
-        self.programs = CallsPerProgram(now_ms)
+        self.programs = CallsPerProgram(now_ms, all_programs)
         self.pending = DecayedCount(PENDING_MEMORY_MS)
         self.returned: dict[float, int] = {}
         self.granted = 0
@@ -143,6 +150,7 @@
         leases: what this keeper lends and borrows.
         by_organisation: the shares that were asked for lately.
         contacts: when each other keeper was asked last that agreed on the list.
+        programs: how many requests the programs of all organisations have.
         agreed_since_ms: since when a majority has agreed on it; None before that.
     """
 
@@ -159,6 +167,7 @@
         self.leases = ShareLeases(QUOTA_TIMES)
         self.by_organisation: dict[str, OrganisationShare] = {}
         self.contacts: dict[str, float] = {}
+        self.programs = CallsPerProgram(clock.boot_ms())
         self.digest = 0
         self.agreed_since_ms: float | None = None
         self.refresh()
@@ -211,7 +220,7 @@
         began_at_ms = min(self.owner_list.settled_at_ms, now_ms)
         if not self.owner_list.is_settled:
             began_at_ms = now_ms
-        share = OrganisationShare(owners, began_at_ms, now_ms)
+        share = OrganisationShare(owners, began_at_ms, now_ms, self.programs)
         if not self.owner_list.is_settled:
             share.former_owners = self.owner_list.settled_owners(organisation)
         self.by_organisation[organisation] = share
