--- a/standin/platform/daemons.py
+++ b/standin/platform/daemons.py
@@ -22,6 +22,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 CHECK_S = 0.05
 READY_S = 30.0
+# Lines of a process's log that are shown if it does not become ready.
+LAST_LINES = 12
 READY_REQUEST = b'GET /v1/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n'
 
 
@@ -152,12 +154,21 @@
         """Wait until all gateways report that they are ready.
 
         Raises:
-            TimeoutError: that takes too long.
+            TimeoutError: that takes too long; names how far each process came.
         """
-        async with asyncio.timeout(READY_S):
-            for daemon in self.daemons.values():
-                while daemon.ready and not await is_ready(daemon.ready):
-                    await asyncio.sleep(CHECK_S)
+        try:
+            async with asyncio.timeout(READY_S):
+                for daemon in self.daemons.values():
+                    while daemon.ready and not await is_ready(daemon.ready):
+                        await asyncio.sleep(CHECK_S)
+        except TimeoutError as error:
+            raise TimeoutError('\n'.join(map(self.describe, self.running))) from error
+
+    def describe(self, name: str) -> str:
+        """Return whether a process runs, and the end of its log."""
+        log = (self.folder / f'{name}.log').read_text('utf-8', 'replace')
+        last_lines = '\n'.join(log.splitlines()[-LAST_LINES:])
+        return f'{name}: exit status {self.running[name].poll()}\n{last_lines}'
 
     async def close(self) -> None:
         """End all processes and remove their files."""
