--- a/standin/experiments/quotas.py
+++ b/standin/experiments/quotas.py
@@ -21,7 +21,8 @@
 from pollenwalk.process.keeper_members import Member, Members
 from pollenwalk.process.quota_client import QuotaClient
 from pollenwalk.process.quota_owner import QuotaOwner
-from pollenwalk.process.share_ownership import RENEWAL_INTERVAL_MS, SETTLE_MS
+from pollenwalk.process.quota_shares import QUOTA_RENEWAL_MS
+from pollenwalk.process.share_ownership import SETTLE_MS
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.request.http_messages import Request, RequestMetadata
@@ -163,7 +164,7 @@
                     now_ms = self.clock.boot_ms()
                     digest = message.members
                     owner.shares.record_answer(lender, now_ms, digest, answer)
-            await self.clock.sleep_ms(RENEWAL_INTERVAL_MS)
+            await self.clock.sleep_ms(QUOTA_RENEWAL_MS)
 
 
 class Links:
@@ -179,6 +180,10 @@
         """Return the connection to a keeper."""
         return self.owners.links[member.name]
 
+    async def reaches(self, name: str) -> bool:
+        """Return whether a keeper answers."""
+        return name in self.owners.owners
+
     async def request(self, link: KeeperLink, message: Any) -> Any:
         """Ask a keeper."""
         self.owners.questions += 1
--- a/standin/platform/daemons.py
+++ b/standin/platform/daemons.py
@@ -159,8 +159,7 @@
         try:
             async with asyncio.timeout(READY_S):
                 for daemon in self.daemons.values():
-                    while daemon.ready and not await is_ready(daemon.ready):
-                        await asyncio.sleep(CHECK_S)
+                    await wait_until_ready(daemon)
         except TimeoutError as error:
             raise TimeoutError('\n'.join(map(self.describe, self.running))) from error
 
@@ -179,6 +178,12 @@
         self.scratch.cleanup()
 
 
+async def wait_until_ready(daemon: Daemon) -> None:
+    """Wait until a process reports that it is ready; a keeper has no such page."""
+    while daemon.ready and not await is_ready(daemon.ready):
+        await asyncio.sleep(CHECK_S)
+
+
 async def is_ready(address: str) -> bool:
     """Return whether a readiness page answers with 200."""
     return (await exchange(address, READY_REQUEST)).startswith(b'HTTP/1.1 200')
