--- a/pollenwalk/connection/bounded_connection.py
+++ b/pollenwalk/connection/bounded_connection.py
@@ -2,7 +2,7 @@
 
 A request that follows another on the same connection is read only once the answer to
 that one was passed to the operating system completely. Beside an incomplete head or body,
-at most one read of bytes that were sent ahead is held.
+at most one read of pipelined bytes is held.
 """
 
 import asyncio
@@ -16,7 +16,7 @@
 from pollenwalk.process.clock import MS_PER_SECOND
 
 # Size of one read while a body is incomplete, and at other times. Each connection may
-# hold one read of bytes that were sent ahead; most requests fit into a small one.
+# hold one read of pipelined bytes; most requests fit into a small one.
 READ_BYTES = 16_384
 HEAD_READ_BYTES = 4_096
 # Bytes of an answer that may wait in the process before its sender waits.
@@ -62,7 +62,7 @@
         self.transport.pause_reading()
 
     def resume_reading(self) -> None:
-        """Read on, unless a request that was sent ahead waits for its turn.
+        """Read on, unless a pipelined request waits for its turn.
 
         While there is none, reading goes on during a request so that the end of the
         connection is noticed.
@@ -194,7 +194,7 @@
 
     @property
     def ahead_bytes(self) -> int:
-        """Return how many bytes of requests wait that were sent ahead."""
+        """Return how many bytes of pipelined requests wait."""
         is_ahead = self.conn.has_whole_request or self.awaits_reader
         return self.conn.unparsed_bytes if is_ahead else 0
 
--- a/pollenwalk/policy/connection_shedding.py
+++ b/pollenwalk/policy/connection_shedding.py
@@ -1,8 +1,8 @@
 """Which client's connection is closed first when memory or descriptors run short.
 
-Answers the load of clients that hold resources and give nothing back: they do not read
-their answers, send requests ahead, do not complete a head, or open connections that they
-do not use. A caller that sends one request, reads its answer and reuses its connection
+Chosen are clients that hold resources without need: they do not read their answers,
+send pipelined requests, do not complete a head, or open connections that they do not
+use. A caller that sends one request, reads its answer and reuses its connection
 within the usual time is never chosen, except that memory may be taken back from a
 request that is still being received: it has not run.
 """
--- a/pollenwalk/policy/decayed_count.py
+++ b/pollenwalk/policy/decayed_count.py
@@ -27,5 +27,5 @@
         return self.counted * math.exp(-age_ms / self.memory_ms)
 
     def per_ms(self, now_ms: float) -> float:
-        """Return the mean rate, of what was counted for longer than the memory."""
+        """Return the mean rate; too low until `memory_ms` are well exceeded."""
         return self.at(now_ms) / self.memory_ms
--- a/pollenwalk/policy/fair_shares.py
+++ b/pollenwalk/policy/fair_shares.py
@@ -1,7 +1,7 @@
 """Fair shares: which organisation's new programs are refused first under shortage.
 
-Answers the load of an organisation that sends several times its usual load: without a
-limit for each, it would get the room of the others by the number of its requests.
+Without a limit for each organisation, one that sends several times its usual load would
+take the capacity that the others need, by the number of its requests.
 Only organisations that have been active lately have a state.
 """
 
@@ -11,12 +11,13 @@
 from pollenwalk.policy.decayed_count import DecayedCount
 from pollenwalk.policy.stretch_admission import Crowding
 
-# Demand is counted over this time: hosts have much to make up for if an organisation
-# that sends fifteen times its share is found after 5 s.
+# Demand is counted over this time. If an organisation that sends fifteen times its share
+# is found only after 5 s, hosts have a long backlog by then.
 MEMORY_MS = 2000.0
-# An organisation has more than its share if it tries to begin this many times as many
-# programs as the others, each by its share, and this many standard deviations and so
-# many programs at least, so that one that sends as much as the others rarely does.
+# An organisation has more than its share if it tries to begin more programs than
+# DEMAND_FACTOR times as many as the others, in proportion to shares, plus DEVIATIONS
+# standard deviations, and at least MIN_DEMAND. So one that sends as much as the others
+# is rarely found to exceed its share.
 DEMAND_FACTOR = 2.0
 DEVIATIONS = 1.0
 MIN_DEMAND = 3.0
--- a/pollenwalk/policy/quota_bucket.py
+++ b/pollenwalk/policy/quota_bucket.py
@@ -13,10 +13,10 @@
 MAX_VALIDITY_MS = 1000.0
 # Below the time of a round trip between regions, tokens would expire on their way.
 MIN_VALIDITY_MS = 100.0
-# Parts of what the quota's bound allows beyond rate and burst: at most this one for the
-# validity of tokens, and both uses together at most the other. What the validity leaves
-# is capacity: a program of a small organisation sends faster than its rate for seconds.
-# The rest is for clocks that run at different speeds.
+# What the quota's bound allows beyond rate and burst is divided. At most VALIDITY_SHARE
+# of it is for tokens that are used later than they are granted. What that leaves of
+# USED_SHARE is capacity of the buckets: a program of a small organisation sends faster
+# than its rate for seconds. The rest is for clocks that run at different speeds.
 VALIDITY_SHARE = 0.6
 USED_SHARE = 0.9
 # Mean number of requests of a program before any was seen, and its limits.
--- a/pollenwalk/policy/request_priority.py
+++ b/pollenwalk/policy/request_priority.py
@@ -1,6 +1,6 @@
 """Request priority: the level at which hosts admit a request before others.
 
-Answers the load of a burst in which urgent and other programs compete for slots: a
+It matters in bursts in which urgent and other programs compete for slots: a
 host with more requests than slots runs those of a lower level first and preempts
 others for them. Programs that can't end in time any more yield to those that can, as
 the time that a late program takes may make another one late.
--- a/pollenwalk/policy/stretch_admission.py
+++ b/pollenwalk/policy/stretch_admission.py
@@ -1,8 +1,8 @@
 """Stretch admission: whether a new program may begin while turns take longer.
 
-Answers the load of a burst above the capacity of the hosts, in which all programs
-share the shortage and nearly all end late. A gateway observes how much of the time
-that programs may take longer than at idle hosts their turns use up. While it is too
+Without it, all programs share the shortage in a burst above the capacity of the hosts,
+and nearly all end late. Programs may take some time longer than at idle hosts. A
+gateway observes which part of that spare time their turns use up. While it is too
 much, it lets programs begin only as fast as the turns of others end.
 """
 
@@ -18,8 +18,8 @@
 # allow, and what the objective leaves for a turn of a program of a few turns.
 TOLERATED_STRETCH = 1.3
 ALLOWANCE_MS = 150.0
-# All new programs are admitted while turns use less than this part of that time. In calm
-# the variation of prompts alone uses about a tenth.
+# All new programs are admitted while turns use less than this part of that time. At
+# low load the variation of prompts alone uses about a tenth.
 ADMIT_ALL_BELOW = 0.4
 # The part at which programs begin as fast as others end. Programs that have begun still
 # end in time there; others begin faster below it and slower above.
--- a/pollenwalk/process/load_admission.py
+++ b/pollenwalk/process/load_admission.py
@@ -1,4 +1,4 @@
-"""What a gateway does for urgent and for new programs while room is short."""
+"""Priorities that hosts are told, and admission of new programs under load."""
 
 import random
 from collections.abc import Iterator
--- a/pollenwalk/process/quota_client.py
+++ b/pollenwalk/process/quota_client.py
@@ -28,16 +28,19 @@
 # Timeout of one question for tokens: the first one to a keeper in another region also
 # waits for a new connection, which takes two round trips and more at a busy keeper.
 QUOTA_TIMEOUT_MS = 400.0
-# How long a keeper is not asked for tokens after one that it did not answer in time.
+# How long a keeper is not asked for tokens after a question that it did not answer in
+# time.
 SILENCE_MS = 500.0
-# A call of a program that has begun waits for a token for this share of its time.
-# If it is refused, its caller waits as long and opens a new connection besides.
+# A call of a program that has begun waits for a token for at most this share of its
+# remaining time. If it is refused, its caller waits as long and opens a new connection
+# besides.
 WAIT_SHARE = 1 / 2
 # Shortest pause before a call asks again that may wait longer.
 MIN_PAUSE_MS = 20.0
 # Longest time for which program starts are refused without a question.
 MAX_REFUSED_MS = 100.0
-# Retry-After where no owner can be asked: leases of the quota end in three times this.
+# Retry-After where no owner can be asked. Leases of quotas last 800 ms, so they have
+# ended when a caller comes back for the second time.
 UNKNOWN_RETRY_MS = 500.0
 SWEEP_INTERVAL_MS = 500.0
 # Organisations without requests for this long are forgotten.
@@ -164,8 +167,8 @@
     async def pay(self, call: Call) -> bool:
         """Pay for one send of a call just before it; return whether it may be sent.
 
-        The first send is paid by the token that `obtain` took. A further one takes one
-        token more, and waits for it as a call of a program that has begun.
+        A send for which `obtain` or `prepay` took a token is paid by it. Another one
+        takes one token more, and waits for it as a call of a program that has begun.
         """
         if self.is_first_send(call):
             return True
@@ -181,7 +184,7 @@
         return True
 
     def is_first_send(self, call: Call) -> bool:
-        """Use the token that `obtain` took; return whether there is one."""
+        """Use a token that `obtain` or `prepay` took; return whether there was one."""
         key = call.owned_key(call.id)
         tokens = self.unsent.get(key)
         if not tokens:
@@ -195,7 +198,8 @@
         """Take a token for a further send that follows at once, if there is one.
 
         Without one, the call must not be sent once more: a debt of each gateway could
-        exceed what the quota's bound allows. `pay` uses the token; `release` puts it back if the call is not sent after all.
+        exceed what the quota's bound allows. `pay` uses the token; `release` puts it
+        back if the call is not sent after all.
         """
         state = self.state_of(call)
         if state is None:
--- a/pollenwalk/process/quota_shares.py
+++ b/pollenwalk/process/quota_shares.py
@@ -36,6 +36,7 @@
 # they have ended. They are renewed several times before, as they lapse if the link
 # between regions is full for a moment.
 QUOTA_LEASE_MS = 800.0
+# Longer than a lease: those that a keeper granted before it was restarted have ended.
 QUOTA_FIRST_SETTLE_MS = 900.0
 QUOTA_RENEWAL_MS = 200.0
 QUOTA_TIMES = LeaseTimes(QUOTA_LEASE_MS, SETTLE_MS, QUOTA_FIRST_SETTLE_MS)
@@ -151,7 +152,8 @@
         by_organisation: the shares that were asked for lately.
         contacts: when each other keeper was asked last that agreed on the list.
         programs: how many requests the programs of all organisations have.
-        agreed_since_ms: since when a majority has agreed on it; None before that.
+        agreed_since_ms: since when a majority has agreed on the list of keepers; None
+            before that.
     """
 
     def __init__(
--- a/pollenwalk/process/quota_waiters.py
+++ b/pollenwalk/process/quota_waiters.py
@@ -30,7 +30,7 @@
     Attributes:
         begins_program: whether it begins a program.
         max_wait_ms: how long it can wait for a token.
-        given: becomes what it is told.
+        given: future of what it is told.
     """
 
     begins_program: bool
--- a/pollenwalk/process/share_ownership.py
+++ b/pollenwalk/process/share_ownership.py
@@ -3,9 +3,9 @@
 Each limit or quota has up to three owners among the keepers. Each owns an equal
 share. The second and the third lend theirs to the first, under a lease that it renews.
 
-A keeper that starts, or that becomes an owner as the list of keepers changes, waits for
-SETTLE_MS. Within that time the leases that it may have granted end, and the former
-owners learn of the change.
+A keeper that starts, or that becomes an owner as the list of keepers changes, waits
+before it uses its shares, for a time that `LeaseTimes` states. Within that time the
+leases that it may have granted end, and after a change the former owners learn of it.
 """
 
 from collections.abc import Callable, Mapping
--- a/pollenwalk/request/hedged_unary.py
+++ b/pollenwalk/request/hedged_unary.py
@@ -20,8 +20,8 @@
 from pollenwalk.request.reply import Reply
 from pollenwalk.version.routes import Route
 
-# A slow call whose route has not been answered in time since is looked at again after
-# this share of the hedge delay.
+# While no call of the route that was sent after a slow call has been answered in time,
+# the slow call is checked again after this share of the hedge delay.
 RECHECK_SHARE = 0.5
 
 
@@ -264,7 +264,7 @@
             remaining_ms = self.remaining_ms(began_ms, delay_ms)
 
     def remaining_ms(self, began_ms: float, former_ms: float) -> float:
-        """Return the time until it is looked at again whether the first is slow.
+        """Return the time until the next check of whether the first is slow.
 
         The delay may have risen since the attempt began. What counts as in time rises
         with it, so the delay at the beginning must not be compared with that.
