--- a/pollenwalk/process/quota_client.py
+++ b/pollenwalk/process/quota_client.py
@@ -170,10 +170,10 @@
         A send for which `obtain` or `prepay` took a token is paid by it. Another one
         takes one token more, and waits for it as a call of a program that has begun.
         """
-        if self.is_first_send(call):
+        if self.consume_token(call):
             return True
         if self.prepay(call):
-            self.is_first_send(call)
+            self.consume_token(call)
             return True
         state = self.by_organisation[call.organisation_name]
         try:
@@ -183,7 +183,7 @@
         self.metrics.count_quota_tokens('used')
         return True
 
-    def is_first_send(self, call: Call) -> bool:
+    def consume_token(self, call: Call) -> bool:
         """Use a token that `obtain` or `prepay` took; return whether there was one."""
         key = call.owned_key(call.id)
         tokens = self.unsent.get(key)
--- a/standin/experiments/quotas.py
+++ b/standin/experiments/quotas.py
@@ -247,7 +247,7 @@
             await client.obtain(call, begins_program=False)
         except Refusal:
             return
-        client.is_first_send(call)
+        client.consume_token(call)
         self.sent.append((now_ms, self.clock.now_ms()))
 
 
