quotas: grant tokens ahead of time only to calls that can wait for them

Questions named only the longest time for which any of their calls could wait. A call also waits no longer than tokens are granted ahead, as it would ask again in vain.

--- a/pollenwalk/connection/quota_messages.py
+++ b/pollenwalk/connection/quota_messages.py
@@ -38,6 +38,8 @@
         spare_calls: tokens for calls that are expected.
         spare_starts: tokens for program starts that are expected.
         returned: tokens that the gateway does not need.
+        call_waits_ms: how long each of the waiting calls can wait, the shortest first;
+            empty if all can wait for `max_wait_ms`.
     """
 
     organisation: str
@@ -51,6 +53,7 @@
     spare_calls: int = 0
     spare_starts: int = 0
     returned: tuple[ReturnedTokens, ...] = ()
+    call_waits_ms: tuple[float, ...] = ()
 
 
 class QuotaGrant(NamedTuple):
--- a/pollenwalk/process/quota_client.py
+++ b/pollenwalk/process/quota_client.py
@@ -20,7 +20,7 @@
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.keeper_group import KeeperGroup, answer_or_none
 from pollenwalk.process.keeper_links import KeeperLink
-from pollenwalk.process.quota_shares import rank_quota_owners
+from pollenwalk.process.quota_shares import QUOTA_LEASE_MS, rank_quota_owners
 from pollenwalk.process.quota_waiters import Answered, Given, Waiter, earlier
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.version.organisations import Organisation
@@ -32,7 +32,7 @@
 # time.
 SILENCE_MS = 500.0
 # A call of a program that has begun waits for a token for at most this share of its
-# remaining time. If it is refused, its caller waits as long and opens a new connection
+# remaining time, and not longer than tokens are granted ahead. If it is refused, its caller waits as long and opens a new connection
 # besides.
 WAIT_SHARE = 1 / 2
 # Shortest pause before a call asks again that may wait longer.
@@ -94,6 +94,9 @@
         """Return the question for what is needed now."""
         starts = sum(waiter.begins_program for waiter in waiters)
         max_wait_ms = max((waiter.max_wait_ms for waiter in waiters), default=0)
+        call_waits_ms = tuple(
+            waiter.max_wait_ms for waiter in waiters if not waiter.begins_program
+        )
         spare_calls, spare_starts = self.spares_wanted(now_ms)
         return RequestQuota(
             self.organisation.name,
@@ -106,6 +109,7 @@
             max_wait_ms,
             spare_calls,
             spare_starts,
+            call_waits_ms=call_waits_ms,
         )
 
     def learn(self, call: Call) -> None:
@@ -251,7 +255,7 @@
             given = state.refused_start(now_ms)
         else:
             remaining_ms = call.remaining_ms(self.clock.now_ms())
-            latest_ms += max(remaining_ms, 0) * WAIT_SHARE
+            latest_ms += min(max(remaining_ms, 0) * WAIT_SHARE, QUOTA_LEASE_MS)
         given = given or await self.ask_until(state, begins_program, latest_ms)
         if given.token is None:
             raise quota_refusal(state, call, given)
--- a/pollenwalk/process/quota_owner.py
+++ b/pollenwalk/process/quota_owner.py
@@ -7,6 +7,7 @@
 """
 
 import secrets
+from collections.abc import Sequence
 
 from loguru import logger
 
@@ -165,8 +166,9 @@
         """Take the tokens for a request."""
         reused, reused_validity_ms = reuse(share, request.calls, now_ms)
         calls = share.bucket.take(request.calls - reused)
-        waiting = request.calls - reused - calls
-        waits_ms = self.reserve(share, waiting, request.max_wait_ms, now_ms)
+        waits_ms = self.reserve(
+            share, longest_waits_ms(request)[reused + calls :], now_ms
+        )
         share.expect(-(reused + calls + len(waits_ms)), now_ms)
         capacity = capacity_of(part, self.bound.capacity(*share.quota))
         starts = self.take_starts(share, request.starts, 0, part, now_ms)
@@ -223,24 +225,28 @@
     def reserve(
         self,
         share: OrganisationShare,
-        calls: int,
-        max_wait_ms: float,
+        max_waits_ms: Sequence[float],
         now_ms: float,
     ) -> tuple[float, ...]:
         """Grant tokens ahead of time; return when they may be used.
 
-        Only the first owner does so, as the others may lend their shares meanwhile.
+        Only the first owner does so, as the others may lend their shares meanwhile. A
+        token that comes too late for the call would be lost to all others.
+
+        Args:
+            share: the share.
+            max_waits_ms: how long each call can wait, the shortest first.
+            now_ms: the current time.
         """
         waits_ms: list[float] = []
-        if not calls or not share.is_first(self.shares.name):
+        if not max_waits_ms or not share.is_first(self.shares.name):
             return ()
         future = self.shares.future(share, now_ms)
-        for _ in range(calls):
+        for max_wait_ms in max_waits_ms:
             wait_ms = share.bucket.wait_ms(1, future, share.rate_per_s)
-            if wait_ms > min(max_wait_ms, MAX_AHEAD_MS):
-                break
-            share.bucket.level -= 1
-            waits_ms.append(wait_ms)
+            if wait_ms <= min(max_wait_ms, MAX_AHEAD_MS):
+                share.bucket.level -= 1
+                waits_ms.append(wait_ms)
         return tuple(waits_ms)
 
     def next_call_ms(self, share: OrganisationShare, now_ms: float) -> float:
@@ -284,6 +290,11 @@
         self.shares.forget_idle(IDLE_MS)
 
 
+def longest_waits_ms(request: RequestQuota) -> tuple[float, ...]:
+    """Return how long each waiting call can wait, the shortest first."""
+    return request.call_waits_ms or (request.max_wait_ms,) * request.calls
+
+
 def unavailable(boot_id: str) -> QuotaGrant:
     """Return the answer of a keeper that grants nothing now."""
     return QuotaGrant(
--- a/test/process/test_quota_owner.py
+++ b/test/process/test_quota_owner.py
@@ -329,6 +329,15 @@
         owners.time_ms += 400
         self.assertEqual(0, owners.ask('a', starts=5).starts)
 
+    def test_no_token_comes_too_late_for_its_call(self) -> None:
+        # It would be lost: above the quota, a fifth of it was not used for this.
+        owners = self.make_owner()
+        owners.ask('a', calls=100)
+        waits_ms = (10.0, 20.0, 250.0)
+        grant = owners.ask('a', calls=3, max_wait_ms=250, call_waits_ms=waits_ms)
+        self.assertEqual(1, len(grant.waits_ms))
+        self.assertTrue(20 < grant.waits_ms[0] <= 250, grant.waits_ms)
+
     def test_returned_tokens_keep_their_expiry(self) -> None:
         # Returns that prolonged the use of tokens would exceed the bound.
         owners = self.make_owner()
