--- a/test/process/test_quotas.py
+++ b/test/process/test_quotas.py
@@ -341,3 +341,33 @@
             waited += fleet.clock.now_ms() > begin_ms
         self.assertTrue(waited <= 10, waited)
         await fleet.stop()
+
+    @virtual
+    async def test_token_of_an_unsent_request_is_put_back(self) -> None:
+        # Requests that are refused for another reason must not use up the quota.
+        fleet = QuotaFleet()
+        await fleet.start(SIZES[0])
+        client = fleet.gateways[0].client
+        first = fleet.make_call(fleet.clock.now_ms())
+        await client.obtain(first, begins_program=False)
+        client.release(first)
+        state = client.by_organisation[ORGANISATION.name]
+        self.assertEqual((1, {}), (state.held, client.unsent))
+        await client.obtain(first, begins_program=False)
+        self.assertTrue(await client.pay(first))
+        client.release(first)
+        self.assertEqual((0, {}), (state.held, client.unsent))
+        await fleet.stop()
+
+    @virtual
+    async def test_each_further_send_takes_a_token(self) -> None:
+        fleet = QuotaFleet()
+        await fleet.start(SIZES[0])
+        gateway = fleet.gateways[0]
+        call = fleet.make_call(fleet.clock.now_ms())
+        await gateway.client.obtain(call, begins_program=False)
+        for _ in range(3):
+            self.assertTrue(await gateway.client.pay(call))
+        used = gateway.metrics.quota_tokens_total.get({'outcome': 'used'})
+        self.assertEqual(3, used)
+        await fleet.stop()
