connection/wire: message types move to modules by subject

wire.py keeps the encoding of frames and datagrams. The messages are defined in call_messages, fleet_messages, journal_messages, peer_messages, program_messages and sidecar_messages; message_types lists all of them with their decoders. Encodings and kinds are unchanged.

--- a/pollenwalk/commands/status.py
+++ b/pollenwalk/commands/status.py
@@ -8,9 +8,10 @@
 
 from pollenwalk.commands.operator_store import open_store
 from pollenwalk.commands.options import add_store_options
+from pollenwalk.connection.fleet_messages import Beat
 from pollenwalk.connection.grpc_network import GrpcNetwork
 from pollenwalk.connection.peer import Peer
-from pollenwalk.connection.wire import Beat, Drain
+from pollenwalk.connection.sidecar_messages import Drain
 from pollenwalk.errors import PollenwalkError
 from pollenwalk.process.clock import LoopClock
 from pollenwalk.process.directory import Directory
--- a/pollenwalk/connection/engine_http.py
+++ b/pollenwalk/connection/engine_http.py
@@ -18,9 +18,9 @@
 import msgspec
 from aiohttp.http_exceptions import HttpProcessingError
 
+from pollenwalk.connection.call_messages import Answer, Tokens
 from pollenwalk.connection.http_client import HttpClient, read_body
 from pollenwalk.connection.upstream import ChatRequest
-from pollenwalk.connection.wire import Answer, Tokens
 from pollenwalk.errors import ConnectionLost, Outcome, Refusal, RefusalCode
 
 # Limit on a whole request that is not streamed.
--- a/pollenwalk/connection/frame_writer.py
+++ b/pollenwalk/connection/frame_writer.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
+from pollenwalk.connection.call_messages import Tokens
 from pollenwalk.connection.channel import Channel
-from pollenwalk.connection.wire import Frame, Tokens, encode_frame, encode_frames
+from pollenwalk.connection.wire import Frame, encode_frame, encode_frames
 from pollenwalk.process.clock import Clock
 
 # Frames are sent together up to about this size. It takes 150 ms on the slowest link.
--- a/pollenwalk/connection/http_api.py
+++ b/pollenwalk/connection/http_api.py
@@ -13,12 +13,11 @@
 from starlette.routing import Route
 from starlette.types import ASGIApp, Receive, Scope, Send
 
-from pollenwalk.connection.wire import (
-    Answer,
+from pollenwalk.connection.call_messages import Answer, Tokens
+from pollenwalk.connection.program_messages import (
     BeginProgram,
     CallProgram,
     EndProgram,
-    Tokens,
     ViewCall,
     ViewProgram,
 )
--- a/pollenwalk/connection/peer.py
+++ b/pollenwalk/connection/peer.py
@@ -12,6 +12,7 @@
 
 from pollenwalk.connection.channel import Channel, StreamNetwork
 from pollenwalk.connection.frame_writer import FrameWriter
+from pollenwalk.connection.peer_messages import PROTOCOL_VERSION, Hello
 from pollenwalk.connection.pending_requests import (
     END,
     AnswerTaker,
@@ -19,13 +20,7 @@
     PendingRequests,
     ends_exchange,
 )
-from pollenwalk.connection.wire import (
-    CANCEL_KIND,
-    PROTOCOL_VERSION,
-    Frame,
-    Hello,
-    decode_frames,
-)
+from pollenwalk.connection.wire import CANCEL_KIND, Frame, decode_frames
 from pollenwalk.errors import ConnectionLost, PollenwalkError
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.tasks import TaskSet
--- a/pollenwalk/connection/peer_server.py
+++ b/pollenwalk/connection/peer_server.py
@@ -8,15 +8,8 @@
 
 from pollenwalk.connection.channel import Channel
 from pollenwalk.connection.frame_writer import FrameWriter
-from pollenwalk.connection.wire import (
-    CANCEL_KIND,
-    END_KIND,
-    PROTOCOL_VERSION,
-    Frame,
-    Hello,
-    Welcome,
-    decode_frames,
-)
+from pollenwalk.connection.peer_messages import PROTOCOL_VERSION, Hello, Welcome
+from pollenwalk.connection.wire import CANCEL_KIND, END_KIND, Frame, decode_frames
 from pollenwalk.errors import (
     ConnectionLost,
     Outcome,
--- a/pollenwalk/connection/upstream.py
+++ b/pollenwalk/connection/upstream.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterator
 from typing import Any, NamedTuple, Protocol
 
-from pollenwalk.connection.wire import Answer, HistoryItem, Tokens
+from pollenwalk.connection.call_messages import Answer, HistoryItem, Tokens
 
 
 class ChatRequest(NamedTuple):
--- a/pollenwalk/process/call_executor.py
+++ b/pollenwalk/process/call_executor.py
@@ -6,8 +6,8 @@
 
 from loguru import logger
 
+from pollenwalk.connection.call_messages import Answer, Dispatch, HistoryItem, Tokens
 from pollenwalk.connection.upstream import ChatRequest, Engine, Service
-from pollenwalk.connection.wire import Answer, Dispatch, HistoryItem, Tokens
 from pollenwalk.errors import (
     ConnectionLost,
     Outcome,
--- a/pollenwalk/process/entry.py
+++ b/pollenwalk/process/entry.py
@@ -6,14 +6,9 @@
 from loguru import logger
 
 from pollenwalk.connection.channel import Listener, Network
+from pollenwalk.connection.fleet_messages import Beat, Report, UpstreamConfig
 from pollenwalk.connection.peer_server import PeerServer
-from pollenwalk.connection.wire import (
-    Beat,
-    Report,
-    UpstreamConfig,
-    decode_datagram,
-    encode_datagram,
-)
+from pollenwalk.connection.wire import decode_datagram, encode_datagram
 from pollenwalk.errors import Refusal, StoreUnavailable
 from pollenwalk.policy.placement import ExpectedFinish, Placement
 from pollenwalk.process.acceptance import AcceptanceController
--- a/pollenwalk/process/entry_monitor.py
+++ b/pollenwalk/process/entry_monitor.py
@@ -2,7 +2,7 @@
 
 from loguru import logger
 
-from pollenwalk.connection.wire import Beat
+from pollenwalk.connection.fleet_messages import Beat
 from pollenwalk.errors import Fenced, PollenwalkError, StoreUnavailable
 from pollenwalk.process.directory import EntryRecord
 from pollenwalk.process.entry_interface import EntryInterface
--- a/pollenwalk/process/entry_service.py
+++ b/pollenwalk/process/entry_service.py
@@ -3,21 +3,18 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
-from pollenwalk.connection.wire import (
-    Beat,
+from pollenwalk.connection.fleet_messages import Beat
+from pollenwalk.connection.journal_messages import HandOver, WitnessAppend, WitnessSeal
+from pollenwalk.connection.peer_messages import Done, Hello
+from pollenwalk.connection.program_messages import (
     BeginProgram,
     CallProgram,
     Claim,
     ClaimKey,
-    Done,
     EndProgram,
-    HandOver,
-    Hello,
     View,
     ViewCall,
     ViewProgram,
-    WitnessAppend,
-    WitnessSeal,
 )
 from pollenwalk.errors import (
     ConnectionLost,
--- a/pollenwalk/process/fleet.py
+++ b/pollenwalk/process/fleet.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from pollenwalk.connection.wire import Report
+from pollenwalk.connection.fleet_messages import Report
 from pollenwalk.policy.placement import HostView
 from pollenwalk.process.clock import Clock
 
--- a/pollenwalk/process/journal.py
+++ b/pollenwalk/process/journal.py
@@ -11,7 +11,7 @@
 
 from loguru import logger
 
-from pollenwalk.connection.wire import WitnessAppend
+from pollenwalk.connection.journal_messages import WitnessAppend
 from pollenwalk.errors import Fenced, StoreUnavailable
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.segments import (
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -20,6 +20,7 @@
     TellLimits,
 )
 from pollenwalk.connection.load_messages import GatewayLoad
+from pollenwalk.connection.peer_messages import Done, Hello
 from pollenwalk.connection.peer_server import PeerServer
 from pollenwalk.connection.quota_messages import (
     BorrowQuotas,
@@ -31,7 +32,6 @@
     FollowPrefix,
     ReadPrefix,
 )
-from pollenwalk.connection.wire import Done, Hello
 from pollenwalk.errors import (
     Refusal,
     RefusalCode,
--- a/pollenwalk/process/liveness.py
+++ b/pollenwalk/process/liveness.py
@@ -5,7 +5,8 @@
 """
 
 from pollenwalk.connection.channel import Network
-from pollenwalk.connection.wire import Beat, encode_datagram
+from pollenwalk.connection.fleet_messages import Beat
+from pollenwalk.connection.wire import encode_datagram
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.directory import Directory, EntryRecord
 
--- a/pollenwalk/process/program_creator.py
+++ b/pollenwalk/process/program_creator.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import NamedTuple
 
-from pollenwalk.connection.wire import BeginProgram
+from pollenwalk.connection.program_messages import BeginProgram
 from pollenwalk.errors import Outcome, Refusal, RefusalCode
 from pollenwalk.policy.program_admission import has_capacity
 from pollenwalk.process.owner_interface import OwnerInterface
--- a/pollenwalk/process/program_maintenance.py
+++ b/pollenwalk/process/program_maintenance.py
@@ -2,7 +2,7 @@
 
 from loguru import logger
 
-from pollenwalk.connection.wire import Release, Renew
+from pollenwalk.connection.sidecar_messages import Release, Renew
 from pollenwalk.errors import ConnectionLost, PollenwalkError, Refusal
 from pollenwalk.process.owner_interface import OwnerInterface
 from pollenwalk.program.live import LiveProgram
--- a/pollenwalk/process/program_owner.py
+++ b/pollenwalk/process/program_owner.py
@@ -7,7 +7,8 @@
 from collections.abc import AsyncIterator, Coroutine, Iterator
 from typing import Any
 
-from pollenwalk.connection.wire import Answer, CallProgram, Tokens
+from pollenwalk.connection.call_messages import Answer, Tokens
+from pollenwalk.connection.program_messages import CallProgram
 from pollenwalk.errors import (
     Outcome,
     PollenwalkError,
--- a/pollenwalk/process/recorder.py
+++ b/pollenwalk/process/recorder.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from pollenwalk.connection.wire import Settle
+from pollenwalk.connection.call_messages import Settle
 from pollenwalk.errors import ConnectionLost, Outcome, Refusal, RefusalCode
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.journal import Journal
--- a/pollenwalk/process/recovery.py
+++ b/pollenwalk/process/recovery.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable
 
-from pollenwalk.connection.wire import Answer, CallProgram
+from pollenwalk.connection.call_messages import Answer
+from pollenwalk.connection.program_messages import CallProgram
 from pollenwalk.errors import (
     Outcome,
     PollenwalkError,
--- a/pollenwalk/process/report_targets.py
+++ b/pollenwalk/process/report_targets.py
@@ -7,7 +7,7 @@
 
 import hashlib
 
-from pollenwalk.connection.wire import Entries, Report
+from pollenwalk.connection.fleet_messages import Entries, Report
 from pollenwalk.process.directory import Directory, EntryRecord, rendezvous
 
 ALL_ENTRIES_LIMIT = 8
--- a/pollenwalk/process/sidecar.py
+++ b/pollenwalk/process/sidecar.py
@@ -6,15 +6,10 @@
 from loguru import logger
 
 from pollenwalk.connection.channel import Listener, Network
+from pollenwalk.connection.fleet_messages import Entries, Report, UpstreamConfig
 from pollenwalk.connection.peer_server import COALESCE_MS, PeerServer
 from pollenwalk.connection.upstream import Engine, Service
-from pollenwalk.connection.wire import (
-    Entries,
-    Report,
-    UpstreamConfig,
-    decode_datagram,
-    encode_datagram,
-)
+from pollenwalk.connection.wire import decode_datagram, encode_datagram
 from pollenwalk.errors import Refusal
 from pollenwalk.process.call_executor import CallExecutor
 from pollenwalk.process.clock import Clock
--- a/pollenwalk/process/sidecar_calls.py
+++ b/pollenwalk/process/sidecar_calls.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 
-from pollenwalk.connection.wire import Answer, Dispatch, HistoryItem, Tokens
+from pollenwalk.connection.call_messages import Answer, Dispatch, HistoryItem, Tokens
 from pollenwalk.errors import Outcome, Refusal, RefusalCode
 from pollenwalk.process.clock import Clock
 from pollenwalk.request.stream import TokenStream
--- a/pollenwalk/process/sidecar_histories.py
+++ b/pollenwalk/process/sidecar_histories.py
@@ -1,6 +1,6 @@
 """Program histories cached at the sidecar, so that a dispatch sends only the delta."""
 
-from pollenwalk.connection.wire import Answer, Dispatch, HistoryItem
+from pollenwalk.connection.call_messages import Answer, Dispatch, HistoryItem
 from pollenwalk.errors import Refusal, RefusalCode
 from pollenwalk.program.history import EMPTY_DIGEST, History, model_history_items
 
--- a/pollenwalk/process/sidecar_service.py
+++ b/pollenwalk/process/sidecar_service.py
@@ -3,21 +3,18 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any, Protocol
 
-from pollenwalk.connection.wire import (
+from pollenwalk.connection.call_messages import (
     Answer,
     Dispatch,
-    Done,
-    Drain,
     Follow,
-    Hello,
     NeedHistory,
-    Release,
-    Renew,
     Resolution,
     Resolve,
     Settle,
     Tokens,
 )
+from pollenwalk.connection.peer_messages import Done, Hello
+from pollenwalk.connection.sidecar_messages import Drain, Release, Renew
 from pollenwalk.errors import Outcome, Refusal, RefusalCode
 from pollenwalk.process.call_executor import CallExecutor
 from pollenwalk.process.sidecar_calls import EpochFence
--- a/pollenwalk/process/takeover.py
+++ b/pollenwalk/process/takeover.py
@@ -11,7 +11,7 @@
 
 from loguru import logger
 
-from pollenwalk.connection.wire import WitnessBatches, WitnessSeal
+from pollenwalk.connection.journal_messages import WitnessBatches, WitnessSeal
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.directory import decode_record, record_key
 from pollenwalk.process.segments import (
--- a/pollenwalk/process/witness.py
+++ b/pollenwalk/process/witness.py
@@ -7,8 +7,13 @@
 
 from collections.abc import Callable
 
+from pollenwalk.connection.journal_messages import (
+    WitnessAppend,
+    WitnessBatches,
+    WitnessSeal,
+)
 from pollenwalk.connection.peer import Peer
-from pollenwalk.connection.wire import Done, WitnessAppend, WitnessBatches, WitnessSeal
+from pollenwalk.connection.peer_messages import Done
 from pollenwalk.errors import ConnectionLost, Refusal, RefusalCode
 from pollenwalk.process.segments import WitnessRef
 
--- a/pollenwalk/program/history.py
+++ b/pollenwalk/program/history.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from pollenwalk.connection.wire import Answer, HistoryItem
+from pollenwalk.connection.call_messages import Answer, HistoryItem
 
 DIGEST_BYTES = 16
 EMPTY_DIGEST = ''
--- a/pollenwalk/program/program.py
+++ b/pollenwalk/program/program.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from pollenwalk.connection.wire import Answer, HistoryItem
+from pollenwalk.connection.call_messages import Answer, HistoryItem
 from pollenwalk.errors import RefusalBody
 from pollenwalk.program.budget import Budget
 from pollenwalk.program.history import History
--- a/pollenwalk/request/attempts.py
+++ b/pollenwalk/request/attempts.py
@@ -2,8 +2,8 @@
 
 from loguru import logger
 
+from pollenwalk.connection.call_messages import Answer, Dispatch
 from pollenwalk.connection.peer import Connection
-from pollenwalk.connection.wire import Answer, Dispatch
 from pollenwalk.errors import Fenced, Refusal, RefusalCode
 from pollenwalk.policy.placement import HostView, PlacementRequest
 from pollenwalk.program.history import EMPTY_DIGEST, estimate_tokens
--- a/pollenwalk/request/call.py
+++ b/pollenwalk/request/call.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from pollenwalk.connection.wire import CallProgram
+from pollenwalk.connection.program_messages import CallProgram
 from pollenwalk.errors import Refusal, RefusalCode
 from pollenwalk.process.clock import Clock
 from pollenwalk.program.history import digest_json
--- a/pollenwalk/request/dispatch.py
+++ b/pollenwalk/request/dispatch.py
@@ -3,8 +3,7 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
-from pollenwalk.connection.peer import Connection, Peer
-from pollenwalk.connection.wire import (
+from pollenwalk.connection.call_messages import (
     Answer,
     Dispatch,
     Follow,
@@ -12,6 +11,7 @@
     Resolve,
     Tokens,
 )
+from pollenwalk.connection.peer import Connection, Peer
 from pollenwalk.errors import ConnectionLost, Outcome, Refusal, RefusalCode
 from pollenwalk.process.clock import Clock
 from pollenwalk.program.history import EMPTY_DIGEST
--- a/pollenwalk/request/execution.py
+++ b/pollenwalk/request/execution.py
@@ -5,8 +5,8 @@
 dispatched again only after proof that it did not run.
 """
 
+from pollenwalk.connection.call_messages import Answer, HistoryItem
 from pollenwalk.connection.peer import Connection
-from pollenwalk.connection.wire import Answer, HistoryItem
 from pollenwalk.errors import ConnectionLost, Outcome, Refusal, RefusalBody, RefusalCode
 from pollenwalk.policy.placement import HostView
 from pollenwalk.process.recorder import store_unavailable
--- a/pollenwalk/request/routing.py
+++ b/pollenwalk/request/routing.py
@@ -12,13 +12,12 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
-from pollenwalk.connection.wire import (
-    Answer,
+from pollenwalk.connection.call_messages import Answer, Tokens
+from pollenwalk.connection.program_messages import (
     BeginProgram,
     CallProgram,
     ClaimKey,
     EndProgram,
-    Tokens,
     View,
     ViewCall,
     ViewProgram,
--- a/pollenwalk/request/stream.py
+++ b/pollenwalk/request/stream.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 
-from pollenwalk.connection.wire import Tokens
+from pollenwalk.connection.call_messages import Tokens
 
 
 class TokenStream:
--- a/standin/caller.py
+++ b/standin/caller.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any, NamedTuple
 
-from pollenwalk.connection.wire import Answer, HistoryItem
+from pollenwalk.connection.call_messages import Answer, HistoryItem
 from pollenwalk.errors import ConnectionLost, Outcome, Refusal
 from pollenwalk.process.clock import Clock
 from pollenwalk.program.history import model_history_items, service_history_items
--- a/standin/engine.py
+++ b/standin/engine.py
@@ -16,8 +16,8 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from pollenwalk.connection.call_messages import Answer, HistoryItem, Tokens
 from pollenwalk.connection.upstream import ChatRequest
-from pollenwalk.connection.wire import Answer, HistoryItem, Tokens
 from pollenwalk.errors import ConnectionLost, Outcome, Refusal, RefusalCode
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.tasks import TaskSet
--- a/standin/experiments/slopes.py
+++ b/standin/experiments/slopes.py
@@ -13,8 +13,9 @@
 import aiohttp
 
 from pollenwalk.connection.addresses import split_address
+from pollenwalk.connection.fleet_messages import Beat, Report
 from pollenwalk.connection.store_http import HttpStore
-from pollenwalk.connection.wire import Beat, Report, encode_datagram
+from pollenwalk.connection.wire import encode_datagram
 from pollenwalk.process.acceptance import desired_key, encode_desired
 from pollenwalk.version.resources import Kind, ResourceId
 from standin.experiments.measure import Line, as_json, cpu_share, fit, read_process
--- a/standin/virtual/edges.py
+++ b/standin/virtual/edges.py
@@ -4,8 +4,8 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+from pollenwalk.connection.call_messages import Answer, Tokens
 from pollenwalk.connection.upstream import ChatRequest
-from pollenwalk.connection.wire import Answer, Tokens
 from pollenwalk.errors import PollenwalkError, StoreUnavailable
 from pollenwalk.process.clock import MS_PER_SECOND
 from pollenwalk.process.store import WATCH_TIMEOUT_MS, Changes, StoredObject
--- a/standin/virtual/world.py
+++ b/standin/virtual/world.py
@@ -5,8 +5,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
-from pollenwalk.connection.wire import (
-    Answer,
+from pollenwalk.connection.call_messages import Answer
+from pollenwalk.connection.program_messages import (
     BeginProgram,
     CallProgram,
     EndProgram,
--- a/test/connection/test_contracts.py
+++ b/test/connection/test_contracts.py
@@ -13,13 +13,13 @@
 from starlette.responses import PlainTextResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from pollenwalk.connection.call_messages import Answer, HistoryItem, Tokens
 from pollenwalk.connection.engine_http import HttpEngine
 from pollenwalk.connection.hosts_http import HttpHosts
 from pollenwalk.connection.http_server import HttpServer, free_port
 from pollenwalk.connection.service_http import HttpService
 from pollenwalk.connection.store_http import HttpStore
 from pollenwalk.connection.upstream import ChatRequest
-from pollenwalk.connection.wire import Answer, HistoryItem, Tokens
 from pollenwalk.errors import (
     ConnectionLost,
     PollenwalkError,
--- a/test/connection/test_message_versions.py
+++ b/test/connection/test_message_versions.py
@@ -7,7 +7,7 @@
 import msgspec
 import testtools
 
-from pollenwalk.connection import wire
+from pollenwalk.connection.message_types import DECODERS, MESSAGE_TYPES
 
 # Fields of the former version's messages that a gateway sends to keepers.
 FORMER_QUESTIONS = {
@@ -40,7 +40,7 @@
 
     def fields_of(self, kind: str) -> tuple[int, int]:
         """Return how many fields a message must have, and how many it may have."""
-        message_type = next(one for one in wire.MESSAGE_TYPES if one.__name__ == kind)
+        message_type = next(one for one in MESSAGE_TYPES if one.__name__ == kind)
         fields = len(message_type._fields)
         return fields - len(message_type._field_defaults), fields
 
@@ -56,4 +56,4 @@
 
     def test_longer_messages_are_not_read(self) -> None:
         with testtools.ExpectedException(msgspec.ValidationError):
-            wire.DECODERS['Stored'].decode(msgspec.msgpack.encode([True, True]))
+            DECODERS['Stored'].decode(msgspec.msgpack.encode([True, True]))
--- a/test/connection/test_peer.py
+++ b/test/connection/test_peer.py
@@ -6,20 +6,13 @@
 
 import testtools
 
+from pollenwalk.connection.call_messages import Settle, Tokens
 from pollenwalk.connection.frame_writer import FrameWriter
 from pollenwalk.connection.peer import Connection, Peer
+from pollenwalk.connection.peer_messages import PROTOCOL_VERSION, Done, Hello
 from pollenwalk.connection.peer_server import PeerServer
-from pollenwalk.connection.wire import (
-    END_KIND,
-    PROTOCOL_VERSION,
-    Done,
-    Drain,
-    Frame,
-    Hello,
-    Settle,
-    Tokens,
-    encode_frames,
-)
+from pollenwalk.connection.sidecar_messages import Drain
+from pollenwalk.connection.wire import END_KIND, Frame, encode_frames
 from pollenwalk.errors import ConnectionLost, Refusal, RefusalCode
 from pollenwalk.process.clock import LoopClock
 from pollenwalk.process.tasks import TaskSet
--- a/test/connection/test_unframed_responses.py
+++ b/test/connection/test_unframed_responses.py
@@ -4,11 +4,11 @@
 
 import testtools
 
+from pollenwalk.connection.call_messages import Answer, HistoryItem, Tokens
 from pollenwalk.connection.engine_http import HttpEngine
 from pollenwalk.connection.service_http import HttpService
 from pollenwalk.connection.store_http import HttpStore
 from pollenwalk.connection.upstream import ChatRequest
-from pollenwalk.connection.wire import Answer, HistoryItem, Tokens
 from pollenwalk.errors import Outcome, Refusal, StoreUnavailable
 from pollenwalk.platform.objects import PlatformStore
 from pollenwalk.process.store import StoredObject
--- a/test/connection/test_wire.py
+++ b/test/connection/test_wire.py
@@ -6,17 +6,21 @@
 from hypothesis import strategies
 
 from pollenwalk.connection import wire
+from pollenwalk.connection.call_messages import Answer, Resolution, Tokens
 from pollenwalk.connection.engine_http import EngineStreamParser
+from pollenwalk.connection.fleet_messages import Beat
+from pollenwalk.connection.journal_messages import WitnessAppend
+from pollenwalk.connection.peer_messages import Hello
 from pollenwalk.errors import Refusal
 from pollenwalk.program.records import Ended, decode_records, encode_records
 
 EXAMPLES = (
-    wire.Hello(1, 'abc', 2, 'rimouski'),
-    wire.Tokens(3, ['a ', 'b ']),
-    wire.Answer({'text': 'x', 'list': [1, None, 'é']}, 2, 1),
-    wire.Resolution('done'),
-    wire.Beat('abc', 7),
-    wire.WitnessAppend('abc', 1, 2, [b'\x00\xff']),
+    Hello(1, 'abc', 2, 'rimouski'),
+    Tokens(3, ['a ', 'b ']),
+    Answer({'text': 'x', 'list': [1, None, 'é']}, 2, 1),
+    Resolution('done'),
+    Beat('abc', 7),
+    WitnessAppend('abc', 1, 2, [b'\x00\xff']),
 )
 
 
--- a/test/process/test_call_executor.py
+++ b/test/process/test_call_executor.py
@@ -4,8 +4,8 @@
 
 import testtools
 
+from pollenwalk.connection.call_messages import Answer, Dispatch, Tokens
 from pollenwalk.connection.upstream import ChatRequest
-from pollenwalk.connection.wire import Answer, Dispatch, Tokens
 from pollenwalk.errors import ConnectionLost, Outcome, Refusal, RefusalCode
 from pollenwalk.process.call_executor import CallExecutor
 from pollenwalk.process.sidecar_calls import SidecarCall
--- a/test/process/test_limits.py
+++ b/test/process/test_limits.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from pollenwalk.connection.wire import Report
+from pollenwalk.connection.fleet_messages import Report
 from pollenwalk.process.directory import (
     Directory,
     EntryRecord,
--- a/test/process/test_program_creator.py
+++ b/test/process/test_program_creator.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from pollenwalk.connection.wire import BeginProgram
+from pollenwalk.connection.program_messages import BeginProgram
 from pollenwalk.errors import Outcome, Refusal
 from standin.store import Faults
 from standin.virtual.world import Shape, World
