--- /dev/null
+++ b/pollenwalk/connection/operator_pages.py
@@ -0,0 +1,58 @@
+"""Pages of an entry for operators: liveness, readiness and metrics."""
+
+from http import HTTPStatus
+
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from pollenwalk.process.entry import Entry
+from pollenwalk.process.metrics import EntryMetrics
+from pollenwalk.version.resources import ProgramSpec
+
+
+class OperatorPages:
+    """The pages of an entry for operators."""
+
+    def __init__(self, entry: Entry, metrics: EntryMetrics) -> None:
+        """Create the pages of `entry`, whose metrics are `metrics`."""
+        self.entry = entry
+        self.metrics = metrics
+
+    def routes(self) -> list[Route]:
+        """Return the routes of the pages."""
+        return [
+            Route('/healthz', self.healthz),
+            Route('/readyz', self.readyz),
+            Route('/metrics', self.show_metrics),
+        ]
+
+    async def healthz(self, request: Request) -> Response:
+        """Answer `GET /healthz`: the process is running."""
+        return JSONResponse({'status': 'ok'})
+
+    async def readyz(self, request: Request) -> Response:
+        """Answer `GET /readyz`: 200 if the entry can serve calls, else 503."""
+        ready = self.entry.ready and not self.entry.stopping and self.can_serve()
+        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return JSONResponse({'ready': ready}, status_code=status)
+
+    def can_serve(self) -> bool:
+        """Return whether programs are declared and all their upstreams have hosts.
+
+        Only hosts that may get new calls are considered.
+        """
+        names = [
+            name
+            for spec in self.entry.config.specs.values()
+            if isinstance(spec, ProgramSpec)
+            for name in spec.upstreams
+        ]
+        return bool(names) and all(
+            self.entry.fleet.available_hosts(name) for name in names
+        )
+
+    async def show_metrics(self, request: Request) -> Response:
+        """Answer `GET /metrics` in the Prometheus text format."""
+        body, media_type = self.metrics.render(self.entry)
+        return Response(body, media_type=media_type)
