--- a/pollenwalk/version/fields.py
+++ b/pollenwalk/version/fields.py
@@ -75,28 +75,38 @@
         raise UserError(f'{path}: {error}') from error
 
 
-def int_field(low: int, high: int) -> Field:
-    """Make a field for a whole number from `low` to `high`."""
+def range_field(
+    read: Callable[[str], float],
+    kind: str,
+    low: float,
+    high: float,
+) -> Field:
+    """Make a field for a number from `low` to `high`.
+
+    Args:
+        read: converts the text to the number.
+        kind: what users call such a number.
+        low: the least number.
+        high: the greatest number.
+    """
 
-    def parse(text: str) -> int:  # noqa: WPS430
-        number = int(text)
+    def parse(text: str) -> float:  # noqa: WPS430
+        number = read(text)
         if not low <= number <= high:
             raise ValueError(text)
         return number
 
-    return Field(parse, f'a whole number from {low} to {high}')
+    return Field(parse, f'{kind} from {low} to {high}')
 
 
-def number_field(low: float, high: float) -> Field:
-    """Make a field for a number from `low` to `high`."""
+def int_field(low: int, high: int) -> Field:
+    """Make a field for a whole number from `low` to `high`."""
+    return range_field(int, 'a whole number', low, high)
 
-    def parse(text: str) -> float:  # noqa: WPS430
-        number = float(text)
-        if not low <= number <= high:
-            raise ValueError(text)
-        return number
 
-    return Field(parse, f'a number from {low} to {high}')
+def number_field(low: float, high: float) -> Field:
+    """Make a field for a number from `low` to `high`."""
+    return range_field(float, 'a number', low, high)
 
 
 def choice_field(*choices: str) -> Field:
