--- a/pollenwalk/connection/grpc_network.py
+++ b/pollenwalk/connection/grpc_network.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from typing import Any
+from typing import Any, Protocol
 
 import grpc
 
@@ -44,6 +44,25 @@
 STOP_GRACE_S = 0.2
 
 
+class FrameStream(Protocol):
+    """What both sides of a gRPC stream have to send messages."""
+
+    async def write(self, message: bytes, /) -> None:
+        """Send one message."""
+
+
+async def write_frame(stream: FrameStream, frame: bytes) -> None:
+    """Send one frame as a message of a stream.
+
+    Raises:
+        ConnectionLost: the stream has ended.
+    """
+    try:
+        await stream.write(frame)
+    except (grpc.RpcError, asyncio.InvalidStateError) as error:
+        raise ConnectionLost('the stream has ended') from error
+
+
 class ClientChannel:
     """The connecting side of a gRPC stream; implements `Channel`."""
 
@@ -60,10 +79,7 @@
         Raises:
             ConnectionLost: the stream has ended.
         """
-        try:
-            await self.call.write(frame)
-        except (grpc.RpcError, asyncio.InvalidStateError) as error:
-            raise ConnectionLost('the stream has ended') from error
+        await write_frame(self.call, frame)
 
     async def receive(self) -> bytes:
         """Wait for the next frame and return it.
@@ -108,10 +124,7 @@
         Raises:
             ConnectionLost: the stream has ended.
         """
-        try:
-            await self.context.write(frame)
-        except (grpc.RpcError, asyncio.InvalidStateError) as error:
-            raise ConnectionLost('the stream has ended') from error
+        await write_frame(self.context, frame)
 
     async def receive(self) -> bytes:
         """Wait for the next frame and return it.
