--- a/pollenwalk/connection/operator_pages.py
+++ b/pollenwalk/connection/operator_pages.py
@@ -1,11 +1,10 @@
 """Pages of an entry for operators: liveness, readiness and metrics."""
 
-from http import HTTPStatus
-
 from starlette.requests import Request
-from starlette.responses import JSONResponse, Response
+from starlette.responses import Response
 from starlette.routing import Route
 
+from pollenwalk.connection.health_pages import healthz, readiness_response
 from pollenwalk.process.entry import Entry
 from pollenwalk.process.metrics import EntryMetrics
 from pollenwalk.version.resources import ProgramSpec
@@ -22,20 +21,15 @@
     def routes(self) -> list[Route]:
         """Return the routes of the pages."""
         return [
-            Route('/healthz', self.healthz),
+            Route('/healthz', healthz),
             Route('/readyz', self.readyz),
             Route('/metrics', self.show_metrics),
         ]
 
-    async def healthz(self, request: Request) -> Response:
-        """Answer `GET /healthz`: the process is running."""
-        return JSONResponse({'status': 'ok'})
-
     async def readyz(self, request: Request) -> Response:
         """Answer `GET /readyz`: 200 if the entry can serve calls, else 503."""
         ready = self.entry.ready and not self.entry.stopping and self.can_serve()
-        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
-        return JSONResponse({'ready': ready}, status_code=status)
+        return readiness_response(ready=ready)
 
     def can_serve(self) -> bool:
         """Return whether programs are declared and all their upstreams have hosts.
--- a/pollenwalk/connection/sidecar_api.py
+++ b/pollenwalk/connection/sidecar_api.py
@@ -1,13 +1,12 @@
 """Health checks and metrics of a sidecar over HTTP; its calls arrive over gRPC."""
 
-from http import HTTPStatus
-
 from aioprometheus import Gauge, Registry, render
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import JSONResponse, Response
+from starlette.responses import Response
 from starlette.routing import Route
 
+from pollenwalk.connection.health_pages import healthz, readiness_response
 from pollenwalk.process.sidecar import Sidecar
 
 
@@ -31,21 +30,16 @@
         """Build the ASGI application."""
         return Starlette(
             routes=[
-                Route('/healthz', self.healthz),
+                Route('/healthz', healthz),
                 Route('/readyz', self.readyz),
                 Route('/metrics', self.metrics),
             ],
         )
 
-    async def healthz(self, request: Request) -> Response:
-        """Answer `GET /healthz`: the process is running."""
-        return JSONResponse({'status': 'ok'})
-
     async def readyz(self, request: Request) -> Response:
         """Answer `GET /readyz`: 200 if the sidecar accepts calls, else 503."""
         ready = self.sidecar.executor.spec is not None and not self.sidecar.leaving
-        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
-        return JSONResponse({'ready': ready}, status_code=status)
+        return readiness_response(ready=ready)
 
     async def metrics(self, request: Request) -> Response:
         """Answer `GET /metrics` in the Prometheus text format."""
