Move idempotent requests away from hosts that accept requests and answer none

call_sender.py is split: the forwarding context, what hosts say with their answers and the admission of new programs are modules of their own.

--- a/pollenwalk/connection/upstream_connection.py
+++ b/pollenwalk/connection/upstream_connection.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import h11
@@ -42,6 +42,7 @@
         changed: set when bytes arrive and when the connection ends.
         writable: cleared while the transport's write buffer is full.
         in_use: whether a request is in progress.
+        on_bytes: called when bytes of an answer arrive.
         carried: number of requests sent so far.
         refused: ids of the requests that the host has refused on this connection.
         ended: whether the host has closed its side, as seen by an EOF.
@@ -62,6 +63,7 @@
         self.writable = asyncio.Event()
         self.writable.set()
         self.in_use = False
+        self.on_bytes: Callable[[], None] = ignore_bytes
         self.carried = 0
         self.refused: set[str] = set()
         self.ended = False
@@ -86,6 +88,7 @@
         if not self.in_use:
             self.abort()
             return
+        self.on_bytes()
         self.received += chunk
         if len(self.received) > HIGH_WATER_BYTES:
             self.transport.pause_reading()
@@ -336,6 +339,10 @@
             self.transport.abort()
 
 
+def ignore_bytes() -> None:
+    """Do nothing about bytes that arrive."""
+
+
 async def open_upstream_connection(
     address: str, timeout_s: float
 ) -> UpstreamConnection:
--- a/pollenwalk/policy/host_choice.py
+++ b/pollenwalk/policy/host_choice.py
@@ -75,6 +75,7 @@
         parts: parts of the prompt in order, as tables of cached parts hold them.
         affinity: key that all calls share that gain at the same host; None if the call
             gains at none.
+        repeatable: whether the call may run more than once.
     """
 
     run_ms: float
@@ -83,6 +84,7 @@
     batch_delay_share: float = 0.0
     parts: tuple[CachedPart, ...] = ()
     affinity: int | None = None
+    repeatable: bool = False
 
 
 class HostChoice(Protocol):
--- a/pollenwalk/process/call_placer.py
+++ b/pollenwalk/process/call_placer.py
@@ -9,6 +9,7 @@
     Candidate,
     HostChoice,
     finish_ms,
+    queue_wait_ms,
     round_trip_ms,
     wait_ms,
 )
@@ -163,6 +164,31 @@
         gain_ms = min(finishes) - finish_ms(without_wait, cost)
         return max(gain_ms, own.permit_wait_ms + TIE_TOLERANCE_MS)
 
+    def has_trusted_host(
+        self, call: Call, avoid: set[str], software_version: str | None
+    ) -> bool:
+        """Return whether a host that is not suspected can take a call at once.
+
+        Args:
+            call: the call; its upstream determines the hosts.
+            avoid: ids of hosts that are not considered.
+            software_version: version of the software that the host must run; None for
+                any.
+        """
+        now_ms = self.clock.now_ms()
+        hosts = self.host_table.available_hosts(call.upstream)
+        return any(
+            software_version in {None, state.registration.software_version}
+            and not state.silence.is_silent
+            and not state.is_suspected(now_ms)
+            and not self.host_table.permit_wait_ms(state, now_ms)
+            for state in without(hosts, avoid)
+        )
+
+    def queue_wait_ms(self, state: HostState, cost: CallCost) -> float:
+        """Return the expected wait in ms for a slot at a host."""
+        return queue_wait_ms(self.candidate(state, self.clock.now_ms(), cost), cost)
+
     def candidate(self, state: HostState, now_ms: float, cost: CallCost) -> Candidate:
         """Return a host in the form in which the policy compares hosts."""
         cached_tokens = (
@@ -179,7 +205,7 @@
             same_region=same_zone or self.regions.get(registration.zone) == region,
             cached_tokens=cached_tokens,
             warm_up_ms=registration.warm_up_ms,
-            suspected=state.suspected_until_ms > now_ms,
+            suspected=state.is_suspected(now_ms, cost.repeatable),
             permit_wait_ms=self.host_table.permit_wait_ms(state, now_ms),
             slowness=state.slowness(now_ms, cost.run_ms),
         )
@@ -198,15 +224,18 @@
 
     def expected_cost(self, call: Call) -> CallCost:
         """Return the expected cost of a call, with its prompt if the route is sticky."""
+        route = call.route
         run_ms = self.expected_run_ms(call)
-        if not call.route.sticky:
-            return CallCost(run_ms)
+        repeatable = route.idempotent and route.max_attempts > 1
+        if not route.sticky:
+            return CallCost(run_ms, repeatable=repeatable)
         metadata = call.request.metadata
         sequence = metadata.session or metadata.program
-        return prompt_cost(
+        cost = prompt_cost(
             run_ms,
             PromptHeaders(metadata.prompt_parts, metadata.affinity, sequence),
         )
+        return cost._replace(repeatable=repeatable)
 
     def expected_run_ms(self, call: Call) -> float:
         """Return the expected run time of a call that does not wait for a slot."""
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -30,13 +30,14 @@
 from pollenwalk.process.load_reporter import LoadReporter
 from pollenwalk.process.permit_client import PermitClient
 from pollenwalk.process.quota_client import QuotaClient
+from pollenwalk.process.silent_hosts import SilentHosts
 from pollenwalk.process.store import ObjectStore
 from pollenwalk.process.stream_registry import StreamRegistry
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.process.waits import Waits
 from pollenwalk.request.call_preparation import CallPreparation
 from pollenwalk.request.call_runner import CallRunner
-from pollenwalk.request.call_sender import ForwardingContext
+from pollenwalk.request.forwarding_context import ForwardingContext
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.request.http_messages import Request
 from pollenwalk.request.reply import Reply
@@ -88,6 +89,8 @@
             has no organisations.
         load_admission: whether new programs are refused while running ones can't
             stay in time, even if the configuration has no organisations.
+        avoid_silent_hosts: whether hosts that answer nothing are avoided, even if the
+            configuration has no organisations.
     """
 
     name: str
@@ -101,6 +104,7 @@
     hedge_share: float = 0
     host_priorities: bool = False
     load_admission: bool = False
+    avoid_silent_hosts: bool = False
 
 
 class Gateway:
@@ -165,6 +169,18 @@
         self.quotas = QuotaClient(
             self.keepers, self.metrics, settings.name, settings.quota_window_ms
         )
+        admission = LoadAdmission(
+            clock,
+            self.active_configuration,
+            self.metrics,
+            rng,
+            AdmissionSwitches(settings.host_priorities, settings.load_admission),
+        )
+        self.silent_hosts = SilentHosts(
+            clock,
+            self.metrics,
+            lambda: settings.avoid_silent_hosts or admission.has_organisations,
+        )
         self.forwarding_context = ForwardingContext(
             clock,
             self.pool,
@@ -175,13 +191,8 @@
             self.permits,
             self.quotas,
             make_hedging(settings.hedge_share, self.metrics, self.quotas.prepay),
-            LoadAdmission(
-                clock,
-                self.active_configuration,
-                self.metrics,
-                rng,
-                AdmissionSwitches(settings.host_priorities, settings.load_admission),
-            ),
+            admission,
+            self.silent_hosts,
         )
         self.runner = CallRunner(self.forwarding_context, self.keepers)
 
@@ -212,6 +223,7 @@
         self.tasks.spawn(self.watch_waits(), 'watch_waits')
         self.tasks.spawn(self.permits.exchange_limits(), 'exchange_limits')
         self.tasks.spawn(self.quotas.run(), 'return_quotas')
+        self.tasks.spawn(self.silent_hosts.run(), 'watch_silent_hosts')
         reporter = LoadReporter(
             self.links,
             self.clock,
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -94,6 +94,7 @@
                 options.get('hedge_share', 0),
                 options.get('host_priorities') == 'true',
                 options.get('load_admission') == 'true',
+                options.get('avoid_silent_hosts') == 'true',
             ),
             self.store,
             TcpNetwork(),
--- a/pollenwalk/process/gateway_metrics.py
+++ b/pollenwalk/process/gateway_metrics.py
@@ -106,6 +106,10 @@
             'gateway_hedges_total',
             'Second attempts for slow calls, by what came of them.',
         )
+        self.moved_total = self.counter(
+            'gateway_moved_requests_total',
+            'Requests that were cancelled at a silent host, to be sent to another one.',
+        )
         self.keepers = self.gauge('gateway_keepers', 'Keepers listed.')
         self.keepers_lost = self.gauge(
             'gateway_keepers_lost',
--- a/pollenwalk/process/host_table.py
+++ b/pollenwalk/process/host_table.py
@@ -15,6 +15,7 @@
 from pollenwalk.errors import MalformedObject
 from pollenwalk.platform.documents import HOSTS_PREFIX, decode_host
 from pollenwalk.policy.host_pace import ReportedPace, expected_slowness
+from pollenwalk.policy.silent_hosts import HostSilence
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.host_limits import HostLimits
 from pollenwalk.process.prompt_cache import HostParts
@@ -95,6 +96,7 @@
         cached_parts: the parts of prompts that the host is believed to have cached.
         reported_pace: what the host has last said of its pace; None if nothing.
         run_excess: the shares by which this gateway's calls took longer than usual.
+        silence: whether the host answers none of this gateway's requests.
     """
 
     def __init__(self, registration: UpstreamHost) -> None:
@@ -113,6 +115,7 @@
         self.cached_parts = HostParts()
         self.reported_pace: ReportedPace | None = None
         self.run_excess = RecentMean()
+        self.silence = HostSilence()
 
     def update(self, registration: UpstreamHost, now_ms: float) -> None:
         """Replace the registration; note the time if the host begins to leave."""
@@ -172,13 +175,43 @@
         """Return the age of the last load report; None before the first."""
         return None if self.reported_at_ms is None else now_ms - self.reported_at_ms
 
-    def record_failure(self, now_ms: float) -> None:
-        """Suspect the host for a time that grows with consecutive failures."""
+    def is_suspected(self, now_ms: float, repeatable: bool = False) -> bool:
+        """Return whether a request should go to another host.
+
+        Args:
+            now_ms: the current time.
+            repeatable: whether the request may run more than once, so that it may show
+                whether a silent host answers again.
+        """
+        if self.suspected_until_ms > now_ms:
+            return True
+        return self.silence.spares(repeatable, self.suspected_until_ms, now_ms)
+
+    def record_failure(self, now_ms: float, min_ms: float = MIN_SUSPICION_MS) -> None:
+        """Suspect the host for a time that grows with consecutive failures.
+
+        Args:
+            now_ms: the current time.
+            min_ms: the shortest such time.
+        """
         self.failures += 1
         doublings = min(self.failures - 1, MAX_DOUBLINGS)
-        suspicion_ms = MIN_SUSPICION_MS * 2**doublings
+        suspicion_ms = max(MIN_SUSPICION_MS * 2**doublings, min_ms)
         self.suspected_until_ms = now_ms + min(suspicion_ms, MAX_SUSPICION_MS)
 
+    def record_sign(self, now_ms: float) -> None:
+        """Record a byte of an answer; clear the suspicion of a silent host."""
+        silent_ms = self.silence.record_sign(now_ms)
+        if silent_ms is None:
+            return
+        self.record_success()
+        logger.info(
+            'host_answers_again',
+            host=self.registration.id,
+            upstream=self.registration.upstream,
+            silent_ms=round(silent_ms),
+        )
+
     def record_success(self) -> None:
         """Clear the suspicion of the host."""
         self.failures = 0
--- a/pollenwalk/process/route_explanation.py
+++ b/pollenwalk/process/route_explanation.py
@@ -9,9 +9,11 @@
 from pollenwalk.process.call_placer import CallPlacer
 from pollenwalk.process.host_table import HostState
 from pollenwalk.request.call_preparation import CallPreparation
-from pollenwalk.request.call_sender import CallSender, ForwardingContext
+from pollenwalk.request.call_sender import CallSender
+from pollenwalk.request.forwarding_context import ForwardingContext
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.request.http_messages import Request
+from pollenwalk.request.program_admission import admits_new_program
 
 Fields = dict[str, Any]
 # Id of an explained request that has none. The id chooses the upstream of a route with
@@ -82,7 +84,7 @@
     placer = sender.context.call_placer
     route = sender.call.route
     return {
-        'admitted': sender.admits_new_program,
+        'admitted': admits_new_program(sender),
         'checked': route.is_streaming,
         'host_wait_ms': round(placer.min_wait_ms(sender.call, sender.cost), 1),
         'gateway_wait_ms': round(placer.own_load.expected_wait_ms, 1),
@@ -99,13 +101,18 @@
     states = placer.host_table.hosts_of(call.upstream)
     hosts = [describe(placer, state, cost, now_ms) for state in states]
     staying = [one for one in hosts if not one['leaving']]
-    trusted = [one for one in staying if not one['suspected_ms']] or staying
+    trusted = [one for one in staying if not is_suspected(one)] or staying
     best_ms = min((one['finish_ms'] for one in trusted), default=math.inf)
     for host in trusted:
         host['may_be_chosen'] = host['finish_ms'] <= best_ms + TIE_TOLERANCE_MS
     return sorted(hosts, key=lambda one: (not one['may_be_chosen'], one['finish_ms']))
 
 
+def is_suspected(host: Fields) -> bool:
+    """Return whether a described host is suspected."""
+    return bool(host['suspected_ms'] or host['silent'])
+
+
 def describe(
     placer: CallPlacer, state: HostState, cost: CallCost, now_ms: float
 ) -> Fields:
@@ -124,6 +131,7 @@
         'load_age_ms': None if age_ms is None else round(age_ms),
         'distance': distance_of(candidate.same_zone, candidate.same_region),
         'suspected_ms': round(max(state.suspected_until_ms - now_ms, 0)),
+        'silent': state.silence.is_silent,
         'limit_per_s': placer.host_table.limit_of(state),
         'permit_wait_ms': round(candidate.permit_wait_ms),
         'leaving': state.registration.leaving,
--- a/pollenwalk/request/call_runner.py
+++ b/pollenwalk/request/call_runner.py
@@ -1,7 +1,7 @@
 """Runs the calls of a gateway: takes a token of the quota, then forwards the call."""
 
 from pollenwalk.process.keeper_group import KeeperGroup
-from pollenwalk.request.call_sender import ForwardingContext
+from pollenwalk.request.forwarding_context import ForwardingContext
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.request.program_starts import ProgramStarts
 from pollenwalk.request.program_turn import ProgramTurn
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -5,36 +5,21 @@
 one more attempt.
 """
 
-import contextlib
 import math
-import random
-from typing import NamedTuple
 
 from loguru import logger
 
-from pollenwalk.connection.connection_pool import ConnectionPool
 from pollenwalk.errors import BrokenAnswer, NotSent, Outcome, Refusal, RefusalCode
 from pollenwalk.platform.headers import added_headers, resume_header
-from pollenwalk.policy.host_pace import ReportedPace
-from pollenwalk.policy.program_admission import (
-    draw_elsewhere_retry_ms,
-    draw_retry_after_ms,
-    is_wait_acceptable,
-)
-from pollenwalk.process.call_placer import CallPlacer
-from pollenwalk.process.clock import Clock
-from pollenwalk.process.gateway_metrics import GatewayMetrics
-from pollenwalk.process.hedging import Hedging
 from pollenwalk.process.host_table import HostState
-from pollenwalk.process.load_admission import LoadAdmission
-from pollenwalk.process.permit_client import PermitClient
-from pollenwalk.process.quota_client import QuotaClient
-from pollenwalk.process.stream_registry import StreamRegistry
+from pollenwalk.request.answer_wait import AnswerWait
 from pollenwalk.request.call_crashes import CallCrashes
 from pollenwalk.request.call_permits import CallPermits
 from pollenwalk.request.exchange import Exchange
+from pollenwalk.request.forwarding_context import ForwardingContext
 from pollenwalk.request.gateway_call import Call
-from pollenwalk.request.http_messages import AnswerHead, Headers
+from pollenwalk.request.host_answers import record_head, skip_refusal_body
+from pollenwalk.request.http_messages import Headers
 
 # If all hosts have been tried in vain, they are tried again until this share of the
 # route's target time has passed since the call arrived. A caller that is refused
@@ -43,44 +28,11 @@
 HOST_RETRY_SHARE = 0.25
 # Pause before all hosts are tried again.
 HOST_RETRY_INTERVAL_MS = 25.0
-# Maximum size of the body of a host's refusal, and maximum time until its end, for
-# which the connection is kept.
-MAX_REFUSAL_BODY_BYTES = 65_536
-REFUSAL_BODY_TIMEOUT_MS = 50.0
 # Retry-After in the refusal of a call that no host accepts. No better estimate is
 # known, so it is about one service time.
 RETRY_AFTER_MS = 200
 
 
-class ForwardingContext(NamedTuple):
-    """The parts of a gateway that are used to forward calls.
-
-    Attributes:
-        clock: the process's clock.
-        pool: idle connections to hosts.
-        call_placer: chooses hosts and learns run times.
-        metrics: the gateway's metrics.
-        rng: the process's random number generator.
-        streams: records and finds where streams began.
-        permits: obtains permits for hosts with a limit.
-        quotas: takes a token of the organisation's quota for each send; None if no
-            quotas are kept.
-        hedging: allows second attempts; None if no call has one.
-        admission: decides on urgent and new programs; None for no such decisions.
-    """
-
-    clock: Clock
-    pool: ConnectionPool
-    call_placer: CallPlacer
-    metrics: GatewayMetrics
-    rng: random.Random
-    streams: StreamRegistry
-    permits: PermitClient
-    quotas: QuotaClient | None = None
-    hedging: Hedging | None = None
-    admission: LoadAdmission | None = None
-
-
 class CallSender:
     """Sends one call to one host after the other.
 
@@ -99,6 +51,7 @@
             any, as long as no event has been shown.
         permits: obtains the call's permits for hosts with a limit.
         crashes: records crashes of hosts on the call.
+        answer_wait: the wait for the answer to the last send.
     """
 
     def __init__(self, context: ForwardingContext, call: Call, body: bytes) -> None:
@@ -119,72 +72,7 @@
             context.permits, context.call_placer, context.metrics, call
         )
         self.crashes = CallCrashes(context.permits.crash_guard, context.pool, call)
-
-    @property
-    def admits_new_program(self) -> bool:
-        """Return whether the wait at the best host allows one more program now."""
-        route = self.call.route
-        call_placer = self.context.call_placer
-        wait_ms = counted_wait_ms(self)
-        wait_ms += call_placer.own_load.expected_wait_ms
-        return is_wait_acceptable(wait_ms, route.target_ms, route.priority)
-
-    def check_program_admission(self) -> None:
-        """Refuse a new program if the wait at the best host is too long.
-
-        Raises:
-            Refusal: the hosts or this gateway are too busy for one more program; no
-                work was done for it.
-        """
-        if self.admits_new_program:
-            return
-        call = self.call
-        call_placer = self.context.call_placer
-        wait_ms = counted_wait_ms(self)
-        retry_after_ms = self.program_retry_after_ms(wait_ms)
-        logger.info(
-            'turned_back',
-            request=call.id,
-            program=call.request.metadata.program,
-            organisation=call.organisation_name,
-            wait_ms=round(wait_ms),
-            own_wait_ms=round(call_placer.own_load.expected_wait_ms),
-            run_ms=round(self.cost.run_ms),
-            priority=call.route.priority,
-            retry_after_ms=round(retry_after_ms),
-        )
-        self.context.metrics.count_send('turned_back')
-        self.context.metrics.count_refused_program('wait')
-        raise Refusal(
-            RefusalCode.OVERLOADED,
-            f'upstream {call.upstream} or this gateway is too busy for one more program',
-            retry_after_ms=round(retry_after_ms),
-        )
-
-    def program_retry_after_ms(self, wait_ms: float) -> float:
-        """Return the Retry-After of a new program that is refused.
-
-        Args:
-            wait_ms: the wait at the best host.
-        """
-        call = self.call
-        route = call.route
-        context = self.context
-        hosts_have_room = is_wait_acceptable(wait_ms, route.target_ms, route.priority)
-        if hosts_have_room and context.call_placer.own_load.others_have_room:
-            return draw_elsewhere_retry_ms(context.rng)
-        if self.are_all_hosts_limited:
-            return context.permits.retry_after_ms(call.upstream)
-        remaining_ms = call.remaining_ms(context.clock.now_ms())
-        return draw_retry_after_ms(remaining_ms, context.rng)
-
-    @property
-    def are_all_hosts_limited(self) -> bool:
-        """Return whether each host of the upstream has a limit."""
-        host_table = self.context.call_placer.host_table
-        upstream = self.call.upstream
-        limited = len(host_table.limited_hosts(upstream))
-        return limited == sum(1 for _ in host_table.available_hosts(upstream))
+        self.answer_wait = AnswerWait(self)
 
     def record_run_time(self, state: HostState) -> None:
         """Record the time since the last send, once a host's answer is complete.
@@ -204,6 +92,15 @@
         route = self.call.route
         return route.idempotent and self.runs < route.max_attempts
 
+    def may_move(self, runs: int) -> bool:
+        """Return whether the call may run once more while its host may run it.
+
+        Args:
+            runs: how many times a host has run the call or may have run it, with the
+                present one.
+        """
+        return self.call.route.idempotent and runs < self.call.route.max_attempts
+
     def allow_until_deadline(self) -> None:
         """Allow that hosts are tried again until the caller's deadline."""
         self.give_up_at_ms = self.call.deadline_at_ms
@@ -332,6 +229,18 @@
         """
         self.sent_ms = self.context.clock.now_ms()
         self.found_no_free_slot = state.load(self.sent_ms) >= state.registration.slots
+        with self.answer_wait.begin(state):
+            return await self.open_connection_and_send(state, last_event_id)
+
+    async def open_connection_and_send(
+        self, state: HostState, last_event_id: str
+    ) -> Exchange:
+        """Open a connection to a host, send the call and wait for the answer's head.
+
+        Raises:
+            NotSent: the host did not run the call.
+            BrokenAnswer: the host may have run the call but gave no valid head.
+        """
         state.in_flight += 1
         try:
             connection = await self.context.pool.acquire(
@@ -359,17 +268,12 @@
             Refusal: the quota of the organisation does not cover one more send.
         """
         await pay_for_send(self.context, self.call, self.runs)
-        request = self.call.request
         state = exchange.state
         self.log_send(state, last_event_id)
-        await exchange.connection.send(
-            request.method,
-            request.target,
-            self.build_headers(state, last_event_id),
-            self.body,
-        )
+        headers = self.build_headers(state, last_event_id)
+        await self.answer_wait.send(exchange, headers, self.body)
         self.record_sent()
-        head = await exchange.connection.read_head(self.call.id)
+        head = await self.answer_wait.read_head(exchange)
         exchange.head = head
         record_head(self.context, self.call, state, head)
         if head.refused:
@@ -472,6 +376,11 @@
             Refusal: the host has crashed, and so have others on this call.
         """
         self.tried_hosts.add(state.registration.id)
+        if self.answer_wait.was_moved:
+            # The host accepts connections, so it has not crashed, and its failure is
+            # recorded by the end of the wait.
+            self.context.metrics.count_send('moved')
+            return
         state.record_failure(self.context.clock.now_ms())
         self.context.metrics.count_send('broken')
         logger.warning(
@@ -504,27 +413,6 @@
     raise Refusal(RefusalCode.QUOTA_EXHAUSTED, reason, retry_after_ms=RETRY_AFTER_MS)
 
 
-async def skip_refusal_body(clock: Clock, exchange: Exchange) -> None:
-    """Read the body of a host's refusal, so that the connection can be reused.
-
-    The exchange stays incomplete, which closes the connection, if the body is
-    broken, exceeds MAX_REFUSAL_BODY_BYTES or takes longer than
-    REFUSAL_BODY_TIMEOUT_MS. The head alone proves that the call was not run.
-    """
-    with contextlib.suppress(BrokenAnswer, TimeoutError):
-        async with clock.timeout_ms(REFUSAL_BODY_TIMEOUT_MS):
-            await exchange.skip_body(MAX_REFUSAL_BODY_BYTES)
-
-
-def counted_wait_ms(sender: CallSender) -> float:
-    """Return the wait at the best host that counts for a new program."""
-    context = sender.context
-    wait_ms = context.call_placer.min_wait_ms(sender.call, sender.cost)
-    if context.admission is None:
-        return wait_ms
-    return context.admission.counted_wait_ms(sender.call, wait_ms)
-
-
 def host_priority(
     context: ForwardingContext, call: Call, begins_program: bool
 ) -> int | None:
@@ -532,26 +420,3 @@
     if context.admission is None:
         return None
     return context.admission.host_priority(call, begins_program)
-
-
-def record_head(
-    context: ForwardingContext, call: Call, state: HostState, head: AnswerHead
-) -> None:
-    """Record what a host says of itself with an answer."""
-    now_ms = context.clock.now_ms()
-    if head.load is not None:
-        state.record_load(head.load, now_ms)
-    if head.slowness is not None and head.speaks_for_host:
-        state.reported_pace = ReportedPace(head.slowness, now_ms)
-    if head.speaks_for_host:
-        context.permits.record_answer(state, head.limit)
-    if head.leaving and not head.misdirected and state.record_leaving(now_ms):
-        context.metrics.leaving_total.inc({})
-        context.permits.tell_leaving(state.registration.start)
-        logger.info(
-            'host_says_it_leaves',
-            request=call.id,
-            host=state.registration.id,
-            started_ms=state.registration.started_ms,
-            status=head.status,
-        )
--- a/pollenwalk/request/exchange.py
+++ b/pollenwalk/request/exchange.py
@@ -8,7 +8,10 @@
 
 from pollenwalk.connection.answer_memory import HeldAnswer
 from pollenwalk.connection.connection_pool import ConnectionPool
-from pollenwalk.connection.upstream_connection import UpstreamConnection
+from pollenwalk.connection.upstream_connection import (
+    UpstreamConnection,
+    ignore_bytes,
+)
 from pollenwalk.errors import BrokenAnswer
 from pollenwalk.process.host_table import HostState
 from pollenwalk.request.http_messages import AnswerHead, Framing
@@ -32,6 +35,7 @@
         head: status and headers of the answer; until they are received, status 0
             and no headers.
         held: what of the answer is in memory.
+        has_response_bytes: whether a byte of an answer has arrived.
         complete: whether the answer was read to its end.
         closed: whether the exchange has given up its connection.
     """
@@ -55,6 +59,8 @@
         self.held = HeldAnswer(pool.answer_memory)
         self.complete = False
         self.closed = False
+        self.has_response_bytes = False
+        connection.on_bytes = self.record_bytes
 
     def __enter__(self) -> 'Exchange':
         """Return this exchange."""
@@ -81,12 +87,18 @@
             return
         self.closed = True
         self.state.in_flight -= 1
+        self.connection.on_bytes = ignore_bytes
         self.held.release()
         if self.complete:
             self.pool.release(self.state.registration, self.connection)
         else:
             self.connection.abort()
 
+    def record_bytes(self) -> None:
+        """Record that bytes have arrived, by which the host shows that it answers."""
+        self.has_response_bytes = True
+        self.state.record_sign(self.pool.clock.now_ms())
+
     @property
     def succeeded(self) -> bool:
         """Return whether the answer's status is a success."""
--- a/pollenwalk/request/hedged_unary.py
+++ b/pollenwalk/request/hedged_unary.py
@@ -13,8 +13,9 @@
 from pollenwalk.errors import BrokenAnswer, NotSent, Outcome, Refusal, RefusalCode
 from pollenwalk.process.hedging import Hedging
 from pollenwalk.process.host_table import HostState
-from pollenwalk.request.call_sender import CallSender, ForwardingContext
+from pollenwalk.request.call_sender import CallSender
 from pollenwalk.request.exchange import Exchange
+from pollenwalk.request.forwarding_context import ForwardingContext
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.request.http_messages import AnswerHead
 from pollenwalk.request.reply import Reply
@@ -48,7 +49,12 @@
 
 
 class FirstSender(CallSender):
-    """Sends a call and counts its sends for the budget of second attempts."""
+    """Sends a call and counts its sends for the budget of second attempts.
+
+    Attributes:
+        is_hedged: whether a second attempt is under way.
+        second_runs: runs of the second attempt that are not counted in `runs` yet.
+    """
 
     def __init__(
         self, context: ForwardingContext, call: Call, hedging: Hedging
@@ -56,6 +62,18 @@
         """Prepare to send `call`; nothing is sent yet."""
         super().__init__(context, call, call.request.body)
         self.hedging = hedging
+        self.is_hedged = False
+        self.second_runs = 0
+
+    def may_move(self, runs: int) -> bool:
+        """Return whether the call may run once more while its host may run it.
+
+        Not beside a second attempt, which is at another host already.
+
+        Args:
+            runs: the runs, with the present one but without those of a second attempt.
+        """
+        return not self.is_hedged and super().may_move(runs + self.second_runs)
 
     def record_sent(self) -> None:
         """Count a request that has been written."""
@@ -136,6 +154,10 @@
         )
         await super().send_request(exchange, last_event_id)
 
+    def may_move(self, runs: int) -> bool:
+        """Return False, as a second attempt is not repeated."""
+        return False
+
     def take_room(self) -> str:
         """Charge the quota and the budget; return what does not allow the attempt."""
         if not self.hedging.budget.has_room:
@@ -182,7 +204,9 @@
         """
         now_ms = self.context.clock.now_ms()
         registration = state.registration
-        if registration.leaving or state.suspected_until_ms > now_ms:
+        if registration.leaving or state.is_suspected(now_ms):
+            return False
+        if state.silence.is_silent:
             return False
         calls = state.in_flight + state.other_calls
         is_listed = self.context.call_placer.host_table.is_listed(state)
@@ -248,7 +272,12 @@
             self.hedging.record_refusal(self.first.call, 'budget')
             return None
         self.second = SecondSender(self.first, self.runs_with_first, self.host)
-        return await self.second.run()
+        self.first.is_hedged = True
+        try:
+            return await self.second.run()
+        finally:
+            self.first.is_hedged = False
+            self.first.second_runs = self.second.runs - self.second.former_runs
 
     async def wait_until_slow(self, delay_ms: float) -> None:
         """Wait until the first attempt is slow and another call was answered in time.
@@ -321,6 +350,7 @@
         if second is None:
             return
         self.first.runs += second.runs - second.former_runs
+        self.first.second_runs = 0
         failed = second.tried_hosts - {self.host.registration.id}
         self.first.tried_hosts |= failed
 
--- a/pollenwalk/request/stream_origin.py
+++ b/pollenwalk/request/stream_origin.py
@@ -2,7 +2,7 @@
 
 from pollenwalk.errors import Refusal, RefusalCode
 from pollenwalk.program.streams import StreamOrigin
-from pollenwalk.request.call_sender import ForwardingContext
+from pollenwalk.request.forwarding_context import ForwardingContext
 from pollenwalk.request.gateway_call import Call
 
 # How long after the deadline of a request its stream can still be resumed; a caller
--- a/pollenwalk/request/streaming.py
+++ b/pollenwalk/request/streaming.py
@@ -8,11 +8,16 @@
 from pollenwalk.process.clock import MS_PER_SECOND
 from pollenwalk.process.loop_share import LoopShare
 from pollenwalk.program.streams import StreamOrigin
-from pollenwalk.request.call_sender import CallSender, ForwardingContext
+from pollenwalk.request.call_sender import CallSender
 from pollenwalk.request.event_stream import Event, EventSplitter
 from pollenwalk.request.exchange import Exchange
+from pollenwalk.request.forwarding_context import ForwardingContext
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.request.http_messages import AnswerHead, Framing
+from pollenwalk.request.program_admission import (
+    admits_new_program,
+    check_program_admission,
+)
 from pollenwalk.request.reply import Reply
 from pollenwalk.request.stream_origin import find_origin, stream_lifetime_ms
 from pollenwalk.request.turn_timer import TurnTimer
@@ -141,11 +146,11 @@
     admission = sender.context.admission
     if turn.begins_program and admission is not None:
         admission.record_demand(sender.call)
-    if turn.begins_program and not sender.admits_new_program:
+    if turn.begins_program and not admits_new_program(sender):
         await turn.confirm_beginning()
     sender.permits.begins_program = turn.begins_program
     if turn.begins_program:
-        sender.check_program_admission()
+        check_program_admission(sender)
         await check_load(sender, turn)
 
 
--- a/pollenwalk/request/unary.py
+++ b/pollenwalk/request/unary.py
@@ -1,8 +1,9 @@
 """Unary calls: each answer is forwarded to the caller when it is complete."""
 
 from pollenwalk.errors import BrokenAnswer, Outcome, Refusal, RefusalCode
-from pollenwalk.request.call_sender import CallSender, ForwardingContext
+from pollenwalk.request.call_sender import CallSender
 from pollenwalk.request.exchange import Exchange
+from pollenwalk.request.forwarding_context import ForwardingContext
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.request.hedged_unary import may_be_hedged, run_hedged
 from pollenwalk.request.reply import Reply
