--- a/test/process/test_gateway.py
+++ b/test/process/test_gateway.py
@@ -7,6 +7,7 @@
 from pollenwalk.platform.documents import CONFIGURATION_PREFIX, HOSTS_PREFIX
 from pollenwalk.process.gateway import Gateway, GatewaySettings
 from pollenwalk.process.store import Changes
+from pollenwalk.version.routes import CallerLimits, RoutingConfiguration
 from standin.link import Place
 from standin.store import Faults, MemoryStore
 from standin.virtual.fabric import Fabric, VirtualNetwork
@@ -37,11 +38,12 @@
 class GatewayTest(testtools.TestCase):
     """A gateway in virtual time, without keepers and hosts."""
 
-    async def start_gateway(self, lost: str = '') -> Gateway:
+    async def start_gateway(self, lost: str = '', **switches: bool) -> Gateway:
         """Start a gateway and wait 10 s.
 
         Args:
             lost: prefix whose watches fail; empty for none.
+            switches: settings that are not as usual.
         """
         node = Node('gateway', Place('a', 'east'))
         clock = NodeClock(node)
@@ -55,6 +57,7 @@
             1,
             CHANGE_DELAY_MS,
             LEAVE_NOTICE_MS,
+            **switches,
         )
         network = VirtualNetwork(Fabric(), node)
         gateway = Gateway(settings, store, network, clock, random.Random(1))
@@ -83,6 +86,22 @@
         self.assertTrue(self.waits[HOSTS_PREFIX] <= LEAVE_NOTICE_MS * 2 / 3)
         await gateway.stop()
 
+    @virtual
+    async def test_silent_hosts_are_avoided_where_asked_for(self) -> None:
+        """Guards against deployments without organisations that are served otherwise."""
+        for switched_on, by_key, expected in (
+            (False, None, False),
+            (True, None, True),
+            (False, {}, True),
+        ):
+            gateway = await self.start_gateway(avoid_silent_hosts=switched_on)
+            gateway.active_configuration.current = RoutingConfiguration(
+                1, {}, {}, CallerLimits(1000), by_key
+            )
+            self.assertEqual(expected, gateway.silent_hosts.is_enabled())
+            self.assertTrue(gateway.silent_hosts.checked_at_ms > 0)
+            await gateway.stop()
+
     @virtual
     async def test_not_ready_without_a_configuration(self) -> None:
         gateway = await self.start_gateway()
