--- a/pollenwalk/request/answer_wait.py
+++ b/pollenwalk/request/answer_wait.py
@@ -1,10 +1,13 @@
 """The wait of a send for the beginning of its answer, which a silent host never gives."""
 
+import asyncio
 from types import TracebackType
 from typing import Protocol
 
+from pollenwalk.errors import Refusal
 from pollenwalk.policy.host_choice import CallCost
 from pollenwalk.process.host_table import HostState
+from pollenwalk.process.quota_client import QuotaClient
 from pollenwalk.process.silent_hosts import AwaitedAnswer
 from pollenwalk.request.call_crashes import CallCrashes
 from pollenwalk.request.exchange import Exchange
@@ -42,6 +45,7 @@
         exchange: the present request; None before it is written.
         awaited: the present or last send as the watch of hosts knows it; None if hosts
             are not watched.
+        payment: obtains a token for a further send; None before it is needed.
         runs: runs of the call, with the one at the present host.
         queue_ms: expected wait for a slot of the present host.
     """
@@ -53,12 +57,14 @@
         self.silent_hosts = sender.context.silent_hosts
         self.exchange: Exchange | None = None
         self.awaited: AwaitedAnswer | None = None
+        self.payment: asyncio.Future[bool] | None = None
         self.runs = 0
         self.queue_ms = 0.0
 
     def begin(self, state: HostState) -> 'AnswerWait':
         """Begin a send to a host, which does not count the call as in flight yet."""
         self.exchange = None
+        self.payment = None
         if self.silent_hosts is None:
             return self
         sender = self.sender
@@ -79,6 +85,8 @@
         _trace: TracebackType | None,
     ) -> None:
         """End the wait, whether the answer has begun or not."""
+        if self.payment is not None:
+            self.payment.cancel()
         if self.silent_hosts is not None and self.awaited is not None:
             self.silent_hosts.end(self.awaited)
 
@@ -121,8 +129,8 @@
         """Return whether the call may be sent to another host; pay for the send.
 
         A call on which a host has crashed stays, as its next host is chosen with care.
-        A call stays as well if no other host can take it or if the organisation's quota
-        does not cover one more send now.
+        A call stays as well if no other host can take it, or as long as no token of the
+        organisation's quota is there.
         """
         sender = self.sender
         if not sender.may_move(self.runs) or sender.crashes.any_known:
@@ -132,9 +140,30 @@
             self.call, sender.avoided_hosts, sender.software_version
         ):
             return False
-        return context.quotas is None or context.quotas.prepay(self.call)
+        return context.quotas is None or self.is_paid(context.quotas)
+
+    def is_paid(self, quotas: QuotaClient) -> bool:
+        """Return whether there is a token for a further send; ask for one once.
+
+        The call waits at its host meanwhile, as without a token it could not be sent
+        again.
+        """
+        if self.payment is None:
+            if quotas.prepay(self.call):
+                return True
+            self.payment = asyncio.ensure_future(obtain_token(quotas, self.call))
+        return self.payment.done() and self.payment.result()
 
     def cancel(self) -> None:
         """Close the connection, so that the read of the head fails."""
         if self.exchange is not None:
             self.exchange.connection.abort()
+
+
+async def obtain_token(quotas: QuotaClient, call: Call) -> bool:
+    """Obtain a token of the quota for a further send; return whether there is one."""
+    try:
+        await quotas.obtain(call, begins_program=False)
+    except Refusal:
+        return False
+    return True
--- a/test/request/test_moved_requests.py
+++ b/test/request/test_moved_requests.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from pollenwalk.connection.crash_messages import CrashReport
-from pollenwalk.errors import BrokenAnswer, Refusal
+from pollenwalk.errors import BrokenAnswer, Refusal, RefusalCode
 from pollenwalk.policy.silent_hosts import LatestAnswers
 from pollenwalk.process.crash_guard import both_digests
 from pollenwalk.process.silent_hosts import SilentHosts
@@ -37,25 +37,33 @@
 
 
 class Quotas:
-    """Implements the part of `QuotaClient` that sends use; allows some sends."""
+    """Implements the part of `QuotaClient` that sends use; has tokens for some sends."""
 
-    def __init__(self, sends: int) -> None:
-        """Allow `sends` sends."""
-        self.left = sends
-        self.prepaid = 0
+    def __init__(self, tokens: int, at_hand: bool) -> None:
+        """Have some tokens, for which a keeper is asked if they are not at hand."""
+        self.left = tokens
+        self.at_hand = at_hand
+        self.prepaid = 1
 
-    async def pay(self, call: Call) -> bool:
-        """Pay for a send by what is prepaid or left."""
-        if not self.prepaid:
-            self.prepay(call)
+    async def pay(self, _call: Call) -> bool:
+        """Pay for a send by what is prepaid; one that is not would fail here."""
         self.prepaid -= 1
-        return self.left >= 0
+        return self.prepaid >= 0
 
     def prepay(self, _call: Call) -> bool:
-        """Pay for a later send."""
+        """Take a token that is at hand for a later send."""
+        if not self.at_hand or not self.left:
+            return False
         self.left -= 1
         self.prepaid += 1
-        return self.left >= 0
+        return True
+
+    async def obtain(self, call: Call, begins_program: bool) -> None:
+        """Ask a keeper for a token for a later send."""
+        await asyncio.sleep(0.01)
+        self.at_hand = True
+        if begins_program or not self.prepay(call):
+            raise Refusal(RefusalCode.QUOTA_EXHAUSTED, 'exhausted')
 
 
 class MovedRequestTest(HedgedCase):
@@ -166,14 +174,15 @@
 
     @on_loop
     async def test_quota(self) -> None:
-        """Guards against sends that are not paid, or paid twice."""
-        context = await self.start_watched(Hanging(), answers_hello)
-        await self.check_stays(context._replace(quotas=Quotas(1)))
-        context = await self.start_watched(Hanging(), answers_hello)
-        quotas = Quotas(2)
-        reply, _ = await self.run_call(context._replace(quotas=quotas))
-        self.assertEqual(b'hello', reply.body)
-        self.assertEqual((0, 0), (quotas.left, quotas.prepaid))
+        """Guards against sends that are not paid, paid twice, or never moved."""
+        for at_hand in (False, True):
+            context = await self.start_watched(Hanging(), answers_hello)
+            await self.check_stays(context._replace(quotas=Quotas(0, at_hand)))
+            context = await self.start_watched(Hanging(), answers_hello)
+            quotas = Quotas(1, at_hand)
+            reply, _ = await self.run_call(context._replace(quotas=quotas))
+            self.assertEqual(b'hello', reply.body)
+            self.assertEqual((0, 0), (quotas.left, quotas.prepaid))
 
     @on_loop
     async def test_attempts(self) -> None:
