Confirm keys again soon after an outage of the store

A call whose response was lost waited for its timeout although the store was back. With revocation_ms, keepers (new setting) and gateways repeat calls while older ones are unanswered, and a gateway without a confirmation asks keepers every 200 ms.

--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -240,6 +240,7 @@
             self.active_configuration.apply,
             self.host_table.record_store_answer,
             self.lease.watch_ms(settings.change_delay_ms * CONFIGURATION_WATCH_SHARE),
+            confirm_soon=settings.revocation_ms > 0,
         )
         follower.follow(
             HOSTS_PREFIX,
--- a/pollenwalk/process/gateway_follower.py
+++ b/pollenwalk/process/gateway_follower.py
@@ -64,6 +64,7 @@
         on_object: Callable[[StoredObject], None],
         on_read: Callable[[], None],
         wait_ms: float,
+        confirm_soon: bool = False,
     ) -> PrefixWatcher:
         """Follow the objects below a prefix until the gateway stops.
 
@@ -72,6 +73,7 @@
             on_object: called with each new, changed or deleted object.
             on_read: called after each answer.
             wait_ms: longest duration of one watch.
+            confirm_soon: whether it is to be confirmed soon after an outage.
 
         Returns:
             The watcher, which runs.
@@ -84,5 +86,7 @@
             self.keepers.read_prefix,
         )
         watcher = PrefixWatcher(self.feed, self.clock, prefix, handlers, wait_ms)
+        if confirm_soon:
+            watcher.max_retry_ms = self.feed.confirm_soon(prefix, wait_ms)
         self.tasks.spawn(watcher.run(), f'follow {prefix}')
         return watcher
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -40,6 +40,7 @@
 from pollenwalk.policy.fleet_load import FleetLoad
 from pollenwalk.policy.quota_bucket import QuotaBound
 from pollenwalk.process.clock import MS_PER_SECOND, Clock
+from pollenwalk.process.configuration_lease import WATCH_SHARE
 from pollenwalk.process.keeper_feed import KeeperFeed
 from pollenwalk.process.keeper_links import KeeperLinks
 from pollenwalk.process.keeper_members import KEEPERS_PREFIX, Member
@@ -112,6 +113,8 @@
         tolerated_losses: how many keepers may be lost at the same time without
             loss of data.
         quota_bound: how exactly quotas of organisations are kept; None if none are.
+        revocation_ms: time within which the revocation of a key must be in force; 0 if
+            gateways that are cut off may go on with the keys they know.
     """
 
     name: str
@@ -121,6 +124,7 @@
     first_start: bool
     tolerated_losses: int
     quota_bound: QuotaBound | None = None
+    revocation_ms: float = 0
 
 
 class Keeper:
@@ -171,7 +175,9 @@
             settings.zone,
             settings.regions,
         )
-        self.mirrors = StoreMirrors(store, clock, self.tasks)
+        self.mirrors = StoreMirrors(
+            store, clock, self.tasks, settings.revocation_ms * WATCH_SHARE
+        )
         self.feed = KeeperFeed(
             store, self.links, clock, do_nothing, self.mirrors, settings.name
         )
--- a/pollenwalk/process/keeper_daemon.py
+++ b/pollenwalk/process/keeper_daemon.py
@@ -133,6 +133,7 @@
             options['first_start'] == 'true',
             options['tolerated_losses'],
             quota_bound(options),
+            options.get('revocation_ms', 0),
         ),
         KeeperState(RecordLog(Path(options['folder'])), clock),
         store,
--- a/pollenwalk/process/keeper_feed.py
+++ b/pollenwalk/process/keeper_feed.py
@@ -5,7 +5,8 @@
 store itself. So while keepers fail, a process follows the store as if there were none.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import Any, NamedTuple
 
 from loguru import logger
 
@@ -13,13 +14,19 @@
 from pollenwalk.errors import ConnectionLost, PollenwalkError, StoreHistoryGone
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.keeper_links import KeeperLink, KeeperLinks
+from pollenwalk.process.repeated_calls import (
+    GATEWAY_INTERVAL_MS,
+    RepeatingStore,
+    first_answer,
+)
 from pollenwalk.process.store import (
+    FIRST_RETRY_DELAY_MS,
     WATCH_TIMEOUT_MS,
     Changes,
     FollowedStore,
     StoredObject,
 )
-from pollenwalk.process.store_mirror import StoreMirrors
+from pollenwalk.process.store_mirror import FIRST_READ_MS, StoreMirrors
 
 # Keepers that are asked before the store is.
 MAX_KEEPERS_ASKED = 2
@@ -36,6 +43,26 @@
 # store.
 MAX_AGE_WATCHES = 2
 MAX_AGE_SLACK_MS = 300.0
+# Keepers are asked at short intervals once a prefix has not been confirmed for so many
+# of its watches, which is about when the lease of the configuration ends. With four of
+# them, gateways called a store that answers after 400 ms twice as often.
+UNCONFIRMED_WATCHES = 6
+# Interval of these questions: with the time for the way, a gateway follows within 300 ms
+# of a keeper that can answer.
+ASK_INTERVAL_MS = 200.0
+
+
+class SoonConfirmed(NamedTuple):
+    """How a prefix is followed that is to be confirmed soon after an outage.
+
+    Attributes:
+        store: the store, with repeated calls.
+        max_age_ms: keepers are asked at short intervals once the last confirmation is
+            older than this.
+    """
+
+    store: RepeatingStore
+    max_age_ms: float
 
 
 class KeeperFeed:
@@ -51,6 +78,7 @@
         avoided_until_ms: for each keeper that was lost by a question, until when it is not
             asked.
         sources: for each prefix, who answered last, for the log.
+        confirmed_soon: how prefixes are followed whose changes must be known lately.
     """
 
     def __init__(
@@ -73,6 +101,36 @@
         self.trouble_at_ms = 0.0
         self.avoided_until_ms: dict[str, float] = {}
         self.sources: dict[str, str] = {}
+        self.confirmed_soon: dict[str, SoonConfirmed] = {}
+
+    def confirm_soon(self, prefix: str, watch_ms: float) -> float:
+        """Follow a keeper soon once it can answer again after an outage of the store.
+
+        Args:
+            prefix: the prefix.
+            watch_ms: longest duration of its watches.
+
+        Returns:
+            The longest pause of its watcher between two calls.
+        """
+        store = RepeatingStore(self.store, self.clock, GATEWAY_INTERVAL_MS)
+        self.confirmed_soon[prefix] = SoonConfirmed(
+            store, watch_ms * UNCONFIRMED_WATCHES
+        )
+        return FIRST_RETRY_DELAY_MS
+
+    def is_unconfirmed(self, prefix: str) -> bool:
+        """Return whether a prefix has to be confirmed soon, and has not been lately."""
+        soon = self.confirmed_soon.get(prefix)
+        if soon is None:
+            return False
+        confirmed_at_ms = self.confirmed_at_ms.get(prefix, float('-inf'))
+        return self.clock.boot_ms() - confirmed_at_ms > soon.max_age_ms
+
+    def store_of(self, prefix: str) -> FollowedStore:
+        """Return the store, with repeated calls if a prefix is to be confirmed soon."""
+        soon = self.confirmed_soon.get(prefix)
+        return self.store if soon is None else soon.store
 
     async def scan(self, prefix: str) -> Changes:
         """Return all objects below a prefix, as a keeper or the store knows them.
@@ -80,9 +138,11 @@
         Raises:
             StoreUnavailable: neither answered.
         """
-        answer = await self.ask_keepers(FollowPrefix(prefix, None, MAX_WAIT_MS))
+        question = FollowPrefix(prefix, None, MAX_WAIT_MS)
+        answer = await self.ask_keepers(question)
         if answer is None:
-            return await self.call_store(prefix, self.store.scan(prefix))
+            listing = self.store_of(prefix).scan(prefix)
+            return await self.call_store(question, listing)
         return self.to_changes(prefix, answer)
 
     async def watch(
@@ -98,25 +158,57 @@
             StoreUnavailable: neither a keeper nor the store answered.
         """
         question = FollowPrefix(prefix, revision, min(wait_ms, MAX_WAIT_MS), wait_ms)
+        if self.is_unconfirmed(prefix):
+            question = question._replace(wait_ms=0)
         answer = await self.ask_keepers(question)
         if answer is None:
-            watching = self.store.watch(prefix, revision, wait_ms)
-            return await self.call_store(prefix, watching)
-        if answer.history_gone:
-            raise StoreHistoryGone(f'{prefix} before {answer.revision}')
+            watching = self.store_of(prefix).watch(prefix, revision, wait_ms)
+            return await self.call_store(question, watching)
         return self.to_changes(prefix, answer)
 
-    async def call_store(self, prefix: str, call: Awaitable[Changes]) -> Changes:
+    async def call_store(
+        self, question: FollowPrefix, call: Coroutine[Any, Any, Changes]
+    ) -> Changes:
         """Make a call of the store, and note until when all changes are known.
 
+        Keepers are asked meanwhile if the prefix is to be confirmed soon.
+
         Raises:
+            StoreHistoryGone: the changes since then are not known any more.
             StoreUnavailable: the store did not answer.
         """
+        if question.prefix not in self.confirmed_soon:
+            return await self.complete(question.prefix, call)
+        return await first_answer(
+            self.complete(question.prefix, call), self.ask_until_answered(question)
+        )
+
+    async def complete(
+        self, prefix: str, call: Coroutine[Any, Any, Changes]
+    ) -> Changes:
+        """Complete a call of the store, and note until when all changes are known."""
         began_ms = self.clock.boot_ms()
         changes = await call
+        if changes.known_until_ms is not None:
+            began_ms = changes.known_until_ms
         self.confirm(prefix, began_ms, 'store')
         return changes
 
+    async def ask_until_answered(self, question: FollowPrefix) -> Changes:
+        """Ask keepers at short intervals while the prefix is not confirmed.
+
+        Raises:
+            StoreHistoryGone: the changes since then are not known any more.
+        """
+        question = question._replace(wait_ms=0)
+        while True:
+            await self.clock.sleep_ms(ASK_INTERVAL_MS)
+            if not self.is_unconfirmed(question.prefix):
+                continue
+            answer = await self.ask_keepers(question)
+            if answer is not None:
+                return self.to_changes(question.prefix, answer)
+
     def confirm(self, prefix: str, at_ms: float, source: str) -> None:
         """Note until when all changes are known; log a change of the source."""
         self.confirmed_at_ms[prefix] = max(self.confirmed_at_ms.get(prefix, 0), at_ms)
@@ -154,9 +246,9 @@
         try:
             if self.mirrors is not None and link.member.name == self.own_name:
                 return await self.mirrors.follow(question)
-            return await self.links.request(
-                link, question, question.wait_ms + TRANSIT_MS
-            )
+            # A question that is not to be held may wait for the first reading.
+            held_ms = question.wait_ms or FIRST_READ_MS
+            return await self.links.request(link, question, held_ms + TRANSIT_MS)
         except ConnectionLost:
             # `KeeperLinks` has logged the loss.
             until_ms = self.clock.now_ms() + AVOID_MS
@@ -197,7 +289,13 @@
         return True
 
     def to_changes(self, prefix: str, answer: FollowedPrefix) -> Changes:
-        """Return the objects of an accepted answer as those of the store."""
+        """Return the objects of an accepted answer as those of the store.
+
+        Raises:
+            StoreHistoryGone: the keeper does not know all changes that were asked for.
+        """
+        if answer.history_gone:
+            raise StoreHistoryGone(f'{prefix} before {answer.revision}')
         objects = [StoredObject(*listed) for listed in answer.objects]
         return Changes(answer.revision, objects, self.confirmed_at_ms[prefix])
 
--- a/pollenwalk/process/prefix_watcher.py
+++ b/pollenwalk/process/prefix_watcher.py
@@ -15,6 +15,7 @@
 from pollenwalk.errors import StoreHistoryGone, StoreUnavailable
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.store import (
+    MAX_RETRY_DELAY_MS,
     WATCH_TIMEOUT_MS,
     Backoff,
     Changes,
@@ -55,6 +56,8 @@
             when the latest call that was answered began, or earlier if it was answered
             from a copy. None before the first answer.
         known_keys: keys of the objects that exist, to find deleted ones.
+        max_retry_ms: longest pause after a call that was not answered; short if the
+            store itself bounds the rate of calls.
     """
 
     def __init__(
@@ -84,10 +87,11 @@
         self.answered_revision = 0
         self.confirmed_at_ms: float | None = None
         self.known_keys: set[str] = set()
+        self.max_retry_ms = float(MAX_RETRY_DELAY_MS)
 
     async def run(self) -> None:
         """Watch until cancelled; use the relay while the store does not answer."""
-        backoff = Backoff(self.clock)
+        backoff = Backoff(self.clock, self.max_retry_ms)
         while True:
             began_ms = self.clock.boot_ms()
             try:
@@ -98,7 +102,7 @@
                 await self.read_via_relay()
                 await backoff.pause()
                 continue
-            backoff = Backoff(self.clock)
+            backoff = Backoff(self.clock, self.max_retry_ms)
             self.confirm(began_ms, changed)
             self.notify(changed.objects)
 
--- a/pollenwalk/process/settings.py
+++ b/pollenwalk/process/settings.py
@@ -94,6 +94,7 @@
         'folder': TEXT,
         'first_start': choice_field('true', 'false'),
         'tolerated_losses': int_field(0, 16),
+        'revocation_ms': number_field(0, 600_000),
         'quota_window_s': number_field(0, 600),
         'quota_excess': number_field(0, 10),
         'quota_slack': number_field(0, 10_000),
--- a/pollenwalk/process/store.py
+++ b/pollenwalk/process/store.py
@@ -116,15 +116,16 @@
 class Backoff:
     """Exponential back-off between retries."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, longest_ms: float = MAX_RETRY_DELAY_MS) -> None:
         """Start with a delay of FIRST_RETRY_DELAY_MS."""
         self.clock = clock
+        self.longest_ms = longest_ms
         self.delay_ms = float(FIRST_RETRY_DELAY_MS)
 
     async def pause(self) -> None:
-        """Wait for `delay_ms`, then double it up to MAX_RETRY_DELAY_MS."""
+        """Wait for `delay_ms`, then double it up to `longest_ms`."""
         await self.clock.sleep_ms(self.delay_ms)
-        self.delay_ms = min(self.delay_ms * BACKOFF_FACTOR, MAX_RETRY_DELAY_MS)
+        self.delay_ms = min(self.delay_ms * BACKOFF_FACTOR, self.longest_ms)
 
 
 async def create_once(
--- a/pollenwalk/process/store_mirror.py
+++ b/pollenwalk/process/store_mirror.py
@@ -18,7 +18,12 @@
 from pollenwalk.errors import Refusal, RefusalCode, StoreUnavailable
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
-from pollenwalk.process.store import FollowedStore, StoredObject
+from pollenwalk.process.repeated_calls import KEEPER_INTERVAL_MS, RepeatingStore
+from pollenwalk.process.store import (
+    FIRST_RETRY_DELAY_MS,
+    FollowedStore,
+    StoredObject,
+)
 from pollenwalk.process.tasks import TaskSet
 
 # How long a question may wait until a prefix has been read for the first time.
@@ -60,6 +65,13 @@
         self.last_used_ms = clock.now_ms()
         self.changed = asyncio.Event()
 
+    def repeat_calls(self) -> None:
+        """Repeat calls from now on while the store is away; their interval is bounded."""
+        store = self.watcher.store
+        if not isinstance(store, RepeatingStore):
+            self.watcher.store = RepeatingStore(store, self.clock, KEEPER_INTERVAL_MS)
+            self.watcher.max_retry_ms = FIRST_RETRY_DELAY_MS
+
     def on_object(self, stored: StoredObject) -> None:
         """Apply a new, changed or deleted object."""
         if stored.body:
@@ -179,10 +191,19 @@
         by_prefix: the copies by prefix.
         running: the tasks that keep them up to date, by prefix.
         store_unavailable: whether this keeper's own last read of the store failed.
+        repeated_watch_ms: for prefixes with watches of at most this duration, calls of
+            the store are repeated while it is away.
     """
 
-    def __init__(self, store: FollowedStore, clock: Clock, tasks: TaskSet) -> None:
+    def __init__(
+        self,
+        store: FollowedStore,
+        clock: Clock,
+        tasks: TaskSet,
+        repeated_watch_ms: float = 0,
+    ) -> None:
         """Follow nothing yet."""
+        self.repeated_watch_ms = repeated_watch_ms
         self.store = store
         self.clock = clock
         self.tasks = tasks
@@ -231,6 +252,8 @@
             self.running[question.prefix] = self.tasks.spawn(
                 mirror.watcher.run(), f'mirror {question.prefix}'
             )
+        if (question.watch_ms or LONGEST_WATCH_MS) <= self.repeated_watch_ms:
+            mirror.repeat_calls()
         return await mirror.follow(question)
 
     def stop_unused(self) -> None:
--- a/test/process/test_keeper_feed.py
+++ b/test/process/test_keeper_feed.py
@@ -35,10 +35,18 @@
     Attributes:
         objects: the objects that it knows, by key.
         troubles: how often it was told that the store had failed.
+        watchers: the watchers of keepers and hosts, by prefix.
     """
 
-    def __init__(self, cluster: 'FeedCluster', name: str, zone: str) -> None:
-        """Start to follow the store of a cluster."""
+    def __init__(
+        self,
+        cluster: 'FeedCluster',
+        name: str,
+        zone: str,
+        wait_ms: float = WAIT_MS,
+        confirm_soon: bool = False,
+    ) -> None:
+        """Start to follow the store of a cluster, hosts in watches of `wait_ms`."""
         self.node = Node(name, Place(zone, REGIONS[zone]))
         clock = NodeClock(self.node)
         tasks = TaskSet()
@@ -51,8 +59,15 @@
         members = self.links.members
         keepers = WatchHandlers(members.apply_change, members.mark_loaded)
         hosts = WatchHandlers(self.on_object)
-        for prefix, handlers in ((KEEPERS_PREFIX, keepers), (PREFIX, hosts)):
-            watcher = PrefixWatcher(self.feed, clock, prefix, handlers, WAIT_MS)
+        self.watchers = {
+            KEEPERS_PREFIX: PrefixWatcher(
+                self.feed, clock, KEEPERS_PREFIX, keepers, WAIT_MS
+            ),
+            PREFIX: PrefixWatcher(self.feed, clock, PREFIX, hosts, wait_ms),
+        }
+        for prefix, watcher in self.watchers.items():
+            if confirm_soon and prefix == PREFIX:
+                watcher.max_retry_ms = self.feed.confirm_soon(prefix, wait_ms)
             tasks.spawn(watcher.run(), prefix)
 
     def on_trouble(self) -> None:
@@ -90,10 +105,14 @@
         await self.start_three()
         for number in range(followers):
             zone = 'ac'[number % 2]
-            self.followers.append(Follower(self, f'f{number}', zone))
+            self.followers.append(self.make_follower(f'f{number}', zone))
         await self.put('first')
         await self.wait(2 * WAIT_MS)
 
+    def make_follower(self, name: str, zone: str) -> Follower:
+        """Start a follower."""
+        return Follower(self, name, zone)
+
     async def put(self, name: str) -> None:
         """Write an object that followers learn of."""
         await self.store.put(f'{PREFIX}{name}', b'here', None)
--- a/test/process/test_keepers.py
+++ b/test/process/test_keepers.py
@@ -56,9 +56,11 @@
         keepers: the keepers by name.
         tolerated_losses: how many disks may be lost at the same time.
         quota_bound: how exactly the keepers keep quotas; None if they keep none.
+        revocation_ms: time within which revoked keys must be refused; 0 for no bound.
     """
 
     quota_bound: QuotaBound | None = None
+    revocation_ms = 0.0
 
     def __init__(self, tolerated_losses: int = 1) -> None:
         """Create a store without keepers."""
@@ -85,6 +87,7 @@
             first_start,
             self.tolerated_losses,
             self.quota_bound,
+            self.revocation_ms,
         )
         network = VirtualNetwork(self.fabric, node)
         state = KeeperState(disk, clock)
