Ask keepers for the configuration also while a listing is relayed

A relayed listing asks all keepers one after the other, which takes seconds with many of them in another region; the gateway did not notice meanwhile that a keeper could answer.

--- a/pollenwalk/process/gateway_follower.py
+++ b/pollenwalk/process/gateway_follower.py
@@ -10,7 +10,7 @@
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_members import KEEPERS_PREFIX, Members
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
-from pollenwalk.process.store import StoredObject
+from pollenwalk.process.store import Changes, StoredObject
 from pollenwalk.process.tasks import TaskSet
 
 # How long a gateway that starts waits for a keeper to be listed: a keeper that starts at
@@ -83,10 +83,14 @@
             on_object,
             on_read,
             lambda error: self.on_unavailable(what, error),
-            self.keepers.read_prefix,
+            self.read_by_relay,
         )
         watcher = PrefixWatcher(self.feed, self.clock, prefix, handlers, wait_ms)
         if confirm_soon:
             watcher.max_retry_ms = self.feed.confirm_soon(prefix, wait_ms)
         self.tasks.spawn(watcher.run(), f'follow {prefix}')
         return watcher
+
+    async def read_by_relay(self, prefix: str) -> Changes | None:
+        """List a prefix through any keeper; None if that fails or is not needed."""
+        return await self.feed.relay(prefix, self.keepers.read_prefix(prefix))
--- a/pollenwalk/process/keeper_feed.py
+++ b/pollenwalk/process/keeper_feed.py
@@ -78,6 +78,7 @@
         avoided_until_ms: for each keeper that was lost by a question, until when it is not
             asked.
         sources: for each prefix, who answered last, for the log.
+        watched: the latest question about each prefix.
         confirmed_soon: how prefixes are followed whose changes must be known lately.
     """
 
@@ -101,6 +102,7 @@
         self.trouble_at_ms = 0.0
         self.avoided_until_ms: dict[str, float] = {}
         self.sources: dict[str, str] = {}
+        self.watched: dict[str, FollowPrefix] = {}
         self.confirmed_soon: dict[str, SoonConfirmed] = {}
 
     def confirm_soon(self, prefix: str, watch_ms: float) -> float:
@@ -160,6 +162,7 @@
         question = FollowPrefix(prefix, revision, min(wait_ms, MAX_WAIT_MS), wait_ms)
         if self.is_unconfirmed(prefix):
             question = question._replace(wait_ms=0)
+        self.watched[prefix] = question
         answer = await self.ask_keepers(question)
         if answer is None:
             watching = self.store_of(prefix).watch(prefix, revision, wait_ms)
@@ -209,6 +212,34 @@
             if answer is not None:
                 return self.to_changes(question.prefix, answer)
 
+    async def relay(
+        self, prefix: str, listing: Coroutine[Any, Any, Changes | None]
+    ) -> Changes | None:
+        """Return a listing through any keeper, unless it is needed no longer.
+
+        It may take seconds, as all keepers are asked one after the other.
+
+        Returns:
+            The listing; None if there is none, or if a keeper can answer again of which
+            the prefix is followed.
+        """
+        if prefix not in self.confirmed_soon:
+            return await listing
+        return await first_answer(listing, self.wait_for_answer(prefix))
+
+    async def wait_for_answer(self, prefix: str) -> None:
+        """Wait until a keeper knows enough to answer the latest question."""
+        while True:
+            await self.clock.sleep_ms(ASK_INTERVAL_MS)
+            question = self.watched.get(prefix)
+            if question is None:
+                continue
+            question = question._replace(wait_ms=0)
+            for link in self.candidates()[:MAX_KEEPERS_ASKED]:
+                answer = await self.ask(link, question)
+                if answer is not None and answer.age_ms <= max_age_ms(question):
+                    return
+
     def confirm(self, prefix: str, at_ms: float, source: str) -> None:
         """Note until when all changes are known; log a change of the source."""
         self.confirmed_at_ms[prefix] = max(self.confirmed_at_ms.get(prefix, 0), at_ms)
@@ -272,11 +303,9 @@
         now_ms = self.clock.boot_ms()
         transit_ms = max(now_ms - asked_at_ms - answer.held_ms, 0)
         age_ms = answer.age_ms + transit_ms
-        watch_ms = question.watch_ms or USUAL_WATCH_MS
-        max_age_ms = watch_ms * MAX_AGE_WATCHES + MAX_AGE_SLACK_MS
         known_until_ms = self.confirmed_at_ms.get(question.prefix, 0)
         lags = question.revision is None and now_ms - age_ms < known_until_ms
-        if age_ms > max_age_ms or lags:
+        if age_ms > max_age_ms(question) or lags:
             logger.info(
                 'feed_behind',
                 keeper=link.member.name,
@@ -308,3 +337,9 @@
         if failed_at_ms > self.trouble_at_ms + TRANSIT_MS:
             self.trouble_at_ms = failed_at_ms
             self.on_trouble()
+
+
+def max_age_ms(question: FollowPrefix) -> float:
+    """Return how old what a keeper knows may be, for an answer to a question."""
+    watch_ms = question.watch_ms or USUAL_WATCH_MS
+    return watch_ms * MAX_AGE_WATCHES + MAX_AGE_SLACK_MS
--- a/pollenwalk/process/repeated_calls.py
+++ b/pollenwalk/process/repeated_calls.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 from pollenwalk.errors import StoreHistoryGone
 from pollenwalk.process.clock import Clock
@@ -24,6 +24,8 @@
 # Duration of a watch while the store is away: it is to be answered at once.
 PROBE_WAIT_MS = 1
 
+Answer = TypeVar('Answer')
+
 
 class Question(NamedTuple):
     """A call of the store.
@@ -179,12 +181,16 @@
     return error is not None and not isinstance(error, StoreHistoryGone)
 
 
-async def first_answer(call: Awaitable[Changes], asking: Awaitable[Changes]) -> Changes:
-    """Return the answer of a call of the store, or of another process if it is first.
+async def first_answer(call: Awaitable[Answer], asking: Awaitable[Answer]) -> Answer:
+    """Return the result of whichever ends first, and end the other.
+
+    Args:
+        call: for instance a call of the store.
+        asking: for instance questions to keepers; it is preferred if both have ended.
 
     Raises:
         StoreHistoryGone: the changes since then are not known any more.
-        StoreUnavailable: the call of the store failed before the other answered.
+        StoreUnavailable: the call failed before the other ended.
     """
     calls = [asyncio.ensure_future(call), asyncio.ensure_future(asking)]
     try:
--- a/test/process/test_repeated_calls.py
+++ b/test/process/test_repeated_calls.py
@@ -14,6 +14,8 @@
 
 REVOCATION_MS = 5000.0
 OUTAGE_MS = 9000.0
+# A round of questions to 50 keepers of another region.
+ASK_ALL_MS = 3000.0
 # Bounds of docs/gateway-parts.md, part 6: times, and calls that begin within a second.
 KEEPER_BOUND_MS = 500.0
 FOLLOWER_BOUND_MS = 300.0
@@ -79,7 +81,16 @@
     def make_follower(self, name: str, zone: str) -> Follower:
         """Start a follower with short watches."""
         wait_ms = REVOCATION_MS * WATCH_SHARE
-        return Follower(self, name, zone, wait_ms, confirm_soon=True)
+        one = Follower(self, name, zone, wait_ms, confirm_soon=True)
+        watcher = one.watchers[PREFIX]
+        watcher.handlers = watcher.handlers._replace(
+            relay=lambda prefix: one.feed.relay(prefix, self.ask_all_keepers())
+        )
+        return one
+
+    async def ask_all_keepers(self) -> None:
+        """Ask many keepers one after the other, none of which reaches the store."""
+        await self.wait(ASK_ALL_MS)
 
     async def lose_store(self, kind: str) -> None:
         """Let the store answer nothing, or refuse all calls, then answer again."""
