--- a/pollenwalk/connection/http_server.py
+++ b/pollenwalk/connection/http_server.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-import socket
+import functools
+import os
 from collections.abc import Iterator
 from typing import Any
 
@@ -14,6 +15,11 @@
     SharedReads,
 )
 from pollenwalk.connection.connection_guard import ConnectionGuard
+from pollenwalk.connection.port_blocks import (
+    PortBlocks,
+    ephemeral_range,
+    server_blocks,
+)
 
 # Limit on the received bytes of a request head that is not complete yet.
 MAX_INCOMPLETE_HEAD_BYTES = 32_768
@@ -128,8 +134,20 @@
             await asyncio.gather(self.task, return_exceptions=True)
 
 
+@functools.cache
+def process_ports(process_id: int) -> PortBlocks:
+    """Return the source of ports of this process.
+
+    Args:
+        process_id: id of the process; a forked child must not share its parent's ports.
+    """
+    return PortBlocks(server_blocks(ephemeral_range()), process_id)
+
+
 def free_port() -> int:
-    """Return the number of a free port on the loopback interface."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Return a free port on the loopback interface that no other test run uses.
+
+    Raises:
+        OSError: no port is free.
+    """
+    return process_ports(os.getpid()).take()
