--- a/pollenwalk/connection/bounded_connection.py
+++ b/pollenwalk/connection/bounded_connection.py
@@ -6,12 +6,14 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from pollenwalk.connection.paced_parser import PacedParser
+from pollenwalk.connection.pipelined_requests import LimitedRequest, RequestSlots
 from pollenwalk.policy.connection_shedding import ConnectionUse, Phase
 from pollenwalk.process.clock import MS_PER_SECOND
 
@@ -27,6 +29,8 @@
 REQUEST_BYTES = 24_576
 # A body is held in parts, and once more when it is whole.
 BODY_COPIES = 2
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 
 def begins_nothing() -> bool:
@@ -88,9 +92,14 @@
         phase: what the connection was doing when it was last counted.
         phase_at_s: when that began.
         awaits_reader: whether the next request waits until the last answer is taken.
+        slots: bound the requests of clients that pipeline; None for no bound.
+        pipelines: whether bytes of a further request have arrived before a response.
+        limited: the request in progress, if there are slots.
     """
 
-    def __init__(self, guard: Guard, **parts: Any) -> None:
+    def __init__(
+        self, guard: Guard, slots: RequestSlots | None = None, **parts: Any
+    ) -> None:
         """Create the protocol of a connection that is not made yet."""
         super().__init__(**parts)
         self.guard = guard
@@ -104,6 +113,25 @@
         self.phase = Phase.UNUSED
         self.phase_at_s = self.moved_at_s
         self.awaits_reader = False
+        self.slots = slots
+        self.pipelines = False
+        self.limited: LimitedRequest | None = None
+        self.unlimited_app = self.app
+        if slots is not None:
+            self.app = self.run_limited
+
+    async def run_limited(
+        self, scope: dict[str, Any], receive: Receive, send: Send
+    ) -> None:
+        """Run the application for a request, which may have to wait for a slot."""
+        request = LimitedRequest(self.slots, self, receive)
+        self.limited = request
+        try:
+            await self.unlimited_app(scope, request.receive, send)
+        finally:
+            request.end()
+            if self.limited is request:
+                self.limited = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start the connection; one on which nothing is sent counts as idle."""
@@ -119,6 +147,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the connection."""
         super().connection_lost(exc)
+        if self.limited is not None:
+            self.limited.end()
         self._unset_keepalive_if_required()
         # The parser refers to the connection: a cycle would keep both until the next
         # garbage collection.
@@ -198,9 +228,18 @@
         is_ahead = self.conn.has_whole_request or self.awaits_reader
         return self.conn.unparsed_bytes if is_ahead else 0
 
+    def note_pipelining(self) -> None:
+        """Take note of a client that sends requests ahead."""
+        if self.pipelines or not self.ahead_bytes:
+            return
+        self.pipelines = True
+        if self.limited is not None:
+            self.limited.client_pipelines()
+
     def count(self) -> None:
         """Count anew what the connection holds."""
         self.update_phase()
+        self.note_pipelining()
         unread_bytes = self.unread_bytes
         if unread_bytes != self.last_unread_bytes:
             self.last_unread_bytes = unread_bytes
--- a/pollenwalk/connection/http_server.py
+++ b/pollenwalk/connection/http_server.py
@@ -15,6 +15,7 @@
     SharedReads,
 )
 from pollenwalk.connection.connection_guard import ConnectionGuard
+from pollenwalk.connection.pipelined_requests import RequestSlots
 from pollenwalk.connection.port_blocks import (
     PortBlocks,
     ephemeral_range,
@@ -68,6 +69,7 @@
         port: int,
         keep_alive_s: int = KEEP_ALIVE_S,
         guard: ConnectionGuard | None = None,
+        slots: RequestSlots | None = None,
     ) -> None:
         """Configure the server without starting it.
 
@@ -78,7 +80,9 @@
             keep_alive_s: time after which an idle connection is closed.
             guard: bounds the connections of all servers of the process; without one
                 this server has its own.
+            slots: bound the requests of clients that pipeline; None for no bound.
         """
+        self.slots = slots
         self.guard = guard or ConnectionGuard()
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         config = uvicorn.Config(
@@ -101,7 +105,7 @@
 
     def make_connection(self, **parts: Any) -> SharedReads:
         """Create the protocol of a new connection."""
-        connection = BoundedConnection(self.guard, **parts)
+        connection = BoundedConnection(self.guard, self.slots, **parts)
         return SharedReads(connection, self.read_buffer)
 
     @property
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -13,6 +13,10 @@
 from pollenwalk.connection.explain_page import ExplainPage
 from pollenwalk.connection.gateway_app import GatewayApp
 from pollenwalk.connection.http_server import KEEP_ALIVE_S, HttpServer
+from pollenwalk.connection.pipelined_requests import (
+    DEFAULT_MAX_REQUESTS,
+    RequestSlots,
+)
 from pollenwalk.connection.plain_page import Page, PlainPage
 from pollenwalk.connection.tcp_network import TcpNetwork
 from pollenwalk.errors import UserError
@@ -111,11 +115,15 @@
         self.guard = ConnectionGuard(
             read_limits(options), self.gateway.metrics.count_closed
         )
+        self.slots = RequestSlots(
+            options.get('max_pipelined_requests', DEFAULT_MAX_REQUESTS)
+        )
         self.caller_server = HttpServer(
             self.app,
             *split_address(options['http']),
             CALLER_KEEP_ALIVE_S,
             self.guard,
+            self.slots,
         )
         self.readiness_server = HttpServer(
             PlainPage(READY_PATH, self.readiness),
