--- a/pollenwalk/connection/bounded_connection.py
+++ b/pollenwalk/connection/bounded_connection.py
@@ -210,6 +210,21 @@
         """Return how many bytes of answers the operating system has not taken."""
         return self.transport.get_write_buffer_size()
 
+    @property
+    def descriptor(self) -> int:
+        """Return the descriptor of the socket."""
+        return self.transport.get_extra_info('socket').fileno()
+
+    @property
+    def needs_slot(self) -> bool:
+        """Return whether the request in progress has a slot or waits for one."""
+        return self.limited is not None and self.limited.needs_slot
+
+    @property
+    def blocks_others(self) -> bool:
+        """Return whether the request in progress has a slot that others wait for."""
+        return self.limited is not None and self.limited.blocks_others
+
     @property
     def read_bytes(self) -> int:
         """Return how much to read: the rest of a long body, or what a head may need."""
--- a/pollenwalk/connection/connection_guard.py
+++ b/pollenwalk/connection/connection_guard.py
@@ -11,7 +11,9 @@
     caller_limit,
     held_limit_bytes,
 )
+from pollenwalk.connection.disconnected import find_disconnected
 from pollenwalk.policy.connection_shedding import (
+    SLOW_MS,
     ConnectionUse,
     Phase,
     offence_of,
@@ -26,6 +28,11 @@
 RELIEVED_SHARE = 0.9
 
 
+def is_unread(use: ConnectionUse) -> bool:
+    """Return whether a client does not read its response."""
+    return bool(use.unread_bytes) and use.unread_ms >= SLOW_MS
+
+
 class Candidates:
     """Connections of one server that may be closed to free descriptors, worst last."""
 
@@ -130,14 +137,28 @@
         """Close connections that have exceeded a time limit."""
         self.sweep_timer = None
         self.is_short = self.is_short and self.held_bytes > self.limit_bytes
+        self.close_disconnected()
         for connection in list(self.connections):
-            cause = self.exceeded_limit(connection.use())
+            use = connection.use()
+            cause = self.exceeded_limit(use)
+            if not cause and connection.blocks_others and is_unread(use):
+                cause = 'slot_unread'
             if cause:
                 self.close(connection, cause)
         if self.connections:
             loop = asyncio.get_running_loop()
             self.sweep_timer = loop.call_later(SWEEP_S, self.sweep)
 
+    def close_disconnected(self) -> None:
+        """Close connections that hold or await a slot and whose client has left."""
+        by_descriptor = {
+            one.descriptor: one
+            for one in self.connections
+            if one.needs_slot and not one.transport.is_closing()
+        }
+        for descriptor in find_disconnected(by_descriptor):
+            self.close(by_descriptor[descriptor], 'client_left')
+
     def exceeded_limit(self, use: ConnectionUse) -> str:
         """Return which time limit a connection has exceeded; empty if none."""
         if use.unread_bytes and use.unread_ms > self.limits.unread_timeout_ms:
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -163,6 +163,7 @@
         metrics.in_progress.set({}, self.app.in_progress)
         metrics.connections.set({}, self.caller_server.connections)
         metrics.held_bytes.set({}, self.guard.held_bytes)
+        metrics.pipelined_waiting.set({}, len(self.slots.waiting))
         metrics.memory_bytes.set({}, peak_memory_mib() * BYTES_PER_MIB)
 
     async def run(self) -> None:
--- a/pollenwalk/process/gateway_metrics.py
+++ b/pollenwalk/process/gateway_metrics.py
@@ -69,6 +69,10 @@
         )
         self.connections_closed_total = self.closed_connections('gateway')
         self.held_bytes = self.connection_bytes('gateway')
+        self.pipelined_waiting = self.gauge(
+            'gateway_pipelined_requests_waiting',
+            'Requests of clients that pipeline which wait for others of them to end.',
+        )
         self.memory_bytes = self.gauge(
             'gateway_peak_memory_bytes',
             'Largest resident size of the process so far.',
--- a/pollenwalk/process/settings.py
+++ b/pollenwalk/process/settings.py
@@ -83,6 +83,7 @@
         'hedge_share': number_field(0, 0.2),
         'host_priorities': choice_field('true', 'false'),
         'load_admission': choice_field('true', 'false'),
+        'max_pipelined_requests': int_field(1, 100_000),
         'tolerated_losses': int_field(0, 16),
         **CONNECTION_LIMITS,
     },
