Long responses that wait for clients are bounded from the start

The transport keeps a whole part of a response until all of it was taken, which was not counted, and for a second no client could be closed for it.

--- a/pollenwalk/connection/bounded_connection.py
+++ b/pollenwalk/connection/bounded_connection.py
@@ -95,6 +95,8 @@
         slots: bound the requests of clients that pipeline; None for no bound.
         pipelines: whether bytes of a further request have arrived before a response.
         limited: the request in progress, if there are slots.
+        part_bytes: size of the last part of a response, if not all of it was taken. The
+            transport keeps the whole part until then.
     """
 
     def __init__(
@@ -116,23 +118,37 @@
         self.slots = slots
         self.pipelines = False
         self.limited: LimitedRequest | None = None
-        self.unlimited_app = self.app
-        if slots is not None:
-            self.app = self.run_limited
+        self.part_bytes = 0
+        self.inner_app = self.app
+        self.app = self.run_app
 
-    async def run_limited(
+    async def run_app(
         self, scope: dict[str, Any], receive: Receive, send: Send
     ) -> None:
-        """Run the application for a request, which may have to wait for a slot."""
+        """Run the application for a request."""
+
+        async def send_counted(event: dict[str, Any]) -> None:  # noqa: WPS430
+            await send(event)
+            self.count_part(len(event.get('body', b'')))
+
+        if self.slots is None:
+            await self.inner_app(scope, receive, send_counted)
+            return
         request = LimitedRequest(self.slots, self, receive)
         self.limited = request
         try:
-            await self.unlimited_app(scope, request.receive, send)
+            await self.inner_app(scope, request.receive, send_counted)
         finally:
             request.end()
             if self.limited is request:
                 self.limited = None
 
+    def count_part(self, size_bytes: int) -> None:
+        """Count a part of a response of which not all was taken."""
+        if size_bytes > WRITE_HIGH_BYTES and not self.transport.is_closing():
+            self.part_bytes = size_bytes
+            self.count()
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start the connection; one on which nothing is sent counts as idle."""
         super().connection_made(transport)
@@ -210,11 +226,6 @@
         """Return how many bytes of answers the operating system has not taken."""
         return self.transport.get_write_buffer_size()
 
-    @property
-    def descriptor(self) -> int:
-        """Return the descriptor of the socket."""
-        return self.transport.get_extra_info('socket').fileno()
-
     @property
     def needs_slot(self) -> bool:
         """Return whether the request in progress has a slot or waits for one."""
@@ -256,6 +267,8 @@
         self.update_phase()
         self.note_pipelining()
         unread_bytes = self.unread_bytes
+        if not unread_bytes:
+            self.part_bytes = 0
         if unread_bytes != self.last_unread_bytes:
             self.last_unread_bytes = unread_bytes
             self.unread_at_s = self.loop.time()
@@ -263,7 +276,7 @@
             CONNECTION_BYTES
             + self.conn.unparsed_bytes
             + self.conn.body_bytes * BODY_COPIES
-            + unread_bytes
+            + max(unread_bytes, self.part_bytes)
         )
         if self.is_running:
             held_bytes += REQUEST_BYTES
--- a/pollenwalk/connection/connection_guard.py
+++ b/pollenwalk/connection/connection_guard.py
@@ -11,13 +11,14 @@
     caller_limit,
     held_limit_bytes,
 )
-from pollenwalk.connection.disconnected import find_disconnected
+from pollenwalk.connection.disconnected import descriptor_of, find_disconnected
 from pollenwalk.policy.connection_shedding import (
     SLOW_MS,
     ConnectionUse,
     Phase,
     offence_of,
     order_of_closing,
+    order_of_long_responses,
 )
 
 # Interval of checks of the time limits.
@@ -26,6 +27,9 @@
 SEARCH_INTERVAL_S = 0.1
 # After memory was taken back, this share of the bound is held at most.
 RELIEVED_SHARE = 0.9
+# More than this share of the bound is not held by responses that are being taken. The
+# rest of the memory is for responses that are collected, up to 32 MiB.
+MAX_EXCESS = 1.25
 
 
 def is_unread(use: ConnectionUse) -> bool:
@@ -69,6 +73,8 @@
         held_bytes: what all connections hold.
         connections: all open connections, without those that are being closed.
         is_short: whether too much is held though no connection may be closed for it.
+        is_relief_urgent: whether memory is taken back in the next step of the loop.
+        is_exhausted: whether the last attempt has left more than MAX_EXCESS allows.
         count_closed: called with the cause of each connection that was closed.
     """
 
@@ -85,6 +91,8 @@
         self.connections: set[BoundedConnection] = set()
         self.candidates: dict[object, Candidates] = {}
         self.is_short = False
+        self.is_relief_urgent = False
+        self.is_exhausted = False
         self.relieved_at_s = 0.0
         self.relief: asyncio.TimerHandle | None = None
         self.sweep_timer: asyncio.TimerHandle | None = None
@@ -106,10 +114,21 @@
     def changed(self, difference_bytes: int) -> None:
         """Count what a connection holds more; take memory back if it is too much."""
         self.held_bytes += difference_bytes
-        if self.held_bytes > self.limit_bytes and self.relief is None:
-            loop = asyncio.get_running_loop()
-            at_s = max(self.relieved_at_s + SEARCH_INTERVAL_S, loop.time())
-            self.relief = loop.call_at(at_s, self.relieve)
+        if self.held_bytes <= self.limit_bytes or self.is_relief_urgent:
+            return
+        is_urgent = self.held_bytes > self.limit_bytes * MAX_EXCESS
+        is_urgent = is_urgent and not self.is_exhausted
+        if self.relief is None or is_urgent:
+            self.schedule_relief(is_urgent)
+
+    def schedule_relief(self, is_urgent: bool) -> None:
+        """Take memory back soon, or at once if that is urgent."""
+        if self.relief is not None:
+            self.relief.cancel()
+        loop = asyncio.get_running_loop()
+        at_s = max(self.relieved_at_s + SEARCH_INTERVAL_S, loop.time())
+        self.is_relief_urgent = is_urgent
+        self.relief = loop.call_at(loop.time() if is_urgent else at_s, self.relieve)
 
     def closed(self, connection: BoundedConnection) -> None:
         """Forget a connection."""
@@ -122,6 +141,7 @@
         # Counting anew may find that clients have taken their answers.
         uses = [connection.use() for connection in connections]
         self.relief = None
+        self.is_relief_urgent = False
         self.is_short = self.held_bytes > self.limit_bytes
         if not self.is_short:
             return
@@ -131,8 +151,34 @@
                 break
             left_bytes -= uses[index].held_bytes
             self.close(connections[index], 'memory')
+        left_bytes = self.close_long_responses(connections, uses, left_bytes)
         self.is_short = left_bytes > self.limit_bytes
 
+    def close_long_responses(
+        self,
+        connections: list[BoundedConnection],
+        uses: list[ConnectionUse],
+        left_bytes: int,
+    ) -> int:
+        """Close responses that are being taken, until the machine's memory suffices.
+
+        Args:
+            connections: the connections that were looked at.
+            uses: what each of them holds.
+            left_bytes: what all hold that are not closed yet.
+
+        Returns:
+            What the others hold afterwards.
+        """
+        for index in order_of_long_responses(uses):
+            if left_bytes <= self.limit_bytes * MAX_EXCESS:
+                break
+            if connections[index] in self.connections:
+                left_bytes -= uses[index].held_bytes
+                self.close(connections[index], 'memory')
+        self.is_exhausted = left_bytes > self.limit_bytes * MAX_EXCESS
+        return left_bytes
+
     def sweep(self) -> None:
         """Close connections that have exceeded a time limit."""
         self.sweep_timer = None
@@ -152,7 +198,7 @@
     def close_disconnected(self) -> None:
         """Close connections that hold or await a slot and whose client has left."""
         by_descriptor = {
-            one.descriptor: one
+            descriptor_of(one.transport): one
             for one in self.connections
             if one.needs_slot and not one.transport.is_closing()
         }
--- a/pollenwalk/connection/disconnected.py
+++ b/pollenwalk/connection/disconnected.py
@@ -3,6 +3,7 @@
 An event loop that does not read from a connection does not report its end either.
 """
 
+import asyncio
 import select
 from collections.abc import Iterable
 
@@ -10,6 +11,11 @@
 END_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
+def descriptor_of(transport: asyncio.Transport) -> int:
+    """Return the descriptor of an open connection."""
+    return transport.get_extra_info('socket').fileno()
+
+
 def find_disconnected(descriptors: Iterable[int]) -> set[int]:
     """Return which of some open connections their clients have closed.
 
--- a/pollenwalk/policy/connection_shedding.py
+++ b/pollenwalk/policy/connection_shedding.py
@@ -4,7 +4,8 @@
 send pipelined requests, do not complete a head, or open connections that they do not
 use. A caller that sends one request, reads its answer and reuses its connection
 within the usual time is never chosen, except that memory may be taken back from a
-request that is still being received: it has not run.
+request that is still being received: it has not run, and that, where the memory of the
+machine would not suffice otherwise, long responses are closed that are being taken.
 """
 
 import math
@@ -15,6 +16,8 @@
 # Time without progress after which a client counts as slow. Clients give up a request
 # that was not read within 1 s, so an ordinary one has sent its head by then.
 SLOW_MS = 1000.0
+# Responses of which less than this waits are ordinary, however little memory is left.
+LONG_RESPONSE_BYTES = 65_536
 # Clients reuse connections that were idle for up to four fifths of 15 s.
 REUSE_MS = 12_000.0
 
@@ -116,3 +119,20 @@
         if offence is not None:
             ranked.append((offence, -use.held_bytes, -use.unmoved_ms, index))
     return [entry[-1] for entry in sorted(ranked)]
+
+
+def order_of_long_responses(uses: Iterable[ConnectionUse]) -> list[int]:
+    """Return the indices of the connections on which a long response waits.
+
+    The one whose client has taken nothing for longest is the first, as this is the most
+    likely one not to read.
+
+    Args:
+        uses: what each connection holds.
+    """
+    ranked = [
+        (-use.unread_ms, -use.held_bytes, index)
+        for index, use in enumerate(uses)
+        if use.unread_bytes >= LONG_RESPONSE_BYTES
+    ]
+    return [entry[-1] for entry in sorted(ranked)]
--- a/test/connection/test_bounded_connection.py
+++ b/test/connection/test_bounded_connection.py
@@ -1,12 +1,14 @@
 """Tests of the bounds of an HTTP server's connections, over loopback."""
 
 import asyncio
+import math
 from typing import Any
+from unittest import mock
 
 import testtools
 
 from pollenwalk.connection import connection_guard
-from pollenwalk.connection.connection_guard import ConnectionGuard
+from pollenwalk.connection.connection_guard import MAX_EXCESS, ConnectionGuard
 from pollenwalk.connection.connection_limits import (
     ConnectionLimits,
     caller_limit,
@@ -14,6 +16,7 @@
 )
 from pollenwalk.connection.http_server import HttpServer, free_port
 from pollenwalk.connection.plain_page import Page, PlainPage
+from pollenwalk.policy import connection_shedding
 from test.helper import on_loop
 
 REQUEST = b'GET /page HTTP/1.1\r\nHost: h\r\n\r\n'
@@ -31,12 +34,14 @@
     Attributes:
         causes: the cause of each connection that the guard has closed.
         shown: how many times the page was made.
+        page: its content.
     """
 
     def __init__(self, limits: ConnectionLimits) -> None:
         """Create the server."""
         self.causes: list[str] = []
         self.shown = 0
+        self.page = PAGE
         self.port = free_port()
         self.guard = ConnectionGuard(limits, self.causes.append)
         self.server = HttpServer(
@@ -46,7 +51,11 @@
     def show(self) -> Page:
         """Return the page."""
         self.shown += 1
-        return Page(body=PAGE)
+        return Page(body=self.page)
+
+    def holds_little(self) -> bool:
+        """Return whether the responses that wait hold what they may at most."""
+        return self.guard.held_bytes <= self.guard.limit_bytes * MAX_EXCESS
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Connect to the server."""
@@ -145,6 +154,26 @@
             writer.close()
         await server.server.stop()
 
+    @on_loop
+    async def test_long_responses_are_bounded_at_once(self) -> None:
+        # Guards against responses that hold any amount for the first second, in which
+        # no client counts as one that does not read.
+        server = await started()
+        server.guard.limit_bytes = 4_000_000
+        server.page = b'p' * 8_000_000
+        clients = [await server.connect() for _ in range(12)]
+        with mock.patch.object(connection_shedding, 'SLOW_MS', math.inf):
+            for _, writer in clients:
+                writer.transport.pause_reading()
+                writer.write(REQUEST)
+            async with asyncio.timeout(WAIT_S):
+                while server.shown < len(clients) or not server.holds_little():
+                    await asyncio.sleep(0.01)
+        self.assertEqual({'memory'}, set(server.causes))
+        for _, writer in clients:
+            writer.close()
+        await server.server.stop()
+
 
 class ConnectionLimitsTest(testtools.TestCase):
     """What follows from a machine's limits."""
--- a/test/policy/test_connection_shedding.py
+++ b/test/policy/test_connection_shedding.py
@@ -3,11 +3,13 @@
 import testtools
 
 from pollenwalk.policy.connection_shedding import (
+    LONG_RESPONSE_BYTES,
     REUSE_MS,
     SLOW_MS,
     ConnectionUse,
     Phase,
     order_of_closing,
+    order_of_long_responses,
 )
 
 ORDINARY = ConnectionUse(
@@ -57,3 +59,14 @@
         self.assertEqual([], order_of_closing([RECEIVING], for_memory=False))
         stalled = RECEIVING._replace(unmoved_ms=SLOW_MS)
         self.assertEqual([0], order_of_closing([stalled], for_memory=False))
+
+    def test_long_responses_in_need(self) -> None:
+        # Guards against a client that reads being closed before one that does not,
+        # and against one whose response is short.
+        reads = ORDINARY._replace(
+            unread_bytes=LONG_RESPONSE_BYTES, held_bytes=9_000_000
+        )
+        waits = reads._replace(unread_ms=SLOW_MS / 2, held_bytes=LONG_RESPONSE_BYTES)
+        short = waits._replace(unread_bytes=LONG_RESPONSE_BYTES - 1)
+        uses = (reads, short, ORDINARY, waits, RECEIVING)
+        self.assertEqual([3, 0], order_of_long_responses(uses))
