--- a/pollenwalk/connection/http_server.py
+++ b/pollenwalk/connection/http_server.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-import socket
+import functools
+import os
 from collections.abc import Iterator
 from typing import Any
 
@@ -14,6 +15,12 @@
     SharedReads,
 )
 from pollenwalk.connection.connection_guard import ConnectionGuard
+from pollenwalk.connection.pipelined_requests import RequestSlots
+from pollenwalk.connection.port_blocks import (
+    PortBlocks,
+    ephemeral_range,
+    server_blocks,
+)
 
 # Limit on the received bytes of a request head that is not complete yet.
 MAX_INCOMPLETE_HEAD_BYTES = 32_768
@@ -62,6 +69,7 @@
         port: int,
         keep_alive_s: int = KEEP_ALIVE_S,
         guard: ConnectionGuard | None = None,
+        slots: RequestSlots | None = None,
     ) -> None:
         """Configure the server without starting it.
 
@@ -72,7 +80,9 @@
             keep_alive_s: time after which an idle connection is closed.
             guard: bounds the connections of all servers of the process; without one
                 this server has its own.
+            slots: bound the requests of clients that pipeline; None for no bound.
         """
+        self.slots = slots
         self.guard = guard or ConnectionGuard()
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         config = uvicorn.Config(
@@ -95,7 +105,7 @@
 
     def make_connection(self, **parts: Any) -> SharedReads:
         """Create the protocol of a new connection."""
-        connection = BoundedConnection(self.guard, **parts)
+        connection = BoundedConnection(self.guard, self.slots, **parts)
         return SharedReads(connection, self.read_buffer)
 
     @property
@@ -128,8 +138,20 @@
             await asyncio.gather(self.task, return_exceptions=True)
 
 
+@functools.cache
+def process_ports(process_id: int) -> PortBlocks:
+    """Return the source of ports of this process.
+
+    Args:
+        process_id: id of the process; a forked child must not share its parent's ports.
+    """
+    return PortBlocks(server_blocks(ephemeral_range()), process_id)
+
+
 def free_port() -> int:
-    """Return the number of a free port on the loopback interface."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Return a free port on the loopback interface that no other test run uses.
+
+    Raises:
+        OSError: no port is free.
+    """
+    return process_ports(os.getpid()).take()
