quotas: owners go on granting while the list of keepers changes

Owners by all lists since the last settled one rely on answers that other keepers gave with any of these lists, so a change no longer pauses them for 0.8 to 1.2 s. Answers count after 0.8 s of unbroken agreement. A keeper that is stopped ends its leases before it leaves the list; a change of an address or of retiring is none.

--- a/pollenwalk/process/departure.py
+++ b/pollenwalk/process/departure.py
@@ -31,6 +31,20 @@
         self.retirement.min_staying = 2 * keeper.settings.tolerated_losses + 1
 
     async def run(self) -> None:
+        """Leave the list, unless too few would remain or that takes too long.
+
+        The leases of quotas end first. Otherwise nobody could grant the shares that were
+        lent to this keeper for up to 0.8 s after its end.
+        """
+        borrowing = self.keeper.quota_borrowing
+        if borrowing is None:
+            await self.try_to_leave()
+            return
+        borrowing.stop()
+        await self.try_to_leave()
+        await borrowing.wait_for_end()
+
+    async def try_to_leave(self) -> None:
         """Leave the list, unless too few would remain or that takes too long."""
         keeper = self.keeper
         if not keeper.state.complete or keeper.own_member.retiring:
@@ -56,6 +70,8 @@
             return
         keeper.own_member = keeper.own_member._replace(retiring=True)
         await self.retirement.hand_over_until_done()
+        if keeper.quota_borrowing is not None:
+            await keeper.quota_borrowing.wait_for_end()
         keeper.retired = True
         await self.retirement.leave_list()
         logger.info('departed', turns=len(keeper.state.turns.records))
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -137,6 +137,8 @@
             reports of crashes, which are on disk.
         quotas: grants tokens of organisations' quotas, in memory only; None if no
             quotas are kept.
+        quota_borrowing: borrows the shares of others; None before the start, or if no
+            quotas are kept.
         was_member: whether the store listed this keeper when it started, and nobody
             had taken its place.
         admitted: whether this keeper may be listed. One that is not listed at its start
@@ -185,6 +187,7 @@
         )
         self.permits.on_crash = self.store_crash
         self.quotas: QuotaOwner | None = None
+        self.quota_borrowing: QuotaBorrowing | None = None
         if settings.quota_bound is not None:
             self.quotas = QuotaOwner(
                 clock, settings.name, self.links.members, settings.quota_bound
@@ -221,8 +224,8 @@
         )
         self.tasks.spawn(borrowing.run(), 'borrow_shares')
         if self.quotas is not None:
-            quota_borrowing = QuotaBorrowing(self.quotas, self.links, self.clock)
-            self.tasks.spawn(quota_borrowing.run(), 'borrow_quotas')
+            self.quota_borrowing = QuotaBorrowing(self.quotas, self.links, self.clock)
+            self.tasks.spawn(self.quota_borrowing.run(), 'borrow_quotas')
 
     async def stop(self) -> None:
         """Cancel all tasks and close the connections and the log."""
@@ -383,6 +386,10 @@
         if not self.links.members.loaded:
             self.links.members.mark_loaded()
             self.was_member = self.links.members.is_counted(self.settings.name)
+        if self.quotas is not None:
+            # Seen at once, so that no list is missed and the first one is that which
+            # was read first: a keeper that adds itself to it must wait longer.
+            self.quotas.shares.refresh()
 
     async def keep_registered(self) -> None:
         """Register this keeper whenever its object in the store must be written."""
--- a/pollenwalk/process/quota_borrowing.py
+++ b/pollenwalk/process/quota_borrowing.py
@@ -9,11 +9,16 @@
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.keeper_links import KeeperLinks
 from pollenwalk.process.quota_owner import QuotaOwner
-from pollenwalk.process.quota_shares import QUOTA_RENEWAL_MS
+from pollenwalk.process.quota_shares import QUOTA_LEASE_MS, QUOTA_RENEWAL_MS
 
 
 class QuotaBorrowing:
-    """Borrows the shares of the quotas whose first owner a keeper is."""
+    """Borrows the shares of the quotas whose first owner a keeper is.
+
+    Attributes:
+        ends_at_ms: when the last lease has ended of a keeper that borrows nothing more;
+            None for one that borrows.
+    """
 
     def __init__(self, quotas: QuotaOwner, links: KeeperLinks, clock: Clock) -> None:
         """Borrow nothing yet.
@@ -26,9 +31,21 @@
         self.quotas = quotas
         self.links = links
         self.clock = clock
+        self.ends_at_ms: float | None = None
+
+    def stop(self) -> None:
+        """Borrow nothing more from now on."""
+        if self.ends_at_ms is None:
+            # The last question may be under way for as long as its timeout.
+            self.ends_at_ms = self.clock.boot_ms() + QUOTA_RENEWAL_MS + QUOTA_LEASE_MS
+
+    async def wait_for_end(self) -> None:
+        """Wait until all leases have ended of a keeper that borrows nothing more."""
+        if self.ends_at_ms is not None:
+            await self.clock.sleep_ms(max(self.ends_at_ms - self.clock.boot_ms(), 0))
 
     async def run(self) -> None:
-        """Ask all other keepers at regular intervals until cancelled.
+        """Ask all other keepers at regular intervals until cancelled or stopped.
 
         Keepers without quotas are asked, too: a new one must borrow what its first
         requests need.
@@ -36,6 +53,8 @@
         shares = self.quotas.shares
         while True:
             await self.clock.sleep_ms(QUOTA_RENEWAL_MS)
+            if self.ends_at_ms is not None:
+                return
             shares.refresh()
             self.quotas.forget_idle()
             others = shares.owner_list.current.keys() - {shares.name}
--- a/pollenwalk/process/quota_owner.py
+++ b/pollenwalk/process/quota_owner.py
@@ -239,7 +239,7 @@
             now_ms: the current time.
         """
         waits_ms: list[float] = []
-        if not max_waits_ms or not share.is_first(self.shares.name):
+        if not max_waits_ms or not share.stays_first(self.shares.name):
             return ()
         future = self.shares.future(share, now_ms)
         for max_wait_ms in max_waits_ms:
--- a/pollenwalk/process/quota_shares.py
+++ b/pollenwalk/process/quota_shares.py
@@ -8,7 +8,7 @@
 
 import math
 import zlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 
 from pollenwalk.connection.quota_messages import BorrowQuotas, LentQuotas
 from pollenwalk.policy.decayed_count import DecayedCount
@@ -24,6 +24,7 @@
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.directory import rendezvous
 from pollenwalk.process.keeper_members import Members
+from pollenwalk.process.list_agreement import ListAgreement
 from pollenwalk.process.share_ownership import (
     MAX_OWNERS,
     SETTLE_MS,
@@ -53,8 +54,8 @@
     """The share of one organisation's quota that a keeper owns.
 
     Attributes:
-        owners: the owners of the quota.
-        former_owners: those before the list of keepers began to change.
+        all_owners: the owners of the quota by each of `QuotaShares.lists`, the present
+            ones last.
         version: version of the configuration that declares the quota.
         rate_per_s: requests a second over all gateways.
         burst: requests beyond that rate.
@@ -71,7 +72,7 @@
 
     def __init__(
         self,
-        owners: list[str],
+        all_owners: list[list[str]],
         began_at_ms: float,
         now_ms: float,
         all_programs: CallsPerProgram | None = None,
@@ -79,14 +80,13 @@
         """Create a share.
 
         Args:
-            owners: the owners of the quota.
+            all_owners: the owners of the quota, also those by former lists.
             began_at_ms: since when this keeper has owned the share, with nobody asking
                 for its tokens.
             now_ms: the current time.
             all_programs: how many requests the programs of all organisations have.
         """
-        self.owners = owners
-        self.former_owners = owners
+        self.all_owners = all_owners
         self.version = 0
         self.rate_per_s = 0.0
         self.burst = 0.0
@@ -130,17 +130,31 @@
 
     @property
     def owner_count(self) -> int:
-        """Return into how many shares the quota is divided, as all owners know it."""
-        return max(len(self.owners), len(self.former_owners), 1)
+        """Return into how many shares the quota is divided at most."""
+        return max(1, *map(len, self.all_owners))
 
     @property
     def lenders(self) -> list[str]:
-        """Return the owners that lend to the first one, also before the last change."""
-        return [name for name in self.owners[1:] if name in self.former_owners[1:]]
+        """Return the owners that lend to the first one.
 
-    def is_first(self, name: str) -> bool:
-        """Return whether a keeper has been the first owner for a while."""
-        return self.owners[:1] == [name] and self.former_owners[:1] == [name]
+        Leases cover the quotas of which the borrower was the first owner before the
+        list of keepers began to change, as nothing is lent since. The share of a lender
+        that is no owner any more may already be another keeper's.
+        """
+        return [name for name in self.all_owners[0][1:] if self.is_owner(name)]
+
+    @property
+    def borrower(self) -> str:
+        """Return the owner that the others lend to."""
+        return self.all_owners[0][0]
+
+    def stays_first(self, name: str) -> bool:
+        """Return whether a keeper is the first owner by all lists."""
+        return all(owners[:1] == [name] for owners in self.all_owners)
+
+    def is_owner(self, name: str) -> bool:
+        """Return whether a keeper is an owner by all lists."""
+        return all(name in owners for owners in self.all_owners)
 
 
 class QuotaShares:
@@ -150,10 +164,12 @@
         owner_list: who owns what.
         leases: what this keeper lends and borrows.
         by_organisation: the shares that were asked for lately.
-        contacts: when each other keeper was asked last that agreed on the list.
+        lists: the lists of keepers that this one has had: the last one that was settled
+            and agreed on, and those since, the present one last.
+        steady_at_ms: when the present list was settled and agreed on; infinite while it
+            changes.
+        agreement: which other keepers agree on the list.
         programs: how many requests the programs of all organisations have.
-        agreed_since_ms: since when a majority has agreed on the list of keepers; None
-            before that.
     """
 
     def __init__(
@@ -168,46 +184,70 @@
         )
         self.leases = ShareLeases(QUOTA_TIMES)
         self.by_organisation: dict[str, OrganisationShare] = {}
-        self.contacts: dict[str, float] = {}
+        self.agreement = ListAgreement(name, CONTACT_MS)
         self.programs = CallsPerProgram(clock.boot_ms())
-        self.digest = 0
-        self.agreed_since_ms: float | None = None
+        self.digest = digest_of(())
+        # A keeper that starts owns nothing by the empty list.
+        self.lists: list[Collection[str]] = [()]
+        self.steady_at_ms = math.inf
         self.refresh()
 
     def refresh(self) -> None:
         """Apply a change of the list of keepers, if there is one.
 
-        Buckets are filled by the former list first. Shares that this keeper does not own
-        any more are forgotten: if it owns them again, it starts with an empty bucket.
+        Buckets are filled by the former lists first. Shares that this keeper does not
+        own any more are forgotten: if it owns them again, it starts with an empty bucket.
         """
-        if not self.owner_list.has_changed:
-            self.note_agreement()
-            return
-        now_ms = self.clock.boot_ms()
-        for share in self.by_organisation.values():
-            self.fill(share, now_ms)
+        has_changed = self.owner_list.has_changed
+        if has_changed:
+            self.fill_all(self.clock.boot_ms())
         self.owner_list.refresh()
-        self.contacts.clear()
-        self.agreed_since_ms = None
-        self.digest = zlib.crc32('\n'.join(sorted(self.owner_list.current)).encode())
+        if has_changed:
+            self.begin_list()
+        if not self.is_steady:
+            self.end_change()
+
+    def begin_list(self) -> None:
+        """Use a new list of keepers besides those that it may not replace yet."""
+        listed = self.owner_list.current
+        self.agreement.begin_list()
+        self.digest = digest_of(listed)
+        first, *others = self.lists
+        others = [names for names in others if digest_of(names) != self.digest]
+        self.lists = [first, *others, listed.keys()]
+        self.steady_at_ms = math.inf
         for organisation, share in list(self.by_organisation.items()):
-            share.owners = self.owner_list.owners(organisation)
-            share.former_owners = self.owner_list.settled_owners(organisation)
-            if not self.owner_list.is_settled_owner(organisation, share.owners):
+            share.all_owners = self.all_owners(organisation)
+            if not share.is_owner(self.name):
                 self.by_organisation.pop(organisation)
-        self.note_agreement()
+
+    def end_change(self) -> None:
+        """Use the present list alone, once it is settled and agreed on."""
+        now_ms = self.clock.boot_ms()
+        listed = self.owner_list.current
+        agreed_at_ms = self.agreement.agreed_at_ms(listed, now_ms)
+        steady_at_ms = max(agreed_at_ms, self.owner_list.settled_at_ms)
+        if not listed or steady_at_ms > now_ms:
+            return
+        self.fill_all(steady_at_ms)
+        self.lists = [listed.keys()]
+        self.steady_at_ms = steady_at_ms
+        for share in self.by_organisation.values():
+            share.all_owners = share.all_owners[-1:]
+
+    @property
+    def is_steady(self) -> bool:
+        """Return whether no change of the list of keepers is under way."""
+        return self.steady_at_ms < math.inf
+
+    def all_owners(self, organisation: str) -> list[list[str]]:
+        """Return the owners of a quota by all lists, the present one last."""
+        return [rank_quota_owners(organisation, names) for names in self.lists]
 
     def find(self, organisation: str) -> OrganisationShare | None:
         """Return the share of an organisation's quota; None if this keeper owns none."""
         self.refresh()
-        share = self.by_organisation.get(organisation)
-        if share is None:
-            share = self.begin(organisation)
-        elif share.former_owners != share.owners and self.owner_list.is_settled:
-            settled_at_ms = self.owner_list.settled_at_ms
-            self.fill(share, settled_at_ms)
-            share.former_owners = share.owners
-        return share
+        return self.by_organisation.get(organisation) or self.begin(organisation)
 
     def begin(self, organisation: str) -> OrganisationShare | None:
         """Return a share that nobody has asked for lately.
@@ -215,35 +255,26 @@
         While the list of keepers has not changed and nobody has asked for tokens, its
         bucket has been filling.
         """
-        owners = self.owner_list.owners(organisation)
-        if not self.owner_list.is_settled_owner(organisation, owners):
-            return None
         now_ms = self.clock.boot_ms()
-        began_at_ms = min(self.owner_list.settled_at_ms, now_ms)
-        if not self.owner_list.is_settled:
-            began_at_ms = now_ms
-        share = OrganisationShare(owners, began_at_ms, now_ms, self.programs)
-        if not self.owner_list.is_settled:
-            share.former_owners = self.owner_list.settled_owners(organisation)
+        all_owners = self.all_owners(organisation)
+        began_at_ms = min(self.steady_at_ms, now_ms)
+        share = OrganisationShare(all_owners, began_at_ms, now_ms, self.programs)
+        if not share.is_owner(self.name):
+            return None
         self.by_organisation[organisation] = share
         return share
 
     def part_at(self, share: OrganisationShare, at_ms: float) -> float:
         """Return the part of a quota that this keeper may grant at a time, 0 to 1."""
-        if share.is_first(self.name):
+        if share.borrower == self.name:
             usable = 1 + self.leases.count_borrowed(share.lenders, at_ms)
         else:
             usable = int(at_ms >= self.returned_at_ms(share))
         return usable / share.owner_count
 
     def returned_at_ms(self, share: OrganisationShare) -> float:
-        """Return until when the own share of a quota is lent.
-
-        While the list changes, any lease may cover the share.
-        """
-        if share.owners != share.former_owners or not self.owner_list.is_settled:
-            return self.leases.all_returned_at_ms
-        return self.leases.lent_until_ms.get(share.owners[0], 0)
+        """Return until when the own share of a quota is lent."""
+        return self.leases.lent_until_ms.get(share.borrower, 0)
 
     def pieces(
         self, share: OrganisationShare, begin_ms: float, end_ms: float
@@ -262,7 +293,7 @@
 
     def changes(self, share: OrganisationShare) -> Iterator[float]:
         """Yield the times at which the part of a quota changes by a lease."""
-        if not share.is_first(self.name):
+        if share.borrower != self.name:
             yield self.returned_at_ms(share)
             return
         for lender in share.lenders:
@@ -275,37 +306,20 @@
         """Let time pass in the buckets of a share."""
         share.fill(self.pieces(share, share.bucket.at_ms, now_ms), self.bound)
 
+    def fill_all(self, now_ms: float) -> None:
+        """Let time pass in the buckets of all shares."""
+        for share in self.by_organisation.values():
+            self.fill(share, now_ms)
+
     def future(self, share: OrganisationShare, now_ms: float) -> list[Piece]:
         """Return the parts that this keeper may grant, as far as leases are known."""
         return self.pieces(share, now_ms, math.inf)
 
     @property
     def is_agreed(self) -> bool:
-        """Return whether a majority of the keepers has agreed on the list for a while.
-
-        Keepers that relied on a former list have lost their majority by then.
-        """
-        self.note_agreement()
-        if self.agreed_since_ms is None or not self.has_majority:
-            return False
-        return self.clock.boot_ms() - self.agreed_since_ms >= CONTACT_MS
-
-    def note_agreement(self) -> None:
-        """Note when a majority of the keepers agrees on a new list."""
-        if self.agreed_since_ms is None and self.has_majority:
-            self.agreed_since_ms = self.clock.boot_ms()
-
-    @property
-    def has_majority(self) -> bool:
         """Return whether a majority of the keepers agrees on the list."""
         listed = self.owner_list.current
-        oldest_ms = self.clock.boot_ms() - CONTACT_MS
-        reached = (
-            self.contacts.get(name, -math.inf) >= oldest_ms
-            for name in listed
-            if name != self.name
-        )
-        return sum(reached) + 1 >= len(listed) // 2 + 1
+        return self.agreement.is_lasting(listed, self.clock.boot_ms())
 
     def lend(self, request: BorrowQuotas) -> LentQuotas:
         """Lend the shares of those quotas whose first owner asks.
@@ -318,11 +332,7 @@
         if request.members != self.digest:
             return LentQuotas(same_list=False, lent=False)
         listed = request.borrower in self.owner_list.current
-        if (
-            not self.owner_list.is_settled
-            or not listed
-            or request.borrower == self.name
-        ):
+        if not self.is_steady or not listed or request.borrower == self.name:
             return LentQuotas(same_list=True, lent=False)
         self.leases.lend(request.borrower, self.clock.boot_ms())
         return LentQuotas(same_list=True, lent=True)
@@ -341,16 +351,16 @@
         self.refresh()
         if digest != self.digest or not answer.same_list:
             return
-        self.contacts[lender] = asked_at_ms
-        self.note_agreement()
-        if not answer.lent:
-            return
         now_ms = self.clock.boot_ms()
+        self.agreement.record(lender, asked_at_ms, now_ms)
+        self.refresh()
+        # A lease covers the quotas by the list that it was asked for with.
+        if not answer.lent or not self.is_steady:
+            return
         lease = self.leases.borrowed.get(lender)
         if lease is None or not lease.covers(now_ms):
             # The former lease is about to be replaced, so its end is applied now.
-            for share in self.by_organisation.values():
-                self.fill(share, now_ms)
+            self.fill_all(now_ms)
         self.leases.borrow(lender, asked_at_ms, now_ms)
 
     def forget_idle(self, idle_ms: float) -> None:
@@ -364,3 +374,8 @@
             least = self.bound.capacity(*share.quota) * self.part_at(share, now_ms)
             if share.bucket.level >= least:
                 self.by_organisation.pop(organisation)
+
+
+def digest_of(names: Iterable[str]) -> int:
+    """Return the digest of a list of keepers."""
+    return zlib.crc32('\n'.join(sorted(names)).encode())
--- a/pollenwalk/process/share_ownership.py
+++ b/pollenwalk/process/share_ownership.py
@@ -142,18 +142,22 @@
 
     @property
     def has_changed(self) -> bool:
-        """Return whether the list has changed since it was last looked at."""
-        return self.members.by_name != self.current
+        """Return whether owners may have changed since the list was last looked at.
+
+        A keeper that retires or has a new address stays an owner.
+        """
+        listed = self.members.by_name
+        return listed != self.current and zones(listed) != zones(self.current)
 
     def refresh(self) -> None:
         """Note the time if the list of keepers has changed."""
-        if not self.has_changed:
-            return
-        if self.is_settled:
-            self.settled = self.current
-        self.current = dict(self.members.by_name)
-        self.changed_at_ms = self.now_ms()
-        self.revision += 1
+        if self.has_changed:
+            if self.is_settled:
+                self.settled = self.current
+            self.changed_at_ms = self.now_ms()
+            self.revision += 1
+        if self.members.by_name != self.current:
+            self.current = dict(self.members.by_name)
 
     @property
     def settled_at_ms(self) -> float:
@@ -186,3 +190,8 @@
         if self.name not in owners:
             return False
         return self.is_settled or self.name in self.settled_owners(key)
+
+
+def zones(listed: Mapping[str, Member]) -> dict[str, str]:
+    """Return what the ranking of keepers depends on: their names and zones."""
+    return {name: member.zone for name, member in listed.items()}
--- a/test/process/test_quota_owner.py
+++ b/test/process/test_quota_owner.py
@@ -156,8 +156,8 @@
                 self.ask(name, **(wanted or {'calls': 100}))
 
 
-class OwnersTest(testtools.TestCase):
-    """The sum of what all owners grant."""
+class OwnersTestCase(testtools.TestCase):
+    """A test of the sum of what all owners grant."""
 
     def check_sum(self, owners: Owners) -> None:
         """Check that no window can have more requests than the bound allows."""
@@ -165,6 +165,10 @@
         allowed = BOUND.most(RATE_PER_S, BURST)
         self.assertTrue(most <= allowed, (most, allowed))
 
+
+class OwnersTest(OwnersTestCase):
+    """The sum of what all owners grant."""
+
     def check_use(self, owners: Owners, wanted: float) -> None:
         """Check which part of the quota is granted."""
         granted = len(owners.granted_ms)
