--- a/pollenwalk/process/quota_owner.py
+++ b/pollenwalk/process/quota_owner.py
@@ -167,7 +167,7 @@
         reused, reused_validity_ms = reuse(share, request.calls, now_ms)
         calls = share.bucket.take(request.calls - reused)
         waits_ms = self.reserve(
-            share, longest_waits_ms(request)[reused + calls :], now_ms
+            share, longest_waits_ms(request)[reused + calls :], part, now_ms
         )
         share.expect(-(reused + calls + len(waits_ms)), now_ms)
         capacity = capacity_of(part, self.bound.capacity(*share.quota))
@@ -226,21 +226,27 @@
         self,
         share: OrganisationShare,
         max_waits_ms: Sequence[float],
+        part: float,
         now_ms: float,
     ) -> tuple[float, ...]:
         """Grant tokens ahead of time; return when they may be used.
 
         Only the first owner does so, as the others may lend their shares meanwhile. A
-        token that comes too late for the call would be lost to all others.
+        token that comes too late for the call would be lost to all others. While the
+        list of keepers changes and nothing is lent, the other owners may have tokens at
+        once.
 
         Args:
             share: the share.
             max_waits_ms: how long each call can wait, the shortest first.
+            part: part of the quota that may be granted now.
             now_ms: the current time.
         """
         waits_ms: list[float] = []
         if not max_waits_ms or not share.stays_first(self.shares.name):
             return ()
+        if part < 1 and not self.shares.is_steady:
+            return ()
         future = self.shares.future(share, now_ms)
         for max_wait_ms in max_waits_ms:
             wait_ms = share.bucket.wait_ms(1, future, share.rate_per_s)
