--- a/pollenwalk/process/quota_shares.py
+++ b/pollenwalk/process/quota_shares.py
@@ -214,10 +214,15 @@
         self.digest = digest_of(listed)
         first, *others = self.lists
         others = [names for names in others if digest_of(names) != self.digest]
+        is_new = len(others) == len(self.lists) - 1
         self.lists = [first, *others, listed.keys()]
         self.steady_at_ms = math.inf
         for organisation, share in list(self.by_organisation.items()):
-            share.all_owners = self.all_owners(organisation)
+            if is_new:
+                present = rank_quota_owners(organisation, listed)
+                share.all_owners = [*share.all_owners, present]
+            else:
+                share.all_owners = self.all_owners(organisation)
             if not share.is_owner(self.name):
                 self.by_organisation.pop(organisation)
 
