Keep at most a gateway's share of a host's connections idle

A host resets connections beyond max_conns, and idle connections of some gateways left no room for others. The share is what running requests do not need, divided by the number of gateways, which keepers count from the load reports.

--- a/pollenwalk/connection/connection_pool.py
+++ b/pollenwalk/connection/connection_pool.py
@@ -1,5 +1,8 @@
 """Pool of idle connections to upstream hosts."""
 
+import math
+from collections.abc import Callable
+
 from pollenwalk.connection.answer_memory import AnswerMemory
 from pollenwalk.connection.hosts import UpstreamHost
 from pollenwalk.connection.upstream_connection import (
@@ -28,12 +31,24 @@
 
     Attributes:
         idle: idle connections by host id, the most recently used last.
+        idle_limit: returns how many idle connections to a host are kept.
         answer_memory: counts what the answers on all connections hold.
     """
 
-    def __init__(self, clock: Clock) -> None:
-        """Create an empty pool."""
+    def __init__(
+        self,
+        clock: Clock,
+        idle_limit: Callable[[UpstreamHost], float] | None = None,
+    ) -> None:
+        """Create an empty pool.
+
+        Args:
+            clock: the clock of the process.
+            idle_limit: returns how many idle connections to a host are kept; None for
+                no limit.
+        """
         self.clock = clock
+        self.idle_limit = idle_limit or unlimited
         self.idle: dict[str, list[UpstreamConnection]] = {}
         self.answer_memory = AnswerMemory()
 
@@ -88,12 +103,26 @@
     def release(self, host: UpstreamHost, connection: UpstreamConnection) -> None:
         """Return a connection to the pool after its answer was read to the end.
 
-        The connection is closed instead if it can't carry another request.
+        The connection is closed instead if it can't carry another request. Those
+        that have been idle longest are closed if there are too many.
         """
         if not connection.finish_exchange():
             return
         connection.idle_since_ms = self.clock.now_ms()
-        self.idle.setdefault(host.id, []).append(connection)
+        connections = self.idle.setdefault(host.id, [])
+        connections.append(connection)
+        while len(connections) > self.idle_limit(host):
+            connections.pop(0).abort()
+
+    def discard_all_unusable(self) -> None:
+        """Close the idle connections to all hosts that can't carry a request any more.
+
+        They would take room at hosts to which this gateway sends nothing now.
+        """
+        for host_id in list(self.idle):
+            self.discard_unusable(host_id)
+            if not self.idle[host_id]:
+                self.idle.pop(host_id)
 
     def close_all_except(self, host_ids: set[str]) -> None:
         """Close the idle connections to all hosts except those given."""
@@ -106,6 +135,11 @@
         self.close_all_except(set())
 
 
+def unlimited(_host: UpstreamHost) -> float:
+    """Return that any number of idle connections to a host is kept."""
+    return math.inf
+
+
 def is_usable(connection: UpstreamConnection, now_ms: float) -> bool:
     """Return whether an idle connection can still carry a request."""
     is_fresh = now_ms < connection.idle_since_ms + max_idle_ms(connection)
--- a/pollenwalk/connection/load_messages.py
+++ b/pollenwalk/connection/load_messages.py
@@ -17,12 +17,15 @@
         zone: its availability zone.
         delay_ms: average delay of its event loop.
         wants_to_leave: whether it asks to get no new callers for a while.
+        reads_count: whether it reads `CountedFleetState`. Former gateways, which do
+            not send this field, read only `FleetState`.
     """
 
     name: str
     zone: str
     delay_ms: float
     wants_to_leave: bool
+    reads_count: bool = False
 
 
 class FleetState(NamedTuple):
@@ -37,3 +40,15 @@
     may_leave: bool
     others_have_room: bool
     leaving: tuple[HostStart, ...] = ()
+
+
+class CountedFleetState(NamedTuple):
+    """The answer to `GatewayLoad` of a gateway that reads the number of gateways.
+
+    Attributes:
+        state: what former gateways are answered.
+        gateways: number of gateways that have reported lately, with the asking one.
+    """
+
+    state: FleetState
+    gateways: int
--- a/pollenwalk/connection/wire.py
+++ b/pollenwalk/connection/wire.py
@@ -22,7 +22,11 @@
     RequestPermit,
     TellLimits,
 )
-from pollenwalk.connection.load_messages import FleetState, GatewayLoad
+from pollenwalk.connection.load_messages import (
+    CountedFleetState,
+    FleetState,
+    GatewayLoad,
+)
 from pollenwalk.connection.quota_messages import (
     BorrowQuotas,
     FindQuota,
@@ -519,6 +523,7 @@
     LentShares,
     GatewayLoad,
     FleetState,
+    CountedFleetState,
     RequestQuota,
     QuotaGrant,
     BorrowQuotas,
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -22,6 +22,7 @@
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.hedging import make_hedging
 from pollenwalk.process.host_table import HostTable
+from pollenwalk.process.idle_shares import IdleShares
 from pollenwalk.process.keeper_feed import KeeperFeed
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_links import KeeperLinks
@@ -108,6 +109,7 @@
 
     Attributes:
         waits: what this gateway waits for, and for whom.
+        idle_shares: how many idle connections to each host are kept.
         stop_at_ms: when requests in progress are cut, once the gateway was told to
             stop; None before that.
     """
@@ -131,7 +133,8 @@
         )
         self.preparation = CallPreparation(self.active_configuration, self.lease, rng)
         self.host_table = HostTable(clock)
-        self.pool = ConnectionPool(clock)
+        self.idle_shares = IdleShares(self.active_configuration)
+        self.pool = ConnectionPool(clock, self.idle_shares.limit_of)
         self.stop_at_ms: float | None = None
         self.own_load = OwnLoad()
         call_placer = CallPlacer(
@@ -218,6 +221,7 @@
             self.own_load,
             self.host_table,
             self.settings.name,
+            self.idle_shares.gateways,
         )
         self.tasks.spawn(reporter.run(), 'report_load')
 
@@ -266,13 +270,14 @@
         logger.warning('store_unavailable', what=what, reason=error.message)
 
     async def watch_waits(self) -> None:
-        """Note at regular intervals what this gateway waits for."""
+        """Note what this gateway waits for, and close stale connections, regularly."""
         while True:
             awaited = awaited_processes(
                 self.active_configuration, self.host_table, self.links
             )
             for what, names in awaited.items():
                 self.waits.update(what, names)
+            self.pool.discard_all_unusable()
             await self.clock.sleep_ms(WAITS_INTERVAL_MS)
 
     def refresh_metrics(self) -> None:
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -19,7 +19,11 @@
     RequestPermit,
     TellLimits,
 )
-from pollenwalk.connection.load_messages import GatewayLoad
+from pollenwalk.connection.load_messages import (
+    CountedFleetState,
+    FleetState,
+    GatewayLoad,
+)
 from pollenwalk.connection.peer_server import PeerServer
 from pollenwalk.connection.quota_messages import (
     BorrowQuotas,
@@ -316,8 +320,7 @@
         if isinstance(message, QuotaMessage):
             return self.answer_about_quotas(message)
         if isinstance(message, GatewayLoad):
-            state = self.fleet_load.record(message, self.clock.now_ms())
-            return state._replace(leaving=self.permits.leaving.recent())
+            return self.answer_about_load(message)
         if isinstance(message, StreamOrigin):
             self.stream_origins.add(message)
             return Done()
@@ -327,6 +330,14 @@
         """Store a report of a crash on disk, without waiting for that."""
         self.tasks.spawn(self.state.store_crash(note), 'store_crash')
 
+    def answer_about_load(self, load: GatewayLoad) -> FleetState | CountedFleetState:
+        """Record a gateway's load and return what it may know of the fleet."""
+        state = self.fleet_load.record(load, self.clock.now_ms())
+        state = state._replace(leaving=self.permits.leaving.recent())
+        if not load.reads_count:
+            return state
+        return CountedFleetState(state, len(self.fleet_load.reports))
+
     def answer_about_limits(self, message: LimitMessage) -> Any:
         """Return the answer to a message about limits, and count permits."""
         answer = self.permits.answer(message)
--- a/pollenwalk/process/load_reporter.py
+++ b/pollenwalk/process/load_reporter.py
@@ -1,6 +1,7 @@
 """Tells a keeper how loaded this gateway is, and heeds what it decides for the fleet."""
 
-from pollenwalk.connection.load_messages import FleetState, GatewayLoad
+from pollenwalk.connection.load_messages import CountedFleetState, GatewayLoad
+from pollenwalk.policy.idle_connections import GatewayCount
 from pollenwalk.policy.own_load import OwnLoad
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.host_table import HostTable
@@ -23,6 +24,7 @@
         host_table: the upstream hosts that it knows.
         name: name of the gateway.
         zone: its availability zone.
+        gateway_count: learns how many gateways report.
     """
 
     def __init__(
@@ -32,6 +34,7 @@
         own_load: OwnLoad,
         host_table: HostTable,
         name: str,
+        gateway_count: GatewayCount,
     ) -> None:
         """Create a reporter that has not reported yet."""
         self.links = links
@@ -40,6 +43,7 @@
         self.own_load = own_load
         self.name = name
         self.zone = links.zone
+        self.gateway_count = gateway_count
 
     async def run(self) -> None:
         """Report at regular intervals, at shorter ones while the gateway wants to leave."""
@@ -63,10 +67,15 @@
             self.zone,
             self.own_load.delay_ms,
             self.own_load.wants_to_leave,
+            reads_count=True,
         )
-        state: FleetState | None = await answer_or_none(self.links.request(link, load))
-        if state is None:
+        counted: CountedFleetState | None = await answer_or_none(
+            self.links.request(link, load)
+        )
+        if counted is None:
             return
-        self.own_load.apply_fleet_state(state, self.clock.now_ms())
-        for host in state.leaving:
+        now_ms = self.clock.now_ms()
+        self.gateway_count.record(counted.gateways, now_ms)
+        self.own_load.apply_fleet_state(counted.state, now_ms)
+        for host in counted.state.leaving:
             self.host_table.record_leaving(host)
--- a/test/connection/test_message_versions.py
+++ b/test/connection/test_message_versions.py
@@ -21,6 +21,7 @@
     'RequestPermit': 2,
     'TellLimits': 2,
     'ExchangeLimits': 5,
+    'GatewayLoad': 4,
 }
 # Fields of its answers from keepers.
 FORMER_ANSWERS = {
@@ -31,6 +32,7 @@
     'FoundStreamOrigin': 1,
     'PermitDecision': 5,
     'KnownLimits': 5,
+    'FleetState': 3,
     'Done': 0,
 }
 
