Bound what is buffered for hosts by the machine's memory

Collected responses had a fixed bound of 32 MiB on any machine. Responses that wait for slow callers and request bodies that hosts have not taken were not counted at all. Both bounds now follow from memory_mb. When responses fill their share, hosts are paused after 4 KB of each stream instead of 256 KB. Bodies beyond theirs are not sent yet, and their calls are refused with 503 if that lasts.

--- a/pollenwalk/connection/connection_pool.py
+++ b/pollenwalk/connection/connection_pool.py
@@ -3,8 +3,10 @@
 import math
 from collections.abc import Callable
 
-from pollenwalk.connection.answer_memory import AnswerMemory
+from pollenwalk.connection.answer_memory import MAX_HELD_BYTES, AnswerMemory
+from pollenwalk.connection.host_buffers import HostBufferLimits, host_buffer_limits
 from pollenwalk.connection.hosts import UpstreamHost
+from pollenwalk.connection.request_bodies import RequestBodies
 from pollenwalk.connection.upstream_connection import (
     UpstreamConnection,
     open_upstream_connection,
@@ -12,6 +14,8 @@
 from pollenwalk.errors import NotSent
 from pollenwalk.process.clock import Clock
 
+# What a process holds for hosts that names no memory.
+DEFAULT_LIMITS = HostBufferLimits(MAX_HELD_BYTES, math.inf)
 # Covers two round trips between regions and one retransmission, with a margin.
 CONNECT_TIMEOUT_S = 0.5
 # Timeout of the connection that shows whether a host has crashed: a round trip between
@@ -33,12 +37,14 @@
         idle: idle connections by host id, the most recently used last.
         idle_limit: returns how many idle connections to a host are kept.
         answer_memory: counts what the answers on all connections hold.
+        bodies: counts the request bodies that hosts have not taken.
     """
 
     def __init__(
         self,
         clock: Clock,
         idle_limit: Callable[[UpstreamHost], float] | None = None,
+        memory_mb: float | None = None,
     ) -> None:
         """Create an empty pool.
 
@@ -46,11 +52,15 @@
             clock: the clock of the process.
             idle_limit: returns how many idle connections to a host are kept; None for
                 no limit.
+            memory_mb: memory of the machine in MB, from which follows what may be
+                held for hosts; 0 to ask the operating system, None for fixed limits.
         """
+        limits = DEFAULT_LIMITS if memory_mb is None else host_buffer_limits(memory_mb)
         self.clock = clock
         self.idle_limit = idle_limit or unlimited
         self.idle: dict[str, list[UpstreamConnection]] = {}
-        self.answer_memory = AnswerMemory()
+        self.answer_memory = AnswerMemory(limits.response_bytes)
+        self.bodies = RequestBodies(limits.unsent_bytes)
 
     async def acquire(self, host: UpstreamHost, request: str) -> UpstreamConnection:
         """Return an idle connection to a host, or open a new one.
@@ -77,7 +87,9 @@
         Raises:
             NotSent: the host can't be reached.
         """
-        return await open_upstream_connection(host.address, CONNECT_TIMEOUT_S)
+        return await open_upstream_connection(
+            host.address, CONNECT_TIMEOUT_S, self.answer_memory
+        )
 
     def discard_unusable(self, host_id: str) -> None:
         """Close the idle connections to a host that can't carry a request any more."""
--- a/pollenwalk/connection/upstream_connection.py
+++ b/pollenwalk/connection/upstream_connection.py
@@ -14,14 +14,17 @@
 import h11
 
 from pollenwalk.connection.addresses import CONNECT_ERRORS, split_address
+from pollenwalk.connection.answer_memory import (
+    READ_BYTES,
+    AnswerMemory,
+    WaitingBytes,
+)
 from pollenwalk.connection.keepalive import enable_keepalive
 from pollenwalk.errors import BrokenAnswer, NotSent
 from pollenwalk.platform import headers as platform_headers
 from pollenwalk.process.loop_share import LoopShare
 from pollenwalk.request.http_messages import AnswerHead, Headers
 
-# Number of unread bytes above which reading from the host is paused.
-HIGH_WATER_BYTES = 262_144
 # Number of bytes that are parsed before other calls get a chance to run.
 MAX_PARSED_BYTES = 32_768
 # Maximum number of answers read on a connection until one is the answer to the
@@ -33,12 +36,21 @@
 MAX_INFORMATIONAL_ANSWERS = 100
 
 
-class UpstreamConnection(asyncio.Protocol):
+# Bodies up to this size are written in one piece with the head. Larger ones are not
+# copied.
+MAX_JOINED_BYTES = 65_536
+# One buffer for the reads of all connections; what was read is copied from it at once.
+READ_BUFFER = memoryview(bytearray(READ_BYTES))
+
+
+class UpstreamConnection(asyncio.BufferedProtocol):
     """A connection that carries one request at a time.
 
     Attributes:
         transport: transport of the connection; None until it is made.
         received: received bytes that are not passed to the parser yet.
+        parsed_bytes: size of what was last passed to the parser.
+        waiting: counts these bytes together with those of other connections.
         changed: set when bytes arrive and when the connection ends.
         writable: cleared while the transport's write buffer is full.
         in_use: whether a request is in progress.
@@ -54,10 +66,16 @@
         loop_share: lets other tasks run while many small events are parsed.
     """
 
-    def __init__(self) -> None:
-        """Create a connection that is not connected yet."""
+    def __init__(self, memory: AnswerMemory) -> None:
+        """Create a connection that is not connected yet.
+
+        Args:
+            memory: counts what the answers on all connections hold.
+        """
         self.transport: Any = None
         self.received = bytearray()
+        self.parsed_bytes = 0
+        self.waiting = WaitingBytes(memory)
         self.changed = asyncio.Event()
         self.writable = asyncio.Event()
         self.writable.set()
@@ -77,7 +95,11 @@
         """Store the transport."""
         self.transport = transport
 
-    def data_received(self, chunk: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return as much of the shared buffer as may be read now."""
+        return READ_BUFFER[: self.waiting.memory.read_bytes]
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Buffer received bytes; close the connection if it is idle.
 
         Bytes that arrive on an idle connection belong to no request. They could
@@ -86,11 +108,16 @@
         if not self.in_use:
             self.abort()
             return
-        self.received += chunk
-        if len(self.received) > HIGH_WATER_BYTES:
+        self.received += READ_BUFFER[:nbytes]
+        self.count_waiting()
+        if len(self.received) > self.waiting.memory.max_waiting_bytes:
             self.transport.pause_reading()
         self.changed.set()
 
+    def count_waiting(self) -> None:
+        """Count what was received and is not forwarded yet."""
+        self.waiting.resize(len(self.received) + self.parsed_bytes)
+
     def eof_received(self) -> bool:
         """Record that the host closed its side.
 
@@ -141,12 +168,18 @@
             headers=[*headers, (b'content-length', str(len(body)).encode())],
         )
         self.request_events = [request, h11.Data(data=body), h11.EndOfMessage()]
-        payload = b''.join(
-            self.parser.send(event) or b'' for event in self.request_events
-        )
-        self.transport.write(payload)
+        parts = [self.parser.send(event) or b'' for event in self.request_events]
+        if len(body) <= MAX_JOINED_BYTES:
+            parts = [b''.join(parts)]
+        for part in filter(None, parts):
+            self.transport.write(part)
         await self.writable.wait()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of the request are still in this process."""
+        return self.transport.get_write_buffer_size()
+
     async def next_event(self) -> Any:
         """Wait for the next event of the answer and return it.
 
@@ -177,12 +210,15 @@
     async def feed_parser(self) -> None:
         """Wait for received bytes or EOF, and pass some of them to the parser.
 
-        At most MAX_PARSED_BYTES are passed; other tasks run before more are.
+        At most MAX_PARSED_BYTES are passed; other tasks run before more are. What was
+        passed before has been forwarded.
 
         Raises:
             BrokenAnswer: the connection was reset, or the answer is incomplete or
                 not valid HTTP.
         """
+        self.parsed_bytes = 0
+        self.count_waiting()
         while not self.received:
             if self.ended:
                 break
@@ -194,7 +230,8 @@
             await asyncio.sleep(0)
         chunk = bytes(self.received[:MAX_PARSED_BYTES])
         self.received = self.received[MAX_PARSED_BYTES:]
-        has_room = len(self.received) <= HIGH_WATER_BYTES
+        self.parsed_bytes = len(chunk)
+        has_room = len(self.received) <= self.waiting.memory.max_waiting_bytes
         if has_room and not self.transport.is_closing():
             self.transport.resume_reading()
         try:
@@ -314,6 +351,7 @@
             Whether the connection can carry another request.
         """
         self.in_use = False
+        self.waiting.resize(0)
         trailing, _ = self.parser.trailing_data
         has_extra_bytes = bool(trailing or self.received)
         flushed = self.transport.get_write_buffer_size() == 0
@@ -332,15 +370,21 @@
     def abort(self) -> None:
         """Close the connection at once, upon which the host stops its work."""
         self.reusable = False
+        self.waiting.close()
         if self.transport is not None:
             self.transport.abort()
 
 
 async def open_upstream_connection(
-    address: str, timeout_s: float
+    address: str, timeout_s: float, memory: AnswerMemory | None = None
 ) -> UpstreamConnection:
     """Connect to an upstream host and enable TCP keep-alive.
 
+    Args:
+        address: `ip:port` of the host.
+        timeout_s: time within which the connection must be made.
+        memory: counts what the answers on all connections hold; None for this one.
+
     Raises:
         NotSent: the connection could not be made within `timeout_s`.
     """
@@ -348,7 +392,9 @@
     try:
         ip, port = split_address(address)
         async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(UpstreamConnection, ip, port)
+            _, connection = await loop.create_connection(
+                lambda: UpstreamConnection(memory or AnswerMemory()), ip, port
+            )
     except CONNECT_ERRORS as error:
         raise NotSent(f'{address}: {error!r}') from error
     sock: socket.socket = connection.transport.get_extra_info('socket')
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -89,6 +89,7 @@
             has no organisations.
         load_admission: whether new programs are refused while running ones can't
             stay in time, even if the configuration has no organisations.
+        memory_mb: memory of the machine in MB; 0 to ask the operating system.
     """
 
     name: str
@@ -102,6 +103,7 @@
     hedge_share: float = 0
     host_priorities: bool = False
     load_admission: bool = False
+    memory_mb: int = 0
 
 
 class Gateway:
@@ -134,7 +136,7 @@
         self.preparation = CallPreparation(self.active_configuration, self.lease, rng)
         self.host_table = HostTable(clock)
         self.idle_shares = IdleShares(self.active_configuration)
-        self.pool = ConnectionPool(clock, self.idle_shares.limit_of)
+        self.pool = ConnectionPool(clock, self.idle_shares.limit_of, settings.memory_mb)
         self.stop_at_ms: float | None = None
         self.own_load = OwnLoad()
         call_placer = CallPlacer(
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -94,6 +94,7 @@
                 options.get('hedge_share', 0),
                 options.get('host_priorities') == 'true',
                 options.get('load_admission') == 'true',
+                options.get('memory_mb', 0),
             ),
             self.store,
             TcpNetwork(),
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -30,6 +30,7 @@
 from pollenwalk.process.permit_client import PermitClient
 from pollenwalk.process.quota_client import QuotaClient
 from pollenwalk.process.stream_registry import StreamRegistry
+from pollenwalk.request.body_room import BodyRoom
 from pollenwalk.request.call_crashes import CallCrashes
 from pollenwalk.request.call_permits import CallPermits
 from pollenwalk.request.exchange import Exchange
@@ -99,6 +100,7 @@
             any, as long as no event has been shown.
         permits: obtains the call's permits for hosts with a limit.
         crashes: records crashes of hosts on the call.
+        body_room: tells whether hosts have room for the call's body.
     """
 
     def __init__(self, context: ForwardingContext, call: Call, body: bytes) -> None:
@@ -106,6 +108,7 @@
         self.context = context
         self.call = call
         self.body = body
+        self.body_room = BodyRoom(context.pool.bodies, len(body))
         self.cost = context.call_placer.expected_cost(call)
         self.runs = 0
         self.sent_ms = 0.0
@@ -252,16 +255,15 @@
                 if await self.obtain_permit(state):
                     return state
                 continue
-            if (
-                not self.tried_hosts
-                or clock.now_ms() + HOST_RETRY_INTERVAL_MS > self.give_up_at_ms
-            ):
+            if not may_try_again(self):
                 raise self.no_host_refusal()
             await clock.sleep_ms(HOST_RETRY_INTERVAL_MS)
             self.tried_hosts.clear()
 
     def best_host(self) -> HostState | None:
         """Return the best host that has not been tried; None if there is none."""
+        if self.body_room.is_short:
+            return None
         call_placer = self.context.call_placer
         if self.software_version is None:
             return self.idle_host() or call_placer.choose_host(
@@ -310,6 +312,8 @@
             )
         if self.permits.hosts_without_permit:
             return self.permits.refusal()
+        if self.body_room.is_short:
+            return self.body_room.refusal()
         if not self.tried_hosts and self.software_version is not None:
             return Refusal(
                 RefusalCode.NO_UPSTREAM,
@@ -332,15 +336,7 @@
         """
         self.sent_ms = self.context.clock.now_ms()
         self.found_no_free_slot = state.load(self.sent_ms) >= state.registration.slots
-        state.in_flight += 1
-        try:
-            connection = await self.context.pool.acquire(
-                state.registration, self.call.id
-            )
-        except BaseException:
-            state.in_flight -= 1
-            raise
-        exchange = Exchange(self.context.pool, state, connection)
+        exchange = await connect(self, state)
         try:
             await self.send_request(exchange, last_event_id)
         except BaseException:
@@ -362,15 +358,14 @@
         request = self.call.request
         state = exchange.state
         self.log_send(state, last_event_id)
-        await exchange.connection.send(
+        await exchange.send(
             request.method,
             request.target,
             self.build_headers(state, last_event_id),
             self.body,
         )
         self.record_sent()
-        head = await exchange.connection.read_head(self.call.id)
-        exchange.head = head
+        head = await exchange.read_head(self.call.id)
         record_head(self.context, self.call, state, head)
         if head.refused:
             self.runs -= 1
@@ -485,6 +480,31 @@
         self.crashes.check(self.runs)
 
 
+async def connect(sender: CallSender, state: HostState) -> Exchange:
+    """Return an exchange on a connection to a host, for a call that is sent next.
+
+    Raises:
+        NotSent: the host can't be reached.
+    """
+    pool = sender.context.pool
+    state.in_flight += 1
+    body_sent = pool.bodies.send(len(sender.body))
+    try:
+        connection = await pool.acquire(state.registration, sender.call.id)
+    except BaseException:
+        state.in_flight -= 1
+        body_sent.end()
+        raise
+    return Exchange(pool, state, connection, body_sent)
+
+
+def may_try_again(sender: CallSender) -> bool:
+    """Return whether hosts that do not accept a call now are tried again."""
+    retry_at_ms = sender.context.clock.now_ms() + HOST_RETRY_INTERVAL_MS
+    is_of_use = bool(sender.tried_hosts) or sender.body_room.is_short
+    return is_of_use and retry_at_ms <= sender.give_up_at_ms
+
+
 async def pay_for_send(context: ForwardingContext, call: Call, runs: int) -> None:
     """Take a token of the organisation's quota for a send beyond the first.
 
--- a/pollenwalk/request/exchange.py
+++ b/pollenwalk/request/exchange.py
@@ -8,10 +8,11 @@
 
 from pollenwalk.connection.answer_memory import HeldAnswer
 from pollenwalk.connection.connection_pool import ConnectionPool
+from pollenwalk.connection.request_bodies import SentBody
 from pollenwalk.connection.upstream_connection import UpstreamConnection
 from pollenwalk.errors import BrokenAnswer
 from pollenwalk.process.host_table import HostState
-from pollenwalk.request.http_messages import AnswerHead, Framing
+from pollenwalk.request.http_messages import AnswerHead, Framing, Headers
 
 # Maximum size of a body that is forwarded in one piece.
 MAX_BODY_BYTES = 8_388_608
@@ -32,12 +33,17 @@
         head: status and headers of the answer; until they are received, status 0
             and no headers.
         held: what of the answer is in memory.
+        body_sent: the body of the request, as long as it is counted.
         complete: whether the answer was read to its end.
         closed: whether the exchange has given up its connection.
     """
 
     def __init__(
-        self, pool: ConnectionPool, state: HostState, connection: UpstreamConnection
+        self,
+        pool: ConnectionPool,
+        state: HostState,
+        connection: UpstreamConnection,
+        body_sent: SentBody,
     ) -> None:
         """Create an exchange on a connection to a host.
 
@@ -46,6 +52,7 @@
             state: the estimate of the host, which already counts the call as in
                 flight.
             connection: the connection.
+            body_sent: counts the body of the request.
         """
         self.pool = pool
         self.state = state
@@ -53,6 +60,7 @@
         self.software_version = state.registration.software_version
         self.head = AnswerHead(0, [])
         self.held = HeldAnswer(pool.answer_memory)
+        self.body_sent = body_sent
         self.complete = False
         self.closed = False
 
@@ -82,11 +90,34 @@
         self.closed = True
         self.state.in_flight -= 1
         self.held.release()
+        self.body_sent.end()
         if self.complete:
             self.pool.release(self.state.registration, self.connection)
         else:
             self.connection.abort()
 
+    async def send(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> None:
+        """Send the request, and wait until most of it was passed to the host.
+
+        Raises:
+            NotSent: the connection had ended before anything was sent.
+        """
+        await self.connection.send(method, target, headers, body)
+        self.body_sent.keep_unsent(self.connection.unsent_bytes)
+
+    async def read_head(self, request: str) -> AnswerHead:
+        """Wait for the head of the answer to a request and return it.
+
+        Raises:
+            BrokenAnswer: the connection failed, or there is no valid head of an answer
+                to the request.
+        """
+        self.head = await self.connection.read_head(request)
+        self.body_sent.keep_unsent(self.connection.unsent_bytes)
+        return self.head
+
     @property
     def succeeded(self) -> bool:
         """Return whether the answer's status is a success."""
