Bound the bytes of request bodies that one host has not answered

A host that reads slowly, or crashes when its requests exceed its memory, was sent any number of large bodies. On with organisations or with bound_host_bodies.

--- a/pollenwalk/connection/connection_pool.py
+++ b/pollenwalk/connection/connection_pool.py
@@ -37,7 +37,7 @@
         idle: idle connections by host id, the most recently used last.
         idle_limit: returns how many idle connections to a host are kept.
         answer_memory: counts what the answers on all connections hold.
-        bodies: counts the request bodies that hosts have not taken.
+        bodies: counts the request bodies that hosts have not taken or not answered.
     """
 
     def __init__(
@@ -45,6 +45,7 @@
         clock: Clock,
         idle_limit: Callable[[UpstreamHost], float] | None = None,
         memory_mb: float | None = None,
+        host_body_bytes: Callable[[], float] | None = None,
     ) -> None:
         """Create an empty pool.
 
@@ -54,13 +55,15 @@
                 no limit.
             memory_mb: memory of the machine in MB, from which follows what may be
                 held for hosts; 0 to ask the operating system, None for fixed limits.
+            host_body_bytes: returns the most bytes of request bodies that a host has
+                not answered; None for no limit.
         """
         limits = DEFAULT_LIMITS if memory_mb is None else host_buffer_limits(memory_mb)
         self.clock = clock
         self.idle_limit = idle_limit or unlimited
         self.idle: dict[str, list[UpstreamConnection]] = {}
         self.answer_memory = AnswerMemory(limits.response_bytes)
-        self.bodies = RequestBodies(limits.unsent_bytes)
+        self.bodies = RequestBodies(limits.unsent_bytes, host_body_bytes)
 
     async def acquire(self, host: UpstreamHost, request: str) -> UpstreamConnection:
         """Return an idle connection to a host, or open a new one.
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -21,8 +21,8 @@
 from pollenwalk.process.gateway_gauges import awaited_processes, refresh_gauges
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.hedging import make_hedging
+from pollenwalk.process.host_bounds import HostBounds
 from pollenwalk.process.host_table import HostTable
-from pollenwalk.process.idle_shares import IdleShares
 from pollenwalk.process.keeper_feed import KeeperFeed
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_links import KeeperLinks
@@ -90,6 +90,8 @@
         load_admission: whether new programs are refused while running ones can't
             stay in time, even if the configuration has no organisations.
         memory_mb: memory of the machine in MB; 0 to ask the operating system.
+        bound_host_bodies: whether request bodies at a host are bounded even if the
+            configuration has no organisations.
     """
 
     name: str
@@ -104,6 +106,7 @@
     host_priorities: bool = False
     load_admission: bool = False
     memory_mb: int = 0
+    bound_host_bodies: bool = False
 
 
 class Gateway:
@@ -111,7 +114,7 @@
 
     Attributes:
         waits: what this gateway waits for, and for whom.
-        idle_shares: how many idle connections to each host are kept.
+        host_bounds: what may be kept and sent at each host.
         stop_at_ms: when requests in progress are cut, once the gateway was told to
             stop; None before that.
     """
@@ -135,8 +138,15 @@
         )
         self.preparation = CallPreparation(self.active_configuration, self.lease, rng)
         self.host_table = HostTable(clock)
-        self.idle_shares = IdleShares(self.active_configuration)
-        self.pool = ConnectionPool(clock, self.idle_shares.limit_of, settings.memory_mb)
+        self.host_bounds = HostBounds(
+            self.active_configuration, bounds_bodies=settings.bound_host_bodies
+        )
+        self.pool = ConnectionPool(
+            clock,
+            self.host_bounds.idle_limit,
+            settings.memory_mb,
+            self.host_bounds.body_limit_bytes,
+        )
         self.stop_at_ms: float | None = None
         self.own_load = OwnLoad()
         call_placer = CallPlacer(
@@ -223,7 +233,7 @@
             self.own_load,
             self.host_table,
             self.settings.name,
-            self.idle_shares.gateways,
+            self.host_bounds.gateways,
         )
         self.tasks.spawn(reporter.run(), 'report_load')
 
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -95,6 +95,7 @@
                 options.get('host_priorities') == 'true',
                 options.get('load_admission') == 'true',
                 options.get('memory_mb', 0),
+                options.get('bound_host_bodies') == 'true',
             ),
             self.store,
             TcpNetwork(),
--- a/pollenwalk/process/settings.py
+++ b/pollenwalk/process/settings.py
@@ -83,6 +83,7 @@
         'hedge_share': number_field(0, 0.2),
         'host_priorities': choice_field('true', 'false'),
         'load_admission': choice_field('true', 'false'),
+        'bound_host_bodies': choice_field('true', 'false'),
         'tolerated_losses': int_field(0, 16),
         **CONNECTION_LIMITS,
     },
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -108,7 +108,12 @@
         self.context = context
         self.call = call
         self.body = body
-        self.body_room = BodyRoom(context.pool.bodies, len(body))
+        self.body_room = BodyRoom(
+            context.pool.bodies,
+            context.call_placer.host_table,
+            call.upstream,
+            len(body),
+        )
         self.cost = context.call_placer.expected_cost(call)
         self.runs = 0
         self.sent_ms = 0.0
@@ -252,7 +257,8 @@
         while True:
             state = self.best_host()
             if state is not None:
-                if await self.obtain_permit(state):
+                permitted = await self.obtain_permit(state)
+                if permitted and self.body_room.fits(state.registration.id):
                     return state
                 continue
             if not may_try_again(self):
@@ -291,7 +297,8 @@
     @property
     def avoided_hosts(self) -> set[str]:
         """Return the ids of the hosts that must not be chosen now."""
-        return self.tried_hosts | self.permits.hosts_without_permit
+        unusable = self.permits.hosts_without_permit | self.body_room.full_hosts
+        return self.tried_hosts | unusable
 
     async def obtain_permit(self, state: HostState) -> bool:
         """Wait until the call may be sent to a host; False if another must be chosen."""
@@ -312,7 +319,7 @@
             )
         if self.permits.hosts_without_permit:
             return self.permits.refusal()
-        if self.body_room.is_short:
+        if self.body_room.is_missing:
             return self.body_room.refusal()
         if not self.tried_hosts and self.software_version is not None:
             return Refusal(
@@ -488,7 +495,7 @@
     """
     pool = sender.context.pool
     state.in_flight += 1
-    body_sent = pool.bodies.send(len(sender.body))
+    body_sent = pool.bodies.send(state.registration.id, len(sender.body))
     try:
         connection = await pool.acquire(state.registration, sender.call.id)
     except BaseException:
@@ -501,7 +508,7 @@
 def may_try_again(sender: CallSender) -> bool:
     """Return whether hosts that do not accept a call now are tried again."""
     retry_at_ms = sender.context.clock.now_ms() + HOST_RETRY_INTERVAL_MS
-    is_of_use = bool(sender.tried_hosts) or sender.body_room.is_short
+    is_of_use = bool(sender.tried_hosts) or sender.body_room.is_missing
     return is_of_use and retry_at_ms <= sender.give_up_at_ms
 
 
--- a/pollenwalk/request/exchange.py
+++ b/pollenwalk/request/exchange.py
@@ -115,6 +115,7 @@
                 to the request.
         """
         self.head = await self.connection.read_head(request)
+        self.body_sent.mark_answered()
         self.body_sent.keep_unsent(self.connection.unsent_bytes)
         return self.head
 
--- a/pollenwalk/request/hedged_unary.py
+++ b/pollenwalk/request/hedged_unary.py
@@ -175,7 +175,7 @@
         return placer.choose_host(self.call, self.cost, self.tried_hosts | unusable)
 
     def is_free(self, state: HostState) -> bool:
-        """Return whether a host accepts calls, is not suspected and has a free slot.
+        """Return whether a host accepts calls, is not suspected and has room.
 
         The last load report counts in full, whatever its age: a slot of which nothing
         new is known is not known to be free.
@@ -186,7 +186,8 @@
             return False
         calls = state.in_flight + state.other_calls
         is_listed = self.context.call_placer.host_table.is_listed(state)
-        return is_listed and calls < registration.slots
+        has_slot = is_listed and calls < registration.slots
+        return has_slot and self.body_room.fits(registration.id)
 
 
 class HedgedAttempt:
--- a/test/connection/test_host_buffers.py
+++ b/test/connection/test_host_buffers.py
@@ -60,7 +60,7 @@
     def test_unsent_bodies_are_bounded(self) -> None:
         bodies = RequestBodies(unsent_limit_bytes=PART_BYTES)
         self.assertTrue(bodies.has_memory(10 * PART_BYTES))
-        first = bodies.send(10 * PART_BYTES)
+        first = bodies.send('h', 10 * PART_BYTES)
         self.assertFalse(bodies.has_memory(SMALL_BODY_BYTES + 1))
         self.assertTrue(bodies.has_memory(SMALL_BODY_BYTES))
         first.keep_unsent(PART_BYTES // 10)
@@ -69,7 +69,19 @@
         first.keep_unsent(PART_BYTES)
         self.assertEqual(0, bodies.unsent_bytes)
 
+    def test_host_that_does_not_answer_is_sent_no_more(self) -> None:
+        bodies = RequestBodies(host_limit_bytes=lambda: 3 * PART_BYTES)
+        sent = [bodies.send('h', PART_BYTES) for _ in range(3)]
+        self.assertEqual({'h'}, bodies.full_hosts(PART_BYTES))
+        self.assertEqual(set(), bodies.full_hosts(SMALL_BODY_BYTES))
+        sent[0].mark_answered()
+        self.assertEqual(set(), bodies.full_hosts(PART_BYTES))
+        for body in sent:
+            body.end()
+        self.assertEqual({}, bodies.unanswered_bytes)
+        self.assertEqual(set(), bodies.full_hosts(10 * PART_BYTES))
+
     def test_small_bodies_are_not_counted(self) -> None:
         bodies = RequestBodies(unsent_limit_bytes=PART_BYTES)
-        bodies.send(SMALL_BODY_BYTES).keep_unsent(SMALL_BODY_BYTES)
+        bodies.send('h', SMALL_BODY_BYTES).keep_unsent(SMALL_BODY_BYTES)
         self.assertEqual(0, bodies.unsent_bytes)
