--- a/pollenwalk/connection/connection_pool.py
+++ b/pollenwalk/connection/connection_pool.py
@@ -1,7 +1,12 @@
 """Pool of idle connections to upstream hosts."""
 
-from pollenwalk.connection.answer_memory import AnswerMemory
+import math
+from collections.abc import Callable
+
+from pollenwalk.connection.answer_memory import MAX_HELD_BYTES, AnswerMemory
+from pollenwalk.connection.host_buffers import HostBufferLimits, host_buffer_limits
 from pollenwalk.connection.hosts import UpstreamHost
+from pollenwalk.connection.request_bodies import RequestBodies
 from pollenwalk.connection.upstream_connection import (
     UpstreamConnection,
     open_upstream_connection,
@@ -9,6 +14,8 @@
 from pollenwalk.errors import NotSent
 from pollenwalk.process.clock import Clock
 
+# What a process holds for hosts that names no memory.
+DEFAULT_LIMITS = HostBufferLimits(MAX_HELD_BYTES, math.inf)
 # Covers two round trips between regions and one retransmission, with a margin.
 CONNECT_TIMEOUT_S = 0.5
 # Timeout of the connection that shows whether a host has crashed: a round trip between
@@ -28,14 +35,35 @@
 
     Attributes:
         idle: idle connections by host id, the most recently used last.
+        idle_limit: returns how many idle connections to a host are kept.
         answer_memory: counts what the answers on all connections hold.
+        bodies: counts the request bodies that hosts have not taken or not answered.
     """
 
-    def __init__(self, clock: Clock) -> None:
-        """Create an empty pool."""
+    def __init__(
+        self,
+        clock: Clock,
+        idle_limit: Callable[[UpstreamHost], float] | None = None,
+        memory_mb: float | None = None,
+        host_body_bytes: Callable[[], float] | None = None,
+    ) -> None:
+        """Create an empty pool.
+
+        Args:
+            clock: the clock of the process.
+            idle_limit: returns how many idle connections to a host are kept; None for
+                no limit.
+            memory_mb: memory of the machine in MB, from which follows what may be
+                held for hosts; 0 to ask the operating system, None for fixed limits.
+            host_body_bytes: returns the most bytes of request bodies that a host has
+                not answered; None for no limit.
+        """
+        limits = DEFAULT_LIMITS if memory_mb is None else host_buffer_limits(memory_mb)
         self.clock = clock
+        self.idle_limit = idle_limit or unlimited
         self.idle: dict[str, list[UpstreamConnection]] = {}
-        self.answer_memory = AnswerMemory()
+        self.answer_memory = AnswerMemory(limits.response_bytes)
+        self.bodies = RequestBodies(limits.unsent_bytes, host_body_bytes)
 
     async def acquire(self, host: UpstreamHost, request: str) -> UpstreamConnection:
         """Return an idle connection to a host, or open a new one.
@@ -62,7 +90,9 @@
         Raises:
             NotSent: the host can't be reached.
         """
-        return await open_upstream_connection(host.address, CONNECT_TIMEOUT_S)
+        return await open_upstream_connection(
+            host.address, CONNECT_TIMEOUT_S, self.answer_memory
+        )
 
     def discard_unusable(self, host_id: str) -> None:
         """Close the idle connections to a host that can't carry a request any more."""
@@ -88,12 +118,26 @@
     def release(self, host: UpstreamHost, connection: UpstreamConnection) -> None:
         """Return a connection to the pool after its answer was read to the end.
 
-        The connection is closed instead if it can't carry another request.
+        The connection is closed instead if it can't carry another request. Those
+        that have been idle longest are closed if there are too many.
         """
         if not connection.finish_exchange():
             return
         connection.idle_since_ms = self.clock.now_ms()
-        self.idle.setdefault(host.id, []).append(connection)
+        connections = self.idle.setdefault(host.id, [])
+        connections.append(connection)
+        while len(connections) > self.idle_limit(host):
+            connections.pop(0).abort()
+
+    def discard_all_unusable(self) -> None:
+        """Close the idle connections to all hosts that can't carry a request any more.
+
+        They would take room at hosts to which this gateway sends nothing now.
+        """
+        for host_id in list(self.idle):
+            self.discard_unusable(host_id)
+            if not self.idle[host_id]:
+                self.idle.pop(host_id)
 
     def close_all_except(self, host_ids: set[str]) -> None:
         """Close the idle connections to all hosts except those given."""
@@ -106,6 +150,11 @@
         self.close_all_except(set())
 
 
+def unlimited(_host: UpstreamHost) -> float:
+    """Return that any number of idle connections to a host is kept."""
+    return math.inf
+
+
 def is_usable(connection: UpstreamConnection, now_ms: float) -> bool:
     """Return whether an idle connection can still carry a request."""
     is_fresh = now_ms < connection.idle_since_ms + max_idle_ms(connection)
--- a/pollenwalk/connection/message_types.py
+++ b/pollenwalk/connection/message_types.py
@@ -36,7 +36,11 @@
     RequestPermit,
     TellLimits,
 )
-from pollenwalk.connection.load_messages import FleetState, GatewayLoad
+from pollenwalk.connection.load_messages import (
+    CountedFleetState,
+    FleetState,
+    GatewayLoad,
+)
 from pollenwalk.connection.peer_messages import Done, Hello, Welcome
 from pollenwalk.connection.program_messages import (
     BeginProgram,
@@ -163,6 +167,7 @@
     LentShares,
     GatewayLoad,
     FleetState,
+    CountedFleetState,
     RequestQuota,
     QuotaGrant,
     BorrowQuotas,
--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -7,7 +7,6 @@
 from loguru import logger
 
 from pollenwalk.connection.channel import StreamNetwork
-from pollenwalk.connection.connection_pool import ConnectionPool
 from pollenwalk.errors import Outcome, Refusal, RefusalCode, StoreUnavailable
 from pollenwalk.platform.documents import CONFIGURATION_PREFIX, HOSTS_PREFIX
 from pollenwalk.policy.drain_admission import may_finish
@@ -21,6 +20,7 @@
 from pollenwalk.process.gateway_gauges import awaited_processes, refresh_gauges
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.hedging import make_hedging
+from pollenwalk.process.host_bounds import HostBounds, make_pool
 from pollenwalk.process.host_table import HostTable
 from pollenwalk.process.keeper_feed import KeeperFeed
 from pollenwalk.process.keeper_group import KeeperGroup
@@ -91,6 +91,9 @@
             stay in time, even if the configuration has no organisations.
         avoid_silent_hosts: whether hosts that answer nothing are avoided, even if the
             configuration has no organisations.
+        memory_mb: memory of the machine in MB; 0 to ask the operating system.
+        bound_host_bodies: whether request bodies at a host are bounded even if the
+            configuration has no organisations.
     """
 
     name: str
@@ -105,6 +108,8 @@
     host_priorities: bool = False
     load_admission: bool = False
     avoid_silent_hosts: bool = False
+    memory_mb: int = 0
+    bound_host_bodies: bool = False
 
 
 class Gateway:
@@ -112,6 +117,7 @@
 
     Attributes:
         waits: what this gateway waits for, and for whom.
+        host_bounds: what may be kept and sent at each host.
         stop_at_ms: when requests in progress are cut, once the gateway was told to
             stop; None before that.
     """
@@ -135,7 +141,10 @@
         )
         self.preparation = CallPreparation(self.active_configuration, self.lease, rng)
         self.host_table = HostTable(clock)
-        self.pool = ConnectionPool(clock)
+        self.host_bounds = HostBounds(
+            self.active_configuration, bounds_bodies=settings.bound_host_bodies
+        )
+        self.pool = make_pool(clock, self.host_bounds, settings.memory_mb)
         self.stop_at_ms: float | None = None
         self.own_load = OwnLoad()
         call_placer = CallPlacer(
@@ -230,6 +239,7 @@
             self.own_load,
             self.host_table,
             self.settings.name,
+            self.host_bounds.gateways,
         )
         self.tasks.spawn(reporter.run(), 'report_load')
 
@@ -279,13 +289,14 @@
         logger.warning('store_unavailable', what=what, reason=error.message)
 
     async def watch_waits(self) -> None:
-        """Note at regular intervals what this gateway waits for."""
+        """Note what this gateway waits for, and close stale connections, regularly."""
         while True:
             awaited = awaited_processes(
                 self.active_configuration, self.host_table, self.links
             )
             for what, names in awaited.items():
                 self.waits.update(what, names)
+            self.pool.discard_all_unusable()
             await self.clock.sleep_ms(WAITS_INTERVAL_MS)
 
     def refresh_metrics(self) -> None:
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -99,6 +99,8 @@
                 options.get('host_priorities') == 'true',
                 options.get('load_admission') == 'true',
                 options.get('avoid_silent_hosts') == 'true',
+                options.get('memory_mb', 0),
+                options.get('bound_host_bodies') == 'true',
             ),
             self.store,
             TcpNetwork(),
--- a/pollenwalk/request/answer_wait.py
+++ b/pollenwalk/request/answer_wait.py
@@ -106,7 +106,7 @@
             run_ms = self.sender.cost.run_ms
             self.silent_hosts.record_sent(self.awaited, run_ms, self.queue_ms)
         request = self.call.request
-        await exchange.connection.send(request.method, request.target, headers, body)
+        await exchange.send(request.method, request.target, headers, body)
 
     async def read_head(self, exchange: Exchange) -> AnswerHead:
         """Wait for the head of the answer.
@@ -114,7 +114,7 @@
         Raises:
             BrokenAnswer: there is none, or the call is moved to another host.
         """
-        head = await exchange.connection.read_head(self.call.id)
+        head = await exchange.read_head(self.call.id)
         if self.silent_hosts is not None and self.awaited is not None:
             has_run = head.signed and not head.refused
             self.silent_hosts.record_answer(self.awaited, has_run)
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -13,6 +13,7 @@
 from pollenwalk.platform.headers import added_headers, resume_header
 from pollenwalk.process.host_table import HostState
 from pollenwalk.request.answer_wait import AnswerWait
+from pollenwalk.request.body_room import BodyRoom
 from pollenwalk.request.call_crashes import CallCrashes
 from pollenwalk.request.call_permits import CallPermits
 from pollenwalk.request.exchange import Exchange
@@ -52,6 +53,7 @@
         permits: obtains the call's permits for hosts with a limit.
         crashes: records crashes of hosts on the call.
         answer_wait: the wait for the answer to the last send.
+        body_room: tells whether hosts have room for the call's body.
     """
 
     def __init__(self, context: ForwardingContext, call: Call, body: bytes) -> None:
@@ -59,6 +61,12 @@
         self.context = context
         self.call = call
         self.body = body
+        self.body_room = BodyRoom(
+            context.pool.bodies,
+            context.call_placer.host_table,
+            call.upstream,
+            len(body),
+        )
         self.cost = context.call_placer.expected_cost(call)
         self.runs = 0
         self.sent_ms = 0.0
@@ -146,19 +154,19 @@
         while True:
             state = self.best_host()
             if state is not None:
-                if await self.obtain_permit(state):
+                permitted = await self.obtain_permit(state)
+                if permitted and self.body_room.fits(state.registration.id):
                     return state
                 continue
-            if (
-                not self.tried_hosts
-                or clock.now_ms() + HOST_RETRY_INTERVAL_MS > self.give_up_at_ms
-            ):
+            if not may_try_again(self):
                 raise self.no_host_refusal()
             await clock.sleep_ms(HOST_RETRY_INTERVAL_MS)
             self.tried_hosts.clear()
 
     def best_host(self) -> HostState | None:
         """Return the best host that has not been tried; None if there is none."""
+        if self.body_room.is_short:
+            return None
         call_placer = self.context.call_placer
         if self.software_version is None:
             return self.idle_host() or call_placer.choose_host(
@@ -186,7 +194,8 @@
     @property
     def avoided_hosts(self) -> set[str]:
         """Return the ids of the hosts that must not be chosen now."""
-        return self.tried_hosts | self.permits.hosts_without_permit
+        unusable = self.permits.hosts_without_permit | self.body_room.full_hosts
+        return self.tried_hosts | unusable
 
     async def obtain_permit(self, state: HostState) -> bool:
         """Wait until the call may be sent to a host; False if another must be chosen."""
@@ -207,6 +216,8 @@
             )
         if self.permits.hosts_without_permit:
             return self.permits.refusal()
+        if self.body_room.is_missing:
+            return self.body_room.refusal()
         if not self.tried_hosts and self.software_version is not None:
             return Refusal(
                 RefusalCode.NO_UPSTREAM,
@@ -241,15 +252,7 @@
             NotSent: the host did not run the call.
             BrokenAnswer: the host may have run the call but gave no valid head.
         """
-        state.in_flight += 1
-        try:
-            connection = await self.context.pool.acquire(
-                state.registration, self.call.id
-            )
-        except BaseException:
-            state.in_flight -= 1
-            raise
-        exchange = Exchange(self.context.pool, state, connection)
+        exchange = await connect(self, state)
         try:
             await self.send_request(exchange, last_event_id)
         except BaseException:
@@ -274,7 +277,6 @@
         await self.answer_wait.send(exchange, headers, self.body)
         self.record_sent()
         head = await self.answer_wait.read_head(exchange)
-        exchange.head = head
         record_head(self.context, self.call, state, head)
         if head.refused:
             self.runs -= 1
@@ -394,6 +396,31 @@
         self.crashes.check(self.runs)
 
 
+async def connect(sender: CallSender, state: HostState) -> Exchange:
+    """Return an exchange on a connection to a host, for a call that is sent next.
+
+    Raises:
+        NotSent: the host can't be reached.
+    """
+    pool = sender.context.pool
+    state.in_flight += 1
+    body_sent = pool.bodies.send(state.registration.id, len(sender.body))
+    try:
+        connection = await pool.acquire(state.registration, sender.call.id)
+    except BaseException:
+        state.in_flight -= 1
+        body_sent.end()
+        raise
+    return Exchange(pool, state, connection, body_sent)
+
+
+def may_try_again(sender: CallSender) -> bool:
+    """Return whether hosts that do not accept a call now are tried again."""
+    retry_at_ms = sender.context.clock.now_ms() + HOST_RETRY_INTERVAL_MS
+    is_of_use = bool(sender.tried_hosts) or sender.body_room.is_missing
+    return is_of_use and retry_at_ms <= sender.give_up_at_ms
+
+
 async def pay_for_send(context: ForwardingContext, call: Call, runs: int) -> None:
     """Take a token of the organisation's quota for a send beyond the first.
 
--- a/pollenwalk/request/exchange.py
+++ b/pollenwalk/request/exchange.py
@@ -8,13 +8,14 @@
 
 from pollenwalk.connection.answer_memory import HeldAnswer
 from pollenwalk.connection.connection_pool import ConnectionPool
+from pollenwalk.connection.request_bodies import SentBody
 from pollenwalk.connection.upstream_connection import (
     UpstreamConnection,
     ignore_bytes,
 )
 from pollenwalk.errors import BrokenAnswer
 from pollenwalk.process.host_table import HostState
-from pollenwalk.request.http_messages import AnswerHead, Framing
+from pollenwalk.request.http_messages import AnswerHead, Framing, Headers
 
 # Maximum size of a body that is forwarded in one piece.
 MAX_BODY_BYTES = 8_388_608
@@ -36,12 +37,17 @@
             and no headers.
         held: what of the answer is in memory.
         has_response_bytes: whether a byte of an answer has arrived.
+        body_sent: the body of the request, as long as it is counted.
         complete: whether the answer was read to its end.
         closed: whether the exchange has given up its connection.
     """
 
     def __init__(
-        self, pool: ConnectionPool, state: HostState, connection: UpstreamConnection
+        self,
+        pool: ConnectionPool,
+        state: HostState,
+        connection: UpstreamConnection,
+        body_sent: SentBody,
     ) -> None:
         """Create an exchange on a connection to a host.
 
@@ -50,6 +56,7 @@
             state: the estimate of the host, which already counts the call as in
                 flight.
             connection: the connection.
+            body_sent: counts the body of the request.
         """
         self.pool = pool
         self.state = state
@@ -57,6 +64,7 @@
         self.software_version = state.registration.software_version
         self.head = AnswerHead(0, [])
         self.held = HeldAnswer(pool.answer_memory)
+        self.body_sent = body_sent
         self.complete = False
         self.closed = False
         self.has_response_bytes = False
@@ -89,6 +97,7 @@
         self.state.in_flight -= 1
         self.connection.on_bytes = ignore_bytes
         self.held.release()
+        self.body_sent.end()
         if self.complete:
             self.pool.release(self.state.registration, self.connection)
         else:
@@ -99,6 +108,29 @@
         self.has_response_bytes = True
         self.state.record_sign(self.pool.clock.now_ms())
 
+    async def send(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> None:
+        """Send the request, and wait until most of it was passed to the host.
+
+        Raises:
+            NotSent: the connection had ended before anything was sent.
+        """
+        await self.connection.send(method, target, headers, body)
+        self.body_sent.keep_unsent(self.connection.unsent_bytes)
+
+    async def read_head(self, request: str) -> AnswerHead:
+        """Wait for the head of the answer to a request and return it.
+
+        Raises:
+            BrokenAnswer: the connection failed, or there is no valid head of an answer
+                to the request.
+        """
+        self.head = await self.connection.read_head(request)
+        self.body_sent.mark_answered()
+        self.body_sent.keep_unsent(self.connection.unsent_bytes)
+        return self.head
+
     @property
     def succeeded(self) -> bool:
         """Return whether the answer's status is a success."""
