--- a/pollenwalk/process/quota_borrowing.py
+++ b/pollenwalk/process/quota_borrowing.py
@@ -11,6 +11,11 @@
 from pollenwalk.process.quota_owner import QuotaOwner
 from pollenwalk.process.quota_shares import QUOTA_LEASE_MS, QUOTA_RENEWAL_MS
 
+# A keeper that starts asks at shorter intervals for as long: until a majority has agreed
+# with it for a while, it grants nothing, and after a loss of power nobody else does.
+START_INTERVAL_MS = 50.0
+START_MS = 2000.0
+
 
 class QuotaBorrowing:
     """Borrows the shares of the quotas whose first owner a keeper is.
@@ -51,8 +56,11 @@
         requests need.
         """
         shares = self.quotas.shares
+        frequent_until_ms = self.clock.boot_ms() + START_MS
         while True:
-            await self.clock.sleep_ms(QUOTA_RENEWAL_MS)
+            is_start = self.clock.boot_ms() < frequent_until_ms
+            interval_ms = START_INTERVAL_MS if is_start else QUOTA_RENEWAL_MS
+            await self.clock.sleep_ms(interval_ms)
             if self.ends_at_ms is not None:
                 return
             shares.refresh()
