--- a/pollenwalk/connection/connection_guard.py
+++ b/pollenwalk/connection/connection_guard.py
@@ -27,8 +27,8 @@
 SEARCH_INTERVAL_S = 0.1
 # After memory was taken back, this share of the bound is held at most.
 RELIEVED_SHARE = 0.9
-# More than this share of the bound is not held by responses that are being taken. The
-# rest of the memory is for responses that are collected, up to 32 MiB.
+# Responses that are being taken are closed beyond this share of the bound. The rest of
+# the memory is for what is buffered for hosts.
 MAX_EXCESS = 1.25
 
 
--- a/pollenwalk/connection/pipelined_requests.py
+++ b/pollenwalk/connection/pipelined_requests.py
@@ -11,8 +11,8 @@
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 
-# Clients that may pipeline send a few requests ahead. The smallest gateway serves about
-# 60 requests/s, of which not more than this many run at a time in ordinary operation.
+# Ordinary clients send the next request after the response. Those that do send ahead
+# share few connections to hosts, so that they leave most descriptors to the others.
 DEFAULT_MAX_REQUESTS = 16
 
 
--- a/test/process/test_repeated_calls.py
+++ b/test/process/test_repeated_calls.py
@@ -16,7 +16,7 @@
 OUTAGE_MS = 9000.0
 # A round of questions to 50 keepers of another region.
 ASK_ALL_MS = 3000.0
-# Bounds of docs/gateway-parts.md, part 6: times, and calls that begin within a second.
+# Stated bounds: times until a confirmation, and calls that begin within a second.
 KEEPER_BOUND_MS = 500.0
 FOLLOWER_BOUND_MS = 300.0
 MAX_CALLS = {'keeper': 3, 'follower': 1}
