--- a/pollenwalk/policy/idle_connections.py
+++ b/pollenwalk/policy/idle_connections.py
@@ -9,7 +9,7 @@
 
 # Gateways that are assumed until their number has been reported for SETTLE_MS. Too many
 # cost new connections for some seconds, too few requests that a full host resets.
-ASSUMED_GATEWAYS = 32
+ASSUMED_GATEWAYS = 8
 # A lower number counts only after it was reported for this long: a keeper that has just
 # begun to receive reports (one a second from each gateway) does not know all gateways.
 SETTLE_MS = 5000.0
