Log what names a request that crashes hosts, and why a broken answer is no crash

The digests in the lines crashed_with and host_crash held neither the path nor the method nor what was digested, nothing said why a broken answer was not counted as a crash, and a line sent did not say how many crashes its gateway knew of.

crashed_with says what the request was, crash_not_counted why an answer that broke off was not counted, given_up by which digests a request was refused, and sent has the number of crashes. gateway_crash_checks_total counts what broken answers were taken for. Texts that callers choose are cut at 200 characters; the lines pass through the bounded writer like all others.

--- a/pollenwalk/connection/connection_pool.py
+++ b/pollenwalk/connection/connection_pool.py
@@ -1,5 +1,6 @@
 """Pool of idle connections to upstream hosts."""
 
+import enum
 import math
 from collections.abc import Callable
 
@@ -30,6 +31,14 @@
 DEFAULT_KEEP_ALIVE_MS = 4000.0
 
 
+class ProbeResult(enum.StrEnum):
+    """What a host did with a connection that shows whether it has crashed."""
+
+    REFUSED = 'refused'
+    ACCEPTED = 'accepted'
+    NO_ANSWER = 'no_answer'
+
+
 class ConnectionPool:
     """Holds the idle connections of a gateway.
 
@@ -102,18 +111,19 @@
                 self.idle[host_id].remove(connection)
                 connection.abort()
 
-    async def is_refused(self, host: UpstreamHost) -> bool:
-        """Return whether a host refuses connections, as one that has crashed does.
+    async def probe(self, host: UpstreamHost) -> ProbeResult:
+        """Open a connection to a host, and return what the host did with it.
 
-        A host that accepts the connection, or does not answer, is not known to have
-        crashed.
+        A host that has crashed refuses it. One that accepts it, or does not answer, is
+        not known to have crashed.
         """
         try:
             connection = await open_upstream_connection(host.address, PROBE_TIMEOUT_S)
         except NotSent as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
+            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+            return ProbeResult.REFUSED if is_refused else ProbeResult.NO_ANSWER
         connection.abort()
-        return False
+        return ProbeResult.ACCEPTED
 
     def release(self, host: UpstreamHost, connection: UpstreamConnection) -> None:
         """Return a connection to the pool after its answer was read to the end.
--- a/pollenwalk/process/crash_guard.py
+++ b/pollenwalk/process/crash_guard.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from pollenwalk.connection.connection_pool import ProbeResult
 from pollenwalk.connection.crash_messages import CrashReport
 from pollenwalk.connection.limit_messages import TellLimits
 from pollenwalk.errors import Outcome, Refusal, RefusalCode
@@ -20,6 +21,8 @@
 BEGINNING_BYTES = 64
 # Requests that ended lately and are remembered, with about 100 bytes each.
 MAX_SERVED = 8192
+# Characters that are logged of each text that a caller has chosen.
+MAX_LOGGED_CHARACTERS = 200
 
 
 class CrashGuard:
@@ -65,6 +68,12 @@
         crashes = self.crashes(request)
         if not is_given_up(crashes):
             return
+        logger.info(
+            'given_up',
+            request=request.metadata.id,
+            digests=self.digests(request),
+            crashes=crashes,
+        )
         raise Refusal(
             RefusalCode.CRASHES_HOSTS,
             f'{crashes} hosts have crashed while they ran this request',
@@ -95,9 +104,15 @@
             for digest in digests
         )
         self.metrics.count_send('host_crashed')
+        self.metrics.count_crash_check(ProbeResult.REFUSED)
         logger.info(
             'crashed_with',
             request=request.metadata.id,
+            method=request.method.decode('latin-1'),
+            authority=request.host[:MAX_LOGGED_CHARACTERS],
+            target=request.target[:MAX_LOGGED_CHARACTERS].decode('latin-1'),
+            body_bytes=len(request.body),
+            program=request.metadata.program[:MAX_LOGGED_CHARACTERS],
             digests=digests,
             host=registration.id,
             sent_age_ms=round(sent_age_ms),
--- a/pollenwalk/process/gateway_metrics.py
+++ b/pollenwalk/process/gateway_metrics.py
@@ -27,6 +27,10 @@
             'gateway_sends_total',
             'Sends to upstream hosts by what came of them.',
         )
+        self.crash_checks_total = self.counter(
+            'gateway_crash_checks_total',
+            'Broken answers by what shows whether their host has crashed.',
+        )
         self.refused_programs_total = self.counter(
             'gateway_refused_programs_total',
             'New programs that were refused, by reason.',
@@ -149,6 +153,10 @@
         """Count an attempt to send a call to a host, by its outcome."""
         self.sends_total.inc({'outcome': outcome})
 
+    def count_crash_check(self, outcome: str) -> None:
+        """Count a broken answer by what shows whether its host has crashed."""
+        self.crash_checks_total.inc({'outcome': str(outcome)})
+
     def count_refused_program(self, reason: str) -> None:
         """Count a new program that was refused, by the reason."""
         self.refused_programs_total.inc({'reason': reason})
--- a/pollenwalk/request/answer_wait.py
+++ b/pollenwalk/request/answer_wait.py
@@ -133,7 +133,7 @@
         organisation's quota is there.
         """
         sender = self.sender
-        if not sender.may_move(self.runs) or sender.crashes.any_known:
+        if not sender.may_move(self.runs) or sender.crashes.known:
             return False
         context = sender.context
         if not context.call_placer.has_trusted_host(
--- a/pollenwalk/request/call_crashes.py
+++ b/pollenwalk/request/call_crashes.py
@@ -1,12 +1,18 @@
 """The crashes of hosts on one call."""
 
-from pollenwalk.connection.connection_pool import ConnectionPool
+from loguru import logger
+
+from pollenwalk.connection.connection_pool import ConnectionPool, ProbeResult
 from pollenwalk.errors import Outcome
 from pollenwalk.policy.crash_verdict import may_be_to_blame, needs_idle_host
 from pollenwalk.process.crash_guard import CrashGuard
 from pollenwalk.process.host_table import HostState
 from pollenwalk.request.gateway_call import Call
 
+# Why a broken answer is no sign of a crash, beside the results of a probe: the host
+# had other calls and had not begun to answer this one.
+OTHERS_RUNNING = 'others_running'
+
 
 class CallCrashes:
     """Finds and records crashes of hosts on one call."""
@@ -20,12 +26,12 @@
     @property
     def need_idle_host(self) -> bool:
         """Return whether the call should run on a host without other calls."""
-        return needs_idle_host(self.guard.crashes(self.call.request))
+        return needs_idle_host(self.known)
 
     @property
-    def any_known(self) -> bool:
-        """Return whether a host is known to have crashed on the call."""
-        return self.guard.crashes(self.call.request) > 0
+    def known(self) -> int:
+        """Return how many crashes count against the call, as far as is known here."""
+        return self.guard.crashes(self.call.request)
 
     def check(self, runs: int) -> None:
         """Refuse the call if too many hosts have crashed on it.
@@ -52,9 +58,32 @@
         """
         now_ms = self.guard.group.clock.now_ms()
         if not may_be_to_blame(began, state.load(now_ms)):
+            self.log_not_counted(state, OTHERS_RUNNING, now_ms)
             return
-        if await self.pool.is_refused(state.registration):
+        result = await self.pool.probe(state.registration)
+        if result == ProbeResult.REFUSED:
             self.guard.record_crash(self.call.request, state, now_ms - sent_ms)
+        else:
+            self.log_not_counted(state, result, now_ms)
+
+    def log_not_counted(self, state: HostState, reason: str, broken_ms: float) -> None:
+        """Log why a broken answer is not counted as a crash of its host.
+
+        Args:
+            state: the host.
+            reason: why it is not counted.
+            broken_ms: time at which the answer was found to be broken.
+        """
+        now_ms = self.guard.group.clock.now_ms()
+        self.guard.metrics.count_crash_check(reason)
+        logger.info(
+            'crash_not_counted',
+            request=self.call.id,
+            host=state.registration.id,
+            reason=str(reason),
+            load=round(state.load(now_ms), 1),
+            probe_ms=round(now_ms - broken_ms),
+        )
 
     def record_completion(self) -> None:
         """Record that a host has run the call to its end."""
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -313,6 +313,7 @@
             slowness=round(state.slowness(now_ms, self.cost.run_ms), 2),
             limit=self.context.call_placer.host_table.limit_of(state),
             run=self.runs + 1,
+            crashes=self.crashes.known,
             version=self.call.version,
             software=state.registration.software_version,
             resumes_after=last_event_id,
--- a/pollenwalk/request/hedged_unary.py
+++ b/pollenwalk/request/hedged_unary.py
@@ -266,7 +266,7 @@
             Refusal: the host has crashed, and so have others on this call.
         """
         await self.wait_until_slow(delay_ms)
-        if self.first.crashes.any_known:
+        if self.first.crashes.known:
             self.hedging.record_refusal(self.first.call, 'crash')
             return None
         if not self.hedging.budget.has_room:
