--- a/test/process/test_crashing_requests.py
+++ b/test/process/test_crashing_requests.py
@@ -42,6 +42,8 @@
 # What the platform allows after the third crash, of which nothing should be used.
 MAX_CRASHES = 3
 DEADLY = b'deadly'
+# Path of a read without a body on which hosts crash.
+DEADLY_READ = '/p/deadly'
 NUMBERS = count()
 # Least share of other calls that are answered while there are deadly ones.
 WANTED_SERVED = 0.9
@@ -53,6 +55,7 @@
     Attributes:
         lines: open connections.
         crashes: number of crashes so far.
+        crashed_at_s: times of these crashes, on the event loop's clock.
         deadly_end: the end of the bodies on which it crashes besides; None for none.
     """
 
@@ -61,13 +64,14 @@
         super().__init__(name, self.run)
         self.lines: set[Line] = set()
         self.crashes = 0
+        self.crashed_at_s: list[float] = []
         self.deadly_end: bytes | None = None
 
     def is_deadly(self, request: Received) -> bool:
         """Return whether the host crashes on a request."""
         if self.deadly_end and request.body.endswith(self.deadly_end):
             return True
-        return request.body.startswith(DEADLY)
+        return request.body.startswith(DEADLY) or request.target == DEADLY_READ
 
     async def run(self, line: Line, request: Received) -> None:
         """Answer a request; crash if it is a deadly one."""
@@ -82,6 +86,7 @@
     async def crash(self) -> None:
         """Reset all connections and start again after DOWN_S."""
         self.crashes += 1
+        self.crashed_at_s.append(asyncio.get_running_loop().time())
         port = self.server.sockets[0].getsockname()[1] if self.server.sockets else 0
         self.server.close()
         for line in self.lines:
