Know a request that crashes hosts again whichever program sends it

What callers saw: a read without a body was sent to hosts long after it had crashed its third one, and up to 43 hosts ended in 20 s.

Cause: the digest by which a request is known again held the id of its program in place of a missing body, so the same read began its count of crashes anew with each program.

Why this works: the platform's pages say that such a request comes again with the same path, caller and body. call_identity has this as one rule: method, host name of the route, path with query, organisation, body. Nothing on the wire but the key of an organisation names a caller. Two organisations with equal requests are told apart now, so that one neither blames nor clears the other.

--- a/pollenwalk/process/route_explanation.py
+++ b/pollenwalk/process/route_explanation.py
@@ -40,7 +40,7 @@
         named = metadata._replace(id=metadata.id or DEFAULT_ID)
         try:
             call = self.preparation.prepare(request._replace(metadata=named))
-            self.context.permits.crash_guard.check(call.request)
+            self.context.permits.crash_guard.check(call)
         except Refusal as refusal:
             return {'refused': refusal_fields(refusal)}
         sender = CallSender(self.context, call, b'')
--- a/pollenwalk/request/call_crashes.py
+++ b/pollenwalk/request/call_crashes.py
@@ -31,7 +31,7 @@
     @property
     def known(self) -> int:
         """Return how many crashes count against the call, as far as is known here."""
-        return self.guard.crashes(self.call.request)
+        return self.guard.crashes(self.call)
 
     def check(self, runs: int) -> None:
         """Refuse the call if too many hosts have crashed on it.
@@ -42,9 +42,7 @@
         Raises:
             Refusal: the call is not sent to any host any more.
         """
-        self.guard.check(
-            self.call.request, Outcome.UNKNOWN if runs else Outcome.NOT_RUN
-        )
+        self.guard.check(self.call, Outcome.UNKNOWN if runs else Outcome.NOT_RUN)
 
     async def record_if_crashed(
         self, state: HostState, sent_ms: float, began: bool
@@ -62,7 +60,7 @@
             return
         result = await self.pool.probe(state.registration)
         if result == ProbeResult.REFUSED:
-            self.guard.record_crash(self.call.request, state, now_ms - sent_ms)
+            self.guard.record_crash(self.call, state, now_ms - sent_ms)
         else:
             self.log_not_counted(state, result, now_ms)
 
@@ -87,4 +85,4 @@
 
     def record_completion(self) -> None:
         """Record that a host has run the call to its end."""
-        self.guard.record_completion(self.call.request)
+        self.guard.record_completion(self.call)
--- a/pollenwalk/request/call_runner.py
+++ b/pollenwalk/request/call_runner.py
@@ -50,7 +50,7 @@
         Raises:
             Refusal: the call was refused.
         """
-        self.context.permits.crash_guard.check(call.request)
+        self.context.permits.crash_guard.check(call)
         if call.route.is_streaming:
             await run_stream(self.context, call, self.make_turn(call), reply)
         else:
--- a/test/process/test_crashing_reads.py
+++ b/test/process/test_crashing_reads.py
@@ -5,9 +5,8 @@
 import testtools
 
 from standin.platform.daemons import exchange
-from standin.platform.host import Received
 from test.helper import on_loop
-from test.process.test_crashing_requests import DEADLY_READ, DOWN_S
+from test.process.test_crashing_requests import DEADLY_END, DOWN_S, is_deadly
 from test.process.test_killed_daemons import (
     CONTACT_S,
     MAX_AFTER_THIRD,
@@ -19,6 +18,7 @@
 # Rounds of parallel reads after CONTACT_S, each after all hosts are back.
 ROUNDS = 8
 THIRD = 3
+DEADLY_READ = f'/p{DEADLY_END}'
 
 
 class ReadingPrograms(KilledDaemons):
@@ -65,10 +65,9 @@
 
     def deadly_reads(self) -> int:
         """Return how many times the deadly target has reached a host."""
-        received: list[Received] = [
-            request for host in self.hosts for request in host.received
-        ]
-        return sum(request.target == DEADLY_READ for request in received)
+        return sum(
+            is_deadly(request) for host in self.hosts for request in host.received
+        )
 
 
 class CrashingReadsTest(testtools.TestCase):
--- a/test/process/test_crashing_requests.py
+++ b/test/process/test_crashing_requests.py
@@ -9,16 +9,17 @@
 import random
 from collections.abc import AsyncIterator
 from itertools import count
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import testtools
 
 from pollenwalk.connection.gateway_app import status_of
 from pollenwalk.errors import Outcome, Refusal, RefusalCode
-from pollenwalk.process.crash_guard import BEGINNING_BYTES
 from pollenwalk.process.gateway import Gateway
 from pollenwalk.process.keeper import Keeper, KeeperSettings
 from pollenwalk.process.keeper_state import KeeperState
+from pollenwalk.request.call_identity import BEGINNING_BYTES
+from pollenwalk.request.http_messages import Request
 from standin.memory_disk import MemoryDisk
 from standin.platform.host import Line, Received, ScriptedHost, answer
 from test.helper import on_loop
@@ -42,13 +43,25 @@
 # What the platform allows after the third crash, of which nothing should be used.
 MAX_CRASHES = 3
 DEADLY = b'deadly'
-# Path of a read without a body on which hosts crash.
-DEADLY_READ = '/p/deadly'
+# End of the paths of reads without a body on which hosts crash.
+DEADLY_END = '/deadly'
 NUMBERS = count()
 # Least share of other calls that are answered while there are deadly ones.
 WANTED_SERVED = 0.9
 
 
+class Send(Protocol):
+    """Makes one call of a kind at a gateway."""
+
+    async def __call__(self, gateway: Gateway) -> Ended:
+        """Return how the call ended."""
+
+
+def is_deadly(request: Received) -> bool:
+    """Return whether a request is one on which all hosts crash."""
+    return request.body.startswith(DEADLY) or request.target.endswith(DEADLY_END)
+
+
 class CrashingHost(ScriptedHost):
     """A host that may crash: it resets all connections and is down for a while.
 
@@ -71,7 +84,7 @@
         """Return whether the host crashes on a request."""
         if self.deadly_end and request.body.endswith(self.deadly_end):
             return True
-        return request.body.startswith(DEADLY) or request.target == DEADLY_READ
+        return is_deadly(request)
 
     async def run(self, line: Line, request: Received) -> None:
         """Answer a request; crash if it is a deadly one."""
@@ -137,45 +150,78 @@
         return gateways
 
     async def call(self, gateway: Gateway, body: bytes) -> Ended:
-        """Make one call and return how it ended."""
+        """Make one call with a body and return how it ended."""
         request = self.make_request('/safe/1', f'r{next(NUMBERS)}')
+        return await self.handle(gateway, request._replace(body=body))
+
+    async def read(self, gateway: Gateway, path: str) -> Ended:
+        """Make one call without a body, as a new program; return how it ended."""
+        request = self.make_request(path, f'r{next(NUMBERS)}')
+        metadata = request.metadata._replace(program=f'p{next(NUMBERS)}')
+        read = request._replace(method=b'GET', metadata=metadata)
+        return await self.handle(gateway, read)
+
+    async def handle(self, gateway: Gateway, request: Request) -> Ended:
+        """Let a gateway handle a request; return how it ended."""
         error = None
         try:
-            await gateway.handle(request._replace(body=body), RecordedReply())
+            await gateway.handle(request, RecordedReply())
         except Refusal as refusal:
             error = refusal
         return Ended(error, self.clock.now_ms() - request.arrived_ms)
 
+    async def call_deadly(self, gateway: Gateway) -> Ended:
+        """Make a deadly call with a body."""
+        return await self.call(gateway, DEADLY)
+
+    async def read_deadly(self, gateway: Gateway) -> Ended:
+        """Make a deadly call without a body."""
+        return await self.read(gateway, f'/safe{DEADLY_END}')
+
+    async def call_harmless(self, gateway: Gateway) -> Ended:
+        """Make a harmless call that differs from all others."""
+        return await self.call(gateway, f'harmless {next(NUMBERS)}'.encode())
+
+    async def read_busy(self, gateway: Gateway) -> Ended:
+        """Make a harmless call without a body, the same as other programs."""
+        return await self.read(gateway, '/safe/busy')
+
     def deadly_sends(self) -> int:
         """Return how many deadly requests have reached hosts."""
         return sum(
-            request.body.startswith(DEADLY)
+            is_deadly(request)
             for host in self.hosts.values()
             for request in host.received
         )
 
     async def repeat(
-        self, gateways: list[Gateway], rng: random.Random, repeats: int
+        self,
+        gateways: list[Gateway],
+        rng: random.Random,
+        repeats: int,
+        send: Send | None = None,
     ) -> list[Ended]:
-        """Repeat a deadly request at random gateways, some of them in parallel."""
+        """Repeat a call at random gateways, some times in parallel."""
+        send = send or self.call_deadly
         calls = []
         for _ in range(repeats):
-            gateway = rng.choice(gateways)
-            calls.append(asyncio.ensure_future(self.call(gateway, DEADLY)))
+            calls.append(asyncio.ensure_future(send(rng.choice(gateways))))
             await asyncio.sleep(PAUSE_S * rng.choice((0, 1, 2)))
         return await asyncio.gather(*calls)
 
     async def load(
-        self, gateways: list[Gateway], rng: random.Random, until_s: float
+        self,
+        gateways: list[Gateway],
+        rng: random.Random,
+        until_s: float,
+        send: Send | None = None,
     ) -> list[Ended]:
-        """Make different harmless calls at random gateways."""
+        """Make harmless calls at random gateways."""
+        send = send or self.call_harmless
         calls = []
         loop = asyncio.get_running_loop()
         while loop.time() < until_s:
-            body = f'harmless {next(NUMBERS)}'.encode()
-            calls.append(
-                asyncio.ensure_future(self.call(rng.choice(gateways), body)),
-            )
+            calls.append(asyncio.ensure_future(send(rng.choice(gateways))))
             await asyncio.sleep(PAUSE_S / 2)
         return await asyncio.gather(*calls)
 
@@ -202,14 +248,15 @@
 class CrashingRequestTest(testtools.TestCase):
     """The sum of what all gateways send of a request that crashes hosts."""
 
-    async def check_bound(self, number: int, seed: int) -> None:
+    async def check_bound(self, number: int, seed: int, reads: bool = False) -> None:
         """Check that a request is sent to no host once its third crash is known."""
         rng = random.Random(seed)
         async with started(number) as (upstream, gateways):
-            await upstream.repeat(gateways, rng, REPEATS)
+            send = upstream.read_deadly if reads else upstream.call_deadly
+            await upstream.repeat(gateways, rng, REPEATS, send)
             await asyncio.sleep(NEWS_S)
             before = upstream.deadly_sends()
-            ended = await upstream.repeat(gateways, rng, REPEATS)
+            ended = await upstream.repeat(gateways, rng, REPEATS, send)
             self.assertEqual(before, upstream.deadly_sends(), (number, seed))
         self.assertTrue(before >= MAX_CRASHES, before)
         codes = {one.error.code for one in ended}
@@ -228,6 +275,12 @@
     async def test_sixty_gateways(self) -> None:
         await self.check_bound(60, 1)
 
+    @on_loop
+    async def test_reads_of_several_programs(self) -> None:
+        # Guards against a count of crashes that begins anew with each program.
+        for number in (4, 18, 60):
+            await self.check_bound(number, 1, reads=True)
+
     @on_loop
     async def test_keeper_and_gateway_die_meanwhile(self) -> None:
         rng = random.Random(1)
@@ -271,9 +324,19 @@
 
     @on_loop
     async def test_ordinary_crashes_give_up_nobody(self) -> None:
+        for reads in (False, True):
+            await self.check_ordinary_crashes(reads)
+
+    async def check_ordinary_crashes(self, reads: bool) -> None:
+        """Check that no call is given up when hosts crash for other reasons.
+
+        Args:
+            reads: whether all calls are the same read, else all differ.
+        """
         async with started(4) as (upstream, gateways):
+            send = upstream.read_busy if reads else upstream.call_harmless
             until_s = asyncio.get_running_loop().time() + 5
-            harmless = upstream.load(gateways, random.Random(2), until_s)
+            harmless = upstream.load(gateways, random.Random(2), until_s, send)
             loading = asyncio.ensure_future(harmless)
             rng = random.Random(3)
             while not loading.done():
--- a/test/request/test_hedged_unary.py
+++ b/test/request/test_hedged_unary.py
@@ -9,9 +9,9 @@
 from pollenwalk.connection.limit_messages import LimitNews
 from pollenwalk.errors import Outcome, Refusal, RefusalCode
 from pollenwalk.policy.answer_times import MIN_SAMPLES
-from pollenwalk.process.crash_guard import both_digests
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.hedging import Hedging, make_hedging
+from pollenwalk.request.call_identity import identify
 from pollenwalk.request.call_sender import ForwardingContext
 from pollenwalk.request.unary import run_unary
 from pollenwalk.version.routes import Route
@@ -256,7 +256,7 @@
     async def test_request_on_which_a_host_has_crashed(self) -> None:
         context = await self.start_slow()
         records = context.permits.crash_guard.records
-        digest, _ = both_digests(make_call(ROUTE).request)
+        digest = identify(make_call(ROUTE)).whole
         records.learn(CrashReport(digest, 'i-9/0', False, 0, 100), 'keeper')
         await self.check_single(context, 'crash')
 
--- a/test/request/test_moved_requests.py
+++ b/test/request/test_moved_requests.py
@@ -6,8 +6,8 @@
 from pollenwalk.connection.crash_messages import CrashReport
 from pollenwalk.errors import BrokenAnswer, Refusal, RefusalCode
 from pollenwalk.policy.silent_hosts import LatestAnswers
-from pollenwalk.process.crash_guard import both_digests
 from pollenwalk.process.silent_hosts import SilentHosts
+from pollenwalk.request.call_identity import identify
 from pollenwalk.request.forwarding_context import ForwardingContext
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.request.streaming import StandaloneTurn, run_stream
@@ -167,7 +167,7 @@
         other.suspected_until_ms = context.clock.now_ms() + 5000
         await self.check_stays(context)
         context = await self.start_watched(Hanging(), answers_hello)
-        digest, _ = both_digests(make_call(ROUTE).request)
+        digest = identify(make_call(ROUTE)).whole
         report = CrashReport(digest, 'i-9/0', False, 0, 100)
         context.permits.crash_guard.records.learn(report, 'keeper')
         await self.check_stays(context)
