Send one attempt at a time of a request on which a host has crashed

Cause: hosts that crash within 100 ms count as one crash, as a loss of power takes many away at once, so each round of parallel attempts counted one, and each gateway could send one more before it heard of the last. Besides, a keeper counted fewer crashes in a row than the gateways: the times in its records contain the delays of the messages, and 35 ms between two crashes were lost in them. It is the keeper's count that a kill of all leaves.

In the new test, six gateways send a read at the same moment, in rounds: 6 sends more than 4 s after the third crash before this change, three allowed.

Why this works: from the first crash on until a complete run, a keeper lets one attempt of the request run at a time, for all gateways, and tells what it knows of crashes with its answer. So a round is one send, and no gateway that has heard of a crash sends on an old count. A keeper that gives no answer stops nobody.

--- a/pollenwalk/connection/message_types.py
+++ b/pollenwalk/connection/message_types.py
@@ -67,6 +67,11 @@
     Listing,
     ReadPrefix,
 )
+from pollenwalk.connection.trial_messages import (
+    EndTrial,
+    RequestTrial,
+    TrialDecision,
+)
 from pollenwalk.errors import RefusalBody
 from pollenwalk.program.streams import (
     FindStreamOrigin,
@@ -165,6 +170,9 @@
     KnownLimits,
     BorrowShares,
     LentShares,
+    RequestTrial,
+    TrialDecision,
+    EndTrial,
     GatewayLoad,
     FleetState,
     CountedFleetState,
--- a/pollenwalk/errors.py
+++ b/pollenwalk/errors.py
@@ -78,6 +78,7 @@
     KEEPERS_UNAVAILABLE = 'keepers_unavailable'
     RETIRING = 'retiring'
     CRASHES_HOSTS = 'crashes_hosts'
+    SUSPECTED = 'suspected'
     UNKNOWN_KEY = 'unknown_key'
     KEYS_UNCONFIRMED = 'keys_unconfirmed'
     QUOTA_EXHAUSTED = 'quota_exhausted'
--- a/pollenwalk/process/crash_guard.py
+++ b/pollenwalk/process/crash_guard.py
@@ -7,12 +7,14 @@
 from pollenwalk.connection.connection_pool import ProbeResult
 from pollenwalk.connection.crash_messages import CrashReport
 from pollenwalk.connection.limit_messages import TellLimits
+from pollenwalk.connection.trial_messages import RequestTrial
 from pollenwalk.errors import Outcome, Refusal, RefusalCode
 from pollenwalk.policy.crash_verdict import is_given_up
 from pollenwalk.process.crash_records import CrashRecords
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.host_table import HostState
 from pollenwalk.process.keeper_group import KeeperGroup
+from pollenwalk.process.trial_client import TrialClient
 from pollenwalk.request.call_identity import identify, identify_beginning
 from pollenwalk.request.gateway_call import Call
 
@@ -31,6 +33,7 @@
 
     Attributes:
         records: the crashes known here, also those of other gateways' calls.
+        trials: asks keepers whether a call on which hosts have crashed may be sent.
         served: digests of the beginnings of requests that ended; used as an ordered set.
     """
 
@@ -39,6 +42,7 @@
         self.group = group
         self.metrics = metrics
         self.records = CrashRecords(group.clock)
+        self.trials = TrialClient(group)
         self.served: dict[str, None] = {}
 
     def crashes(self, call: Call) -> int:
@@ -54,6 +58,31 @@
             return [whole]
         return [whole, beginning]
 
+    def suspect_digest(self, call: Call) -> str:
+        """Return the digest of a call against which most crashes count.
+
+        Of equal ones it is the beginning, which repeats with another end share.
+        """
+        return max(reversed(self.digests(call)), key=self.records.crashes)
+
+    async def begin_trial(self, call: Call, digest: str, attempt: str) -> bool:
+        """Ask whether an attempt of a call may be sent; learn of crashes on the call.
+
+        Args:
+            call: the call.
+            digest: the digest against which crashes count.
+            attempt: tells the attempt from all others.
+        """
+        duration_ms = call.remaining_ms(self.group.clock.now_ms())
+        decision = await self.trials.request(RequestTrial(digest, attempt, duration_ms))
+        for report in decision.crashes:
+            self.records.learn(report, 'keeper')
+        return decision.granted
+
+    def end_trial(self, digest: str, attempt: str) -> None:
+        """Tell the keeper that an attempt of a call has ended."""
+        self.trials.end(digest, attempt, self.records.reports(digest))
+
     def check(self, call: Call, outcome: Outcome = Outcome.NOT_RUN) -> None:
         """Refuse a call that has crashed too many hosts.
 
@@ -70,6 +99,7 @@
         logger.info(
             'given_up',
             request=call.id,
+            program=call.request.metadata.program[:MAX_LOGGED_CHARACTERS],
             digests=self.digests(call),
             crashes=crashes,
         )
--- a/pollenwalk/process/crash_records.py
+++ b/pollenwalk/process/crash_records.py
@@ -153,6 +153,13 @@
             if record.revision > revision
         )
 
+    def reports(self, request: str) -> tuple[CrashReport, ...]:
+        """Return all reports of one request."""
+        records = self.by_request.get(request, {})
+        return tuple(
+            self.report(request, host, record) for host, record in records.items()
+        )
+
     def report(self, request: str, host: str, record: CrashRecord) -> CrashReport:
         """Return a record as it is told to others."""
         now_ms = self.clock.now_ms()
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -36,6 +36,7 @@
     FollowPrefix,
     ReadPrefix,
 )
+from pollenwalk.connection.trial_messages import EndTrial, RequestTrial
 from pollenwalk.errors import (
     Refusal,
     RefusalCode,
@@ -43,6 +44,7 @@
 )
 from pollenwalk.policy.fleet_load import FleetLoad
 from pollenwalk.policy.quota_bucket import QuotaBound
+from pollenwalk.process.call_trials import CallTrials
 from pollenwalk.process.clock import MS_PER_SECOND, Clock
 from pollenwalk.process.configuration_lease import WATCH_SHARE
 from pollenwalk.process.keeper_feed import KeeperFeed
@@ -97,10 +99,16 @@
 # a stalled watch must end well before.
 WATCH_WAIT_MS = 2500
 LimitMessage = RequestPermit | TellLimits | ExchangeLimits | BorrowShares
+TrialMessage = RequestTrial | EndTrial
 CopyMessage = KeepTurns | FindMissing | ListTurns | CheckReachable | EnsureCopies
 QuotaMessage = RequestQuota | BorrowQuotas | FindQuota
 MemoryMessage = (
-    LimitMessage | QuotaMessage | StreamOrigin | FindStreamOrigin | GatewayLoad
+    LimitMessage
+    | TrialMessage
+    | QuotaMessage
+    | StreamOrigin
+    | FindStreamOrigin
+    | GatewayLoad
 )
 
 
@@ -143,6 +151,7 @@
         stream_origins: where the latest streams began, in memory only.
         permits: gives permits for hosts with a limit, in memory only, and passes on
             reports of crashes, which are on disk.
+        trials: keeps attempts of suspected calls apart, in memory only.
         quotas: grants tokens of organisations' quotas, in memory only; None if no
             quotas are kept.
         quota_borrowing: borrows the shares of others; None before the start, or if no
@@ -196,6 +205,7 @@
             clock, settings.name, self.links.members, settings.regions, state.crashes
         )
         self.permits.on_crash = self.store_crash
+        self.trials = CallTrials(clock, state.crashes, self.permits.learn_crashes)
         self.quotas: QuotaOwner | None = None
         self.quota_borrowing: QuotaBorrowing | None = None
         if settings.quota_bound is not None:
@@ -326,6 +336,8 @@
         """Return the answer to a message about what is not on disk."""
         if isinstance(message, LimitMessage):
             return self.answer_about_limits(message)
+        if isinstance(message, TrialMessage):
+            return self.trials.answer(message)
         if isinstance(message, QuotaMessage):
             return self.answer_about_quotas(message)
         if isinstance(message, GatewayLoad):
--- a/pollenwalk/process/permit_allocator.py
+++ b/pollenwalk/process/permit_allocator.py
@@ -13,9 +13,9 @@
 """
 
 import secrets
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
-from pollenwalk.connection.crash_messages import CrashNote
+from pollenwalk.connection.crash_messages import CrashNote, CrashReport
 from pollenwalk.connection.limit_messages import (
     BorrowShares,
     ExchangeLimits,
@@ -129,9 +129,7 @@
         if isinstance(message, BorrowShares):
             return self.lend(message)
         self.learn_all(message.limits)
-        for report in message.crashes:
-            if self.crashes.learn(report, 'message'):
-                self.on_crash(self.crashes.note(report))
+        self.learn_crashes(message.crashes)
         if isinstance(message, TellLimits):
             self.leaving.add(message.leaving)
             return self.known_since(self.limits.revision, self.crashes.revision)
@@ -139,6 +137,12 @@
             return self.known_since(0, 0)
         return self.known_since(message.since, message.crashes_since)
 
+    def learn_crashes(self, reports: Iterable[CrashReport]) -> None:
+        """Record what another process has heard of crashes."""
+        for report in reports:
+            if self.crashes.learn(report, 'message'):
+                self.on_crash(self.crashes.note(report))
+
     def known_since(self, limits_revision: int, crashes_revision: int) -> KnownLimits:
         """Return what has become known since the revisions of both tables."""
         return KnownLimits(
--- a/pollenwalk/request/call_sender.py
+++ b/pollenwalk/request/call_sender.py
@@ -16,6 +16,7 @@
 from pollenwalk.request.body_room import BodyRoom
 from pollenwalk.request.call_crashes import CallCrashes
 from pollenwalk.request.call_permits import CallPermits
+from pollenwalk.request.call_trial import CallTrial
 from pollenwalk.request.exchange import Exchange
 from pollenwalk.request.forwarding_context import ForwardingContext
 from pollenwalk.request.gateway_call import Call
@@ -52,6 +53,8 @@
             any, as long as no event has been shown.
         permits: obtains the call's permits for hosts with a limit.
         crashes: records crashes of hosts on the call.
+        trial: lets the call run alone once a host has crashed on it; entered while the
+            call is sent.
         answer_wait: the wait for the answer to the last send.
         body_room: tells whether hosts have room for the call's body.
     """
@@ -80,6 +83,7 @@
             context.permits, context.call_placer, context.metrics, call
         )
         self.crashes = CallCrashes(context.permits.crash_guard, context.pool, call)
+        self.trial = CallTrial(context.permits.crash_guard, call)
         self.answer_wait = AnswerWait(self)
 
     def record_run_time(self, state: HostState) -> None:
@@ -145,11 +149,13 @@
         """Choose the host for the next send.
 
         Once all hosts have been tried, they are tried again at intervals of
-        HOST_RETRY_INTERVAL_MS until `give_up_at_ms`.
+        HOST_RETRY_INTERVAL_MS until `give_up_at_ms`. A call on which a host has crashed
+        waits first until no other attempt of it runs.
 
         Raises:
-            Refusal: no host accepts the call.
+            Refusal: no host accepts the call, or it may not be sent now.
         """
+        await self.trial.begin(self.runs, self.give_up_at_ms)
         clock = self.context.clock
         while True:
             state = self.best_host()
--- a/pollenwalk/request/hedged_unary.py
+++ b/pollenwalk/request/hedged_unary.py
@@ -391,7 +391,9 @@
         Refusal: no host gave a complete answer.
     """
     sender = FirstSender(context, call, hedging)
-    answer = await obtain_answer(sender)
+    with sender.trial:
+        answer = await obtain_answer(sender)
+        sender.crashes.record_completion()
     now_ms = context.clock.now_ms()
     if answer.succeeded:
         hedging.answer_times.record(call.route_key, answer.sender.sent_ms, now_ms)
@@ -405,7 +407,6 @@
             took_ms=round(now_ms - answer.sender.sent_ms),
         )
     answer.sender.record_run_time(answer.host)
-    sender.crashes.record_completion()
     await reply.send_complete(answer.head.status, answer.head.headers, answer.body)
 
 
--- a/pollenwalk/request/streaming.py
+++ b/pollenwalk/request/streaming.py
@@ -112,7 +112,8 @@
     """
     try:
         sender = await make_sender(context, call, turn)
-        await StreamForwarder(sender, turn, reply).run()
+        with sender.trial:
+            await StreamForwarder(sender, turn, reply).run()
     finally:
         turn.close()
 
--- a/pollenwalk/request/unary.py
+++ b/pollenwalk/request/unary.py
@@ -6,6 +6,7 @@
 from pollenwalk.request.forwarding_context import ForwardingContext
 from pollenwalk.request.gateway_call import Call
 from pollenwalk.request.hedged_unary import may_be_hedged, run_hedged
+from pollenwalk.request.http_messages import AnswerHead
 from pollenwalk.request.reply import Reply
 
 
@@ -24,20 +25,30 @@
         await run_hedged(context, call, reply, context.hedging)
         return
     sender = CallSender(context, call, call.request.body)
+    with sender.trial:
+        head, body = await obtain_answer(sender)
+    await reply.send_complete(head.status, head.headers, body)
+
+
+async def obtain_answer(sender: CallSender) -> tuple[AnswerHead, bytes]:
+    """Send a call until a host gives a complete answer; return its head and body.
+
+    Raises:
+        Refusal: no host gave a complete answer.
+    """
     while True:
         exchange = await sender.open_exchange()
         body = await read_body_or_none(sender, exchange)
         if body is not None:
-            break
+            sender.record_run_time(exchange.state)
+            sender.crashes.record_completion()
+            return exchange.head, body
         if not sender.may_send():
             raise Refusal(
                 RefusalCode.UPSTREAM_FAILED,
                 'the upstream host broke off its answer',
                 Outcome.UNKNOWN,
             )
-    sender.record_run_time(exchange.state)
-    sender.crashes.record_completion()
-    await reply.send_complete(exchange.head.status, exchange.head.headers, body)
 
 
 async def read_body_or_none(sender: CallSender, exchange: Exchange) -> bytes | None:
--- a/test/process/test_crashing_requests.py
+++ b/test/process/test_crashing_requests.py
@@ -38,6 +38,8 @@
 RUN_S = 0.03
 # Time from a crash until all gateways must know of it.
 NEWS_S = 1.0
+# After a crash, all gateways are in touch for this long until sends count as late.
+CONTACT_S = 4.0
 PAUSE_S = 0.04
 REPEATS = 40
 # What the platform allows after the third crash, of which nothing should be used.
@@ -186,6 +188,10 @@
         """Make a harmless call without a body, the same as other programs."""
         return await self.read(gateway, '/safe/busy')
 
+    async def read_at_all(self, gateways: list[Gateway]) -> None:
+        """Make the deadly call without a body at all gateways at the same moment."""
+        await asyncio.gather(*map(self.read_deadly, gateways))
+
     def deadly_sends(self) -> int:
         """Return how many deadly requests have reached hosts."""
         return sum(
@@ -281,6 +287,23 @@
         for number in (4, 18, 60):
             await self.check_bound(number, 1, reads=True)
 
+    @on_loop
+    async def test_parallel_repeats_that_come_late(self) -> None:
+        # Guards against rounds of parallel attempts that count as one crash each.
+        async with started(6) as (upstream, gateways):
+            loop = asyncio.get_running_loop()
+            late_s = loop.time() + CONTACT_S
+            await upstream.read_at_all(gateways)
+            while loop.time() < late_s + RUN_S:
+                await asyncio.sleep(RUN_S)
+            before = upstream.deadly_sends()
+            for _ in range(MAX_CRASHES):
+                await upstream.read_at_all(gateways)
+                await asyncio.sleep(2 * DOWN_S)
+            late = upstream.deadly_sends() - before
+        self.assertTrue(before >= MAX_CRASHES, before)
+        self.assertTrue(late <= MAX_CRASHES, (before, late))
+
     @on_loop
     async def test_keeper_and_gateway_die_meanwhile(self) -> None:
         rng = random.Random(1)
