Take an answer whose status is none of HTTP for a broken one

What callers saw on other systems: a server in trouble answered with status 000, and the client got it as an answer.

Here, in each way that an answer takes: a host's 000 to 199 ended as a broken answer, but its 600 to 999 was forwarded as one, whole, as a stream's refusal or as the answer of a second attempt, and a host's word that it had not run a call was believed with such a status. Of the product's own clients, a service's 000 with a JSON body was its output, an engine's 000 was taken for its word that the call had not run, and the object store's 000 for an object read, written or deleted. A redirect counted as a service's output, too.

Cause: each reader tested for the failures that it knew, and took the rest for success.

--- a/pollenwalk/connection/engine_http.py
+++ b/pollenwalk/connection/engine_http.py
@@ -278,8 +278,8 @@
     """Raise an error if an engine answers with a status other than 200.
 
     Raises:
-        Refusal: a status below 500: the engine did not run the call.
-        ConnectionLost: a status of 500 or higher: the engine failed.
+        Refusal: a status from 400 to 499: the engine did not run the call.
+        ConnectionLost: another status: the engine failed.
     """
     if status == HTTPStatus.OK:
         return
@@ -289,7 +289,7 @@
             'the engine is overloaded',
             retry_after_ms=RETRY_AFTER_MS,
         )
-    if status < HTTPStatus.INTERNAL_SERVER_ERROR:
+    if HTTPStatus.BAD_REQUEST <= status < HTTPStatus.INTERNAL_SERVER_ERROR:
         raise Refusal(
             RefusalCode.UPSTREAM_FAILED,
             f'the engine answered with status {status}',
--- a/pollenwalk/connection/http_client.py
+++ b/pollenwalk/connection/http_client.py
@@ -1,11 +1,34 @@
 """Base class of the HTTP clients of external systems."""
 
 import aiohttp
+from aiohttp.connector import Connection
+
+from pollenwalk.request.http_messages import FINAL_STATUSES
 
 # Maximum size of a response body that is read as a whole.
 MAX_RESPONSE_BYTES = 8_388_608
 
 
+class CheckedResponse(aiohttp.ClientResponse):
+    """A response whose status is one of HTTP."""
+
+    async def start(self, connection: Connection) -> 'CheckedResponse':
+        """Read the status and the headers.
+
+        Raises:
+            aiohttp.ClientResponseError: the status is none of HTTP.
+        """
+        await super().start(connection)
+        if self.status not in FINAL_STATUSES:
+            raise aiohttp.ClientResponseError(
+                self.request_info,
+                self.history,
+                status=self.status,
+                message='the status is none of HTTP',
+            )
+        return self
+
+
 class HttpClient:
     """Holds the HTTP session for one base URL, opened at the first request.
 
@@ -23,7 +46,10 @@
     def open_session(self) -> aiohttp.ClientSession:
         """Return the session, created at the first call."""
         if self.session is None:
-            self.session = aiohttp.ClientSession(connector=self.make_connector())
+            self.session = aiohttp.ClientSession(
+                connector=self.make_connector(),
+                response_class=CheckedResponse,
+            )
         return self.session
 
     def make_connector(self) -> aiohttp.TCPConnector:
--- a/pollenwalk/connection/service_http.py
+++ b/pollenwalk/connection/service_http.py
@@ -77,7 +77,8 @@
             f'the service answered with status {status}',
             retry_after_ms=RETRY_AFTER_MS,
         )
-    if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+    is_failure = status >= HTTPStatus.INTERNAL_SERVER_ERROR
+    if is_failure or HTTPStatus.MULTIPLE_CHOICES <= status < HTTPStatus.BAD_REQUEST:
         raise unknown_outcome(f'the service answered with status {status}')
     output = decode_output(body)
     if status >= HTTPStatus.BAD_REQUEST:
--- a/pollenwalk/connection/store_http.py
+++ b/pollenwalk/connection/store_http.py
@@ -23,6 +23,16 @@
 RESPONSE_TIMEOUT_S = 2
 # Limit on a watch request, which the store answers after the next change.
 WATCH_TIMEOUT_S = 15
+# Statuses that say what has become of a request.
+PROCESSED_STATUSES = frozenset(
+    (
+        HTTPStatus.OK,
+        HTTPStatus.CREATED,
+        HTTPStatus.NO_CONTENT,
+        HTTPStatus.NOT_FOUND,
+        HTTPStatus.PRECONDITION_FAILED,
+    )
+)
 
 
 class ListedObject(NamedTuple):
@@ -65,7 +75,8 @@
             **options: further arguments of `aiohttp.ClientSession.request`.
 
         Raises:
-            StoreUnavailable: no response in time, or status 429 or 5xx.
+            StoreUnavailable: no response in time, or one that is none of
+                PROCESSED_STATUSES.
         """
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
@@ -83,9 +94,7 @@
                 )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise StoreUnavailable(f'{method} {path}: {error}') from error
-        if response.status >= HTTPStatus.INTERNAL_SERVER_ERROR or (
-            response.status == HTTPStatus.TOO_MANY_REQUESTS
-        ):
+        if response.status not in PROCESSED_STATUSES:
             raise StoreUnavailable(f'{method} {path}: status {response.status}')
         return response
 
--- a/pollenwalk/connection/upstream_connection.py
+++ b/pollenwalk/connection/upstream_connection.py
@@ -23,7 +23,7 @@
 from pollenwalk.errors import BrokenAnswer, NotSent
 from pollenwalk.platform import headers as platform_headers
 from pollenwalk.process.loop_share import LoopShare
-from pollenwalk.request.http_messages import AnswerHead, Headers
+from pollenwalk.request.http_messages import FINAL_STATUSES, AnswerHead, Headers
 
 # Number of bytes that are parsed before other calls get a chance to run.
 MAX_PARSED_BYTES = 32_768
@@ -288,8 +288,8 @@
         """Wait for the head of the next answer, whichever request it is for.
 
         Raises:
-            BrokenAnswer: the connection ended without an answer, or more than
-                MAX_INFORMATIONAL_ANSWERS came before it.
+            BrokenAnswer: the connection ended without an answer, more than
+                MAX_INFORMATIONAL_ANSWERS came before it, or its status is none of HTTP.
         """
         event = await self.next_event()
         skipped = 0
@@ -300,6 +300,8 @@
             event = await self.next_event()
         if not isinstance(event, h11.Response):
             raise BrokenAnswer('the connection ended without an answer')
+        if event.status_code not in FINAL_STATUSES:
+            raise BrokenAnswer(f'status {event.status_code:03} is none of HTTP')
         head = platform_headers.read_answer_head(event.status_code, list(event.headers))
         if head.keep_alive_ms is not None:
             self.keep_alive_ms = head.keep_alive_ms
--- a/pollenwalk/request/http_messages.py
+++ b/pollenwalk/request/http_messages.py
@@ -1,9 +1,13 @@
 """The decoded request of a caller and the head of an upstream host's answer."""
 
 import enum
+from http import HTTPStatus
 from typing import NamedTuple
 
 Headers = list[tuple[bytes, bytes]]
+# The statuses of final answers, 200 to 599. Any other comes from a server in trouble, and
+# leaves open whether the request has run.
+FINAL_STATUSES = range(HTTPStatus.OK, HTTPStatus.INTERNAL_SERVER_ERROR + 100)
 
 
 class PromptPart(NamedTuple):
