Ignore SIGHUP until a daemon can reload its settings

A gateway or keeper that got SIGHUP in the first half second after its start was ended by it, as the handler is set only once the modules are loaded.

The daemons ignore it from their first line on; they read the settings later in the start, and look at the file regularly. What remains is the start of the interpreter itself.

--- a/pollenwalk/commands/daemons.py
+++ b/pollenwalk/commands/daemons.py
@@ -6,10 +6,12 @@
 
 from pollenwalk.commands.options import add_config_option
 from pollenwalk.process.settings import read_settings
+from pollenwalk.process.signals import ignore_hangup
 
 
 def run_gateway(options: argparse.Namespace) -> int:
     """Run a gateway until SIGTERM."""
+    ignore_hangup()
     settings = read_settings(options.config, 'gateway')
     # Imported here so that each daemon loads only the modules that it uses, as
     # the hosts have little memory.
@@ -21,6 +23,7 @@
 
 def run_keeper(options: argparse.Namespace) -> int:
     """Run a keeper until SIGTERM."""
+    ignore_hangup()
     settings = read_settings(options.config, 'keeper')
     # Imported here to save memory, see `run_gateway`.
     from pollenwalk.process import keeper_daemon  # noqa: PLC0415, WPS433
--- a/pollenwalk/process/signals.py
+++ b/pollenwalk/process/signals.py
@@ -5,6 +5,11 @@
 from collections.abc import Callable
 
 
+def ignore_hangup() -> None:
+    """Keep SIGHUP from ending a process that can't reload its settings yet."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def stop_on_signals(on_hangup: Callable[[], None] | None = None) -> asyncio.Event:
     """Return an event that is set on SIGTERM or SIGINT.
 
