Let a gateway that starts hear of crashes within 100 ms

What callers saw: after a kill of all gateways and keepers, a request that had been given up reached one more host from each gateway that had just started.

Cause: the first exchange with a keeper was tried before the list of keepers was read, and the next one half a second later, when the gateway already took calls.

The test, on the code before: a gateway that is ready knows no crash 200 ms later. Until the first exchange it is tried each 50 ms now; afterwards nothing changes.

--- a/pollenwalk/process/permit_client.py
+++ b/pollenwalk/process/permit_client.py
@@ -38,6 +38,8 @@
 EXCHANGE_INTERVAL_MS = 500.0
 # The same for some time after a crash, as a request that crashes hosts comes again soon.
 CRASH_EXCHANGE_INTERVAL_MS = 100.0
+# The same until the first exchange: a gateway that starts knows of no crash.
+FIRST_EXCHANGE_INTERVAL_MS = 50.0
 # Expected wait for a permit if no keeper could give one.
 NO_KEEPER_WAIT_MS = 300.0
 # Characters of an unreadable limit that are logged.
@@ -211,6 +213,8 @@
     @property
     def exchange_interval_ms(self) -> float:
         """Return the time until the next exchange with a keeper."""
+        if not self.exchanged:
+            return FIRST_EXCHANGE_INTERVAL_MS
         if self.crash_guard.records.had_crash_lately:
             return CRASH_EXCHANGE_INTERVAL_MS
         return EXCHANGE_INTERVAL_MS
--- a/test/process/test_crashing_requests.py
+++ b/test/process/test_crashing_requests.py
@@ -38,6 +38,8 @@
 RUN_S = 0.03
 # Time from a crash until all gateways must know of it.
 NEWS_S = 1.0
+# Time from the start of a gateway until it must know of all crashes.
+START_NEWS_S = 0.2
 # After a crash, all gateways are in touch for this long until sends count as late.
 CONTACT_S = 4.0
 PAUSE_S = 0.04
@@ -287,6 +289,17 @@
         for number in (4, 18, 60):
             await self.check_bound(number, 1, reads=True)
 
+    @on_loop
+    async def test_gateway_that_starts_knows_of_crashes(self) -> None:
+        # Guards against a send by each gateway that has just started.
+        async with started(1) as (upstream, gateways):
+            await upstream.repeat(gateways, random.Random(1), REPEATS)
+            gateway = await upstream.start_gateway('new')
+            await asyncio.sleep(START_NEWS_S)
+            known = [one.permits.crash_guard.records for one in (*gateways, gateway)]
+            self.assertEqual(known[0].size, known[1].size)
+            self.assertTrue(known[1].size)
+
     @on_loop
     async def test_parallel_repeats_that_come_late(self) -> None:
         # Guards against rounds of parallel attempts that count as one crash each.
