Don't blame a request that has just ended whole for a crash

What callers saw: a read that many callers make was taken for one that crashes hosts, and refused to all of them.

Cause: deadly requests cut it at several hosts in a row, and the runs that end whole at other gateways in between are heard of up to 100 ms later. As it is given up then, nobody runs it, and nothing clears it.

A request that crashes hosts never ends. So one that has ended whole at this gateway within 2 s before a crash is not to blame for it, and a report of another gateway about such a request is cleared. Only requests without a body or with a short one are told by their beginning as a whole, so longer ones are counted as before.

--- a/pollenwalk/process/crash_guard.py
+++ b/pollenwalk/process/crash_guard.py
@@ -1,5 +1,7 @@
 """Keeps requests from hosts on which they have crashed too many of them."""
 
+import math
+from collections.abc import Iterable
 from itertools import chain
 
 from loguru import logger
@@ -20,6 +22,9 @@
 
 # Requests that ended lately and are remembered, with about 200 bytes each.
 MAX_SERVED = 8192
+# A request that has ended whole within this time before a crash is not to blame for it: one
+# that crashes hosts never ends.
+ACQUITTAL_MS = 2000.0
 # Characters that are logged of each text that a caller has chosen.
 MAX_LOGGED_CHARACTERS = 200
 
@@ -34,7 +39,8 @@
     Attributes:
         records: the crashes known here, also those of other gateways' calls.
         trials: asks keepers whether a call on which hosts have crashed may be sent.
-        served: digests of the beginnings of requests that ended; used as an ordered set.
+        served: when requests ended last, by the digest of the beginning; those that have
+            not ended for longest come first.
     """
 
     def __init__(self, group: KeeperGroup, metrics: GatewayMetrics) -> None:
@@ -43,7 +49,7 @@
         self.metrics = metrics
         self.records = CrashRecords(group.clock)
         self.trials = TrialClient(group)
-        self.served: dict[str, None] = {}
+        self.served: dict[str, float] = {}
 
     def crashes(self, call: Call) -> int:
         """Return how many crashes count against a call."""
@@ -58,6 +64,35 @@
             return [whole]
         return [whole, beginning]
 
+    def is_acquitted(self, call: Call) -> bool:
+        """Return whether a call is not to blame for a crash, as it has just ended whole.
+
+        A call with a longer body than its beginning may differ from those that ended.
+        """
+        whole, beginning = identify(call)
+        return beginning == whole and self.has_just_ended(whole)
+
+    def has_just_ended(self, digest: str) -> bool:
+        """Return whether a request has ended whole here within ACQUITTAL_MS."""
+        ended_ms = self.served.get(digest, -math.inf)
+        return self.group.clock.now_ms() < ended_ms + ACQUITTAL_MS
+
+    def learn(self, reports: Iterable[CrashReport]) -> None:
+        """Record what a keeper knows of crashes; clear requests that have just ended."""
+        learnt = [one for one in reports if self.records.learn(one, 'keeper')]
+        acquitted = {
+            one.request
+            for one in learnt
+            if not one.cleared and self.has_just_ended(one.request)
+        }
+        self.clear(acquitted)
+
+    def clear(self, digests: Iterable[str]) -> None:
+        """Clear requests of blame, and tell all keepers what changes by that."""
+        reports = tuple(chain.from_iterable(map(self.records.clear, digests)))
+        if reports:
+            self.tell_keepers(reports)
+
     def suspect_digest(self, call: Call) -> str:
         """Return the digest of a call against which most crashes count.
 
@@ -75,8 +110,7 @@
         """
         duration_ms = call.remaining_ms(self.group.clock.now_ms())
         decision = await self.trials.request(RequestTrial(digest, attempt, duration_ms))
-        for report in decision.crashes:
-            self.records.learn(report, 'keeper')
+        self.learn(decision.crashes)
         return decision.granted
 
     def end_trial(self, digest: str, attempt: str) -> None:
@@ -153,13 +187,10 @@
         """Clear a call of blame, as it has run to its end."""
         if self.records.size:
             # Others may have recorded crashes against a beginning that has ended here.
-            cleared = chain.from_iterable(map(self.records.clear, identify(call)))
-            reports = tuple(cleared)
-            if reports:
-                self.tell_keepers(reports)
+            self.clear(identify(call))
         beginning = identify_beginning(call)
         self.served.pop(beginning, None)
-        self.served[beginning] = None
+        self.served[beginning] = self.group.clock.now_ms()
         if len(self.served) > MAX_SERVED:
             self.served.pop(next(iter(self.served)))
 
--- a/pollenwalk/process/permit_client.py
+++ b/pollenwalk/process/permit_client.py
@@ -259,5 +259,4 @@
         """Record what a keeper knows."""
         for news in known.limits:
             self.host_table.limits.learn(news, 'keeper')
-        for report in known.crashes:
-            self.crash_guard.records.learn(report, 'keeper')
+        self.crash_guard.learn(known.crashes)
--- a/pollenwalk/request/call_crashes.py
+++ b/pollenwalk/request/call_crashes.py
@@ -9,9 +9,11 @@
 from pollenwalk.process.host_table import HostState
 from pollenwalk.request.gateway_call import Call
 
-# Why a broken answer is no sign of a crash, beside the results of a probe: the host
-# had other calls and had not begun to answer this one.
+# Why a broken answer is no sign of a crash on the call, beside the results of a probe: the
+# host had other calls and had not begun to answer this one, or the same call has ended
+# whole elsewhere a moment ago.
 OTHERS_RUNNING = 'others_running'
+JUST_ENDED = 'just_ended'
 
 
 class CallCrashes:
@@ -58,6 +60,9 @@
         if not may_be_to_blame(began, state.load(now_ms)):
             self.log_not_counted(state, OTHERS_RUNNING, now_ms)
             return
+        if self.guard.is_acquitted(self.call):
+            self.log_not_counted(state, JUST_ENDED, now_ms)
+            return
         result = await self.pool.probe(state.registration)
         if result == ProbeResult.REFUSED:
             self.guard.record_crash(self.call, state, now_ms - sent_ms)
