--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -13,62 +13,35 @@
 
 from pollenwalk.connection.channel import Listener, StreamNetwork
 from pollenwalk.connection.crash_messages import CrashNote
-from pollenwalk.connection.limit_messages import (
-    BorrowShares,
-    ExchangeLimits,
-    RequestPermit,
-    TellLimits,
-)
-from pollenwalk.connection.load_messages import (
-    CountedFleetState,
-    FleetState,
-    GatewayLoad,
-)
-from pollenwalk.connection.peer_messages import Done, Hello
+from pollenwalk.connection.peer_messages import Hello
 from pollenwalk.connection.peer_server import PeerServer
-from pollenwalk.connection.quota_messages import (
-    BorrowQuotas,
-    FindQuota,
-    QuotaGrant,
-    RequestQuota,
-)
 from pollenwalk.connection.store_messages import (
     FollowPrefix,
     ReadPrefix,
 )
-from pollenwalk.connection.trial_messages import EndTrial, RequestTrial
 from pollenwalk.errors import (
     Refusal,
     RefusalCode,
     StoreUnavailable,
 )
-from pollenwalk.policy.fleet_load import FleetLoad
 from pollenwalk.policy.quota_bucket import QuotaBound
-from pollenwalk.process.call_trials import CallTrials
 from pollenwalk.process.clock import MS_PER_SECOND, Clock
 from pollenwalk.process.configuration_lease import WATCH_SHARE
 from pollenwalk.process.keeper_feed import KeeperFeed
 from pollenwalk.process.keeper_links import KeeperLinks
 from pollenwalk.process.keeper_members import KEEPERS_PREFIX, Member
+from pollenwalk.process.keeper_memory import KeeperMemory, MemoryMessage
 from pollenwalk.process.keeper_metrics import KeeperMetrics
 from pollenwalk.process.keeper_state import KeeperState
-from pollenwalk.process.permit_allocator import PermitAllocator
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
 from pollenwalk.process.quota_borrowing import QuotaBorrowing
-from pollenwalk.process.quota_owner import QuotaOwner
 from pollenwalk.process.record_batches import batched
 from pollenwalk.process.share_borrowing import ShareBorrowing
 from pollenwalk.process.store import Backoff, ObjectStore
 from pollenwalk.process.store_mirror import StoreMirrors
-from pollenwalk.process.stream_origins import StreamOrigins
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.process.turn_copies import TurnCopies
 from pollenwalk.process.waits import Waits
-from pollenwalk.program.streams import (
-    FindStreamOrigin,
-    FoundStreamOrigin,
-    StreamOrigin,
-)
 from pollenwalk.program.turns import (
     CheckReachable,
     CopiesEnsured,
@@ -98,18 +71,7 @@
 # Longest duration of a watch. A keeper is given at least several seconds to retire, and
 # a stalled watch must end well before.
 WATCH_WAIT_MS = 2500
-LimitMessage = RequestPermit | TellLimits | ExchangeLimits | BorrowShares
-TrialMessage = RequestTrial | EndTrial
 CopyMessage = KeepTurns | FindMissing | ListTurns | CheckReachable | EnsureCopies
-QuotaMessage = RequestQuota | BorrowQuotas | FindQuota
-MemoryMessage = (
-    LimitMessage
-    | TrialMessage
-    | QuotaMessage
-    | StreamOrigin
-    | FindStreamOrigin
-    | GatewayLoad
-)
 
 
 class KeeperSettings(NamedTuple):
@@ -147,13 +109,7 @@
         mirrors: the parts of the store that this keeper follows for others.
         feed: follows the store through the first keeper of the region.
         copies: copies this keeper's turns to others.
-        fleet_load: the load of the gateways that report to this keeper.
-        stream_origins: where the latest streams began, in memory only.
-        permits: gives permits for hosts with a limit, in memory only, and passes on
-            reports of crashes, which are on disk.
-        trials: keeps attempts of suspected calls apart, in memory only.
-        quotas: grants tokens of organisations' quotas, in memory only; None if no
-            quotas are kept.
+        memory: answers what needs no disk.
         quota_borrowing: borrows the shares of others; None before the start, or if no
             quotas are kept.
         was_member: whether the store listed this keeper when it started, and nobody
@@ -199,19 +155,17 @@
         self.copies = TurnCopies(
             state, self.links, clock, self.tasks, settings.name, self.required_copies
         )
-        self.fleet_load = FleetLoad(settings.regions)
-        self.stream_origins = StreamOrigins(clock)
-        self.permits = PermitAllocator(
-            clock, settings.name, self.links.members, settings.regions, state.crashes
+        self.memory = KeeperMemory(
+            clock,
+            settings.name,
+            self.links.members,
+            settings.regions,
+            state.crashes,
+            self.metrics,
+            settings.quota_bound,
         )
-        self.permits.on_crash = self.store_crash
-        self.trials = CallTrials(clock, state.crashes, self.permits.learn_crashes)
-        self.quotas: QuotaOwner | None = None
+        self.memory.permits.on_crash = self.store_crash
         self.quota_borrowing: QuotaBorrowing | None = None
-        if settings.quota_bound is not None:
-            self.quotas = QuotaOwner(
-                clock, settings.name, self.links.members, settings.quota_bound
-            )
         self.server = PeerServer(clock, self.answer, settings.name, 0)
         self.own_member = Member(settings.name, settings.address, settings.zone)
         self.was_member = False
@@ -240,11 +194,12 @@
         self.tasks.spawn(self.keep_registered(), 'register')
         self.tasks.spawn(self.expire(), 'expire')
         borrowing = ShareBorrowing(
-            self.permits, self.links, self.clock, self.settings.name
+            self.memory.permits, self.links, self.clock, self.settings.name
         )
         self.tasks.spawn(borrowing.run(), 'borrow_shares')
-        if self.quotas is not None:
-            self.quota_borrowing = QuotaBorrowing(self.quotas, self.links, self.clock)
+        quotas = self.memory.quotas
+        if quotas is not None:
+            self.quota_borrowing = QuotaBorrowing(quotas, self.links, self.clock)
             self.tasks.spawn(self.quota_borrowing.run(), 'borrow_quotas')
 
     async def stop(self) -> None:
@@ -286,10 +241,11 @@
         self.metrics.unreadable.set({}, self.links.members.unreadable.total)
         self.metrics.accounts.set({}, len(self.state.ledger.accounts))
         self.metrics.complete.set({}, int(self.state.complete))
-        limits = self.permits.limits
+        limits = self.memory.permits.limits
         self.metrics.limits_per_second.set({}, limits.total_per_second())
-        if self.quotas is not None:
-            known = len(self.quotas.shares.by_organisation)
+        quotas = self.memory.quotas
+        if quotas is not None:
+            known = len(quotas.shares.by_organisation)
             self.metrics.quota_organisations.set({}, known)
 
     def records_to_send(self, message: PullAccounts | PullTurns) -> Iterator[bytes]:
@@ -315,7 +271,7 @@
         if isinstance(message, FollowPrefix | ReadPrefix):
             return await self.mirrors.answer(message)
         if isinstance(message, MemoryMessage):
-            return self.answer_from_memory(message)
+            return self.memory.answer(message)
         await self.store_records(message)
         return Stored(self.state.complete)
 
@@ -332,54 +288,10 @@
             return Reachable(await self.links.reaches(message.keeper))
         return CopiesEnsured(await self.copies.ensure_for(message.keepers))
 
-    def answer_from_memory(self, message: MemoryMessage) -> Any:
-        """Return the answer to a message about what is not on disk."""
-        if isinstance(message, LimitMessage):
-            return self.answer_about_limits(message)
-        if isinstance(message, TrialMessage):
-            return self.trials.answer(message)
-        if isinstance(message, QuotaMessage):
-            return self.answer_about_quotas(message)
-        if isinstance(message, GatewayLoad):
-            return self.answer_about_load(message)
-        if isinstance(message, StreamOrigin):
-            self.stream_origins.add(message)
-            return Done()
-        return FoundStreamOrigin(self.stream_origins.find(message.request))
-
     def store_crash(self, note: CrashNote) -> None:
         """Store a report of a crash on disk, without waiting for that."""
         self.tasks.spawn(self.state.store_crash(note), 'store_crash')
 
-    def answer_about_load(self, load: GatewayLoad) -> FleetState | CountedFleetState:
-        """Record a gateway's load and return what it may know of the fleet."""
-        state = self.fleet_load.record(load, self.clock.now_ms())
-        state = state._replace(leaving=self.permits.leaving.recent())
-        if not load.reads_count:
-            return state
-        return CountedFleetState(state, len(self.fleet_load.reports))
-
-    def answer_about_limits(self, message: LimitMessage) -> Any:
-        """Return the answer to a message about limits, and count permits."""
-        answer = self.permits.answer(message)
-        if isinstance(message, RequestPermit):
-            outcome = 'granted' if answer.granted else 'refused'
-            self.metrics.permits_total.inc({'outcome': outcome})
-        return answer
-
-    def answer_about_quotas(self, message: QuotaMessage) -> Any:
-        """Return the answer to a message about quotas, and count tokens.
-
-        Raises:
-            Refusal: this keeper keeps no quotas.
-        """
-        if self.quotas is None:
-            raise Refusal(RefusalCode.PROTOCOL, 'this keeper keeps no quotas')
-        answer = self.quotas.answer(message)
-        if isinstance(answer, QuotaGrant):
-            self.metrics.quota_tokens_total.inc({}, answer.granted)
-        return answer
-
     async def store_records(self, message: Any) -> None:
         """Store the records of a message on disk.
 
@@ -415,10 +327,10 @@
         if not self.links.members.loaded:
             self.links.members.mark_loaded()
             self.was_member = self.links.members.is_counted(self.settings.name)
-        if self.quotas is not None:
+        if self.memory.quotas is not None:
             # Seen at once, so that no list is missed and the first one is that which
             # was read first: a keeper that adds itself to it must wait longer.
-            self.quotas.shares.refresh()
+            self.memory.quotas.shares.refresh()
 
     async def keep_registered(self) -> None:
         """Register this keeper whenever its object in the store must be written."""
--- a/test/process/test_stream_versions.py
+++ b/test/process/test_stream_versions.py
@@ -435,7 +435,7 @@
             gateway = await upstream.start_gateway('g')
             caller = await upstream.begin(gateway, '/once/1')
             # Keepers are told without waiting for them, here by a first message.
-            origins = upstream.keeper.stream_origins
+            origins = upstream.keeper.memory.stream_origins
             await wait_until(lambda: origins.find('r1'))
             caller.task.cancel()
             await gateway.stop()
