Try a request that was given up once more, 30 s, 2 min and 5 min after its last crash

What callers would see: a request that is given up by mistake is refused for ten minutes, as nobody runs it and so nothing can clear it.

The platform allows three sends after the third crash. They are made at growing intervals, each by one gateway, and only on the word of the keeper that keeps attempts apart; without an answer there is none. A complete run clears the request, a crash makes the next interval longer.

--- a/pollenwalk/policy/crash_verdict.py
+++ b/pollenwalk/policy/crash_verdict.py
@@ -12,6 +12,9 @@
 
 # Crashes after which a request is no longer sent to any host.
 MAX_CRASHES = 3
+# Times after the last crash at which a request that was given up is sent once more, as it may
+# be innocent or hosts may run another version. The platform allows three such sends.
+RETRIAL_AFTER_MS = (30_000.0, 120_000.0, 300_000.0)
 # Hosts that crash within this time have one cause, unless the request was sent to one
 # after another had crashed.
 SAME_EVENT_MS = 100.0
@@ -45,14 +48,18 @@
     return successive
 
 
-def is_given_up(crashes: int) -> bool:
-    """Return whether a request is not sent to a host any more.
+def is_given_up(crashes: int, since_last_ms: float = 0) -> bool:
+    """Return whether a request is not sent to a host now.
 
     Args:
         crashes: how many successive hosts have crashed while they had the request,
             since it last ran to its end.
+        since_last_ms: time since the last of these crashes.
     """
-    return crashes >= MAX_CRASHES
+    if crashes < MAX_CRASHES:
+        return False
+    retrials = RETRIAL_AFTER_MS[crashes - MAX_CRASHES :]
+    return not retrials or since_last_ms < retrials[0]
 
 
 def needs_idle_host(crashes: int) -> bool:
--- a/pollenwalk/process/crash_guard.py
+++ b/pollenwalk/process/crash_guard.py
@@ -103,6 +103,9 @@
     async def begin_trial(self, call: Call, digest: str, attempt: str) -> bool:
         """Ask whether an attempt of a call may be sent; learn of crashes on the call.
 
+        If no keeper answers, it may unless the call was given up: then nobody knows of
+        the attempts of other gateways.
+
         Args:
             call: the call.
             digest: the digest against which crashes count.
@@ -110,6 +113,8 @@
         """
         duration_ms = call.remaining_ms(self.group.clock.now_ms())
         decision = await self.trials.request(RequestTrial(digest, attempt, duration_ms))
+        if decision is None:
+            return not is_given_up(self.crashes(call))
         self.learn(decision.crashes)
         return decision.granted
 
@@ -128,7 +133,10 @@
             Refusal: it is not sent to any host any more.
         """
         crashes = self.crashes(call)
-        if not is_given_up(crashes):
+        if not crashes:
+            return
+        since_last_ms = self.records.since_last_ms(self.suspect_digest(call))
+        if not is_given_up(crashes, since_last_ms):
             return
         logger.info(
             'given_up',
--- a/pollenwalk/process/crash_records.py
+++ b/pollenwalk/process/crash_records.py
@@ -4,6 +4,7 @@
 order and however often each report came.
 """
 
+import math
 from collections.abc import Iterator
 from itertools import count
 from typing import NamedTuple
@@ -14,8 +15,7 @@
 from pollenwalk.policy.crash_verdict import CrashTime, count_successive, is_given_up
 from pollenwalk.process.clock import Clock
 
-# How long a crash is remembered. A request that was given up gets another try then, as
-# hosts may run another version.
+# How long a crash is remembered.
 RETENTION_MS = 600_000.0
 # How long after a crash more crashes on the same request are to be expected.
 ALERT_MS = 10_000.0
@@ -71,6 +71,15 @@
             if not one.cleared and one.at_ms >= oldest_ms
         )
 
+    def since_last_ms(self, request: str) -> float:
+        """Return the time since the last crash that counts against a request."""
+        times_ms = (
+            one.at_ms
+            for one in self.by_request.get(request, {}).values()
+            if not one.cleared
+        )
+        return self.clock.now_ms() - max(times_ms, default=-math.inf)
+
     def learn(self, report: CrashReport, source: str) -> bool:
         """Add a report.
 
--- a/pollenwalk/process/trial_client.py
+++ b/pollenwalk/process/trial_client.py
@@ -34,20 +34,11 @@
         """Return a text that tells an attempt from those of all gateways."""
         return f'{self.gateway}/{next(self.numbers)}'
 
-    async def request(self, asked: RequestTrial) -> TrialDecision:
-        """Ask whether an attempt may begin.
-
-        If no keeper answers, it may: calls are then limited by the count of crashes
-        that this gateway knows.
-        """
-        decision = None
+    async def request(self, asked: RequestTrial) -> TrialDecision | None:
+        """Ask whether an attempt may begin; return None if no keeper answers in time."""
         link = self.owner_link(asked.request)
-        if link is not None:
-            decision = await self.ask(link, asked)
-        return decision or TrialDecision(True, 0, ())
-
-    async def ask(self, link: KeeperLink, asked: RequestTrial) -> TrialDecision | None:
-        """Ask one keeper; return None if it does not answer in time."""
+        if link is None:
+            return None
         try:
             async with self.group.clock.timeout_ms(TRIAL_TIMEOUT_MS):
                 return await answer_or_none(self.group.links.request(link, asked))
--- a/test/policy/test_crash_verdict.py
+++ b/test/policy/test_crash_verdict.py
@@ -3,6 +3,8 @@
 import testtools
 
 from pollenwalk.policy.crash_verdict import (
+    MAX_CRASHES,
+    RETRIAL_AFTER_MS,
     CrashTime,
     count_successive,
     is_given_up,
@@ -20,6 +22,13 @@
         self.assertTrue(is_given_up(3))
         self.assertFalse(is_given_up(2))
 
+    def test_one_more_attempt_at_growing_intervals(self) -> None:
+        for crashes, after_ms in enumerate(RETRIAL_AFTER_MS, start=MAX_CRASHES):
+            self.assertTrue(is_given_up(crashes, after_ms - 1))
+            self.assertFalse(is_given_up(crashes, after_ms))
+        most = MAX_CRASHES + len(RETRIAL_AFTER_MS)
+        self.assertTrue(is_given_up(most, 10 * max(RETRIAL_AFTER_MS)))
+
     def test_hosts_that_crash_at_once_count_as_one(self) -> None:
         crashes = [CrashTime(number, 100 + number) for number in range(8)]
         self.assertEqual(1, count_successive(crashes))
--- a/test/process/test_crash_guard.py
+++ b/test/process/test_crash_guard.py
@@ -5,6 +5,8 @@
 from pollenwalk.connection.connection_pool import ProbeResult
 from pollenwalk.connection.crash_messages import CrashReport
 from pollenwalk.connection.hosts import UpstreamHost
+from pollenwalk.errors import Refusal
+from pollenwalk.policy.crash_verdict import MAX_CRASHES, RETRIAL_AFTER_MS
 from pollenwalk.process.crash_guard import ACQUITTAL_MS, CrashGuard
 from pollenwalk.process.gateway_metrics import GatewayMetrics
 from pollenwalk.process.host_table import HostState
@@ -25,8 +27,8 @@
         return ProbeResult.REFUSED
 
 
-class AcquittalTest(testtools.TestCase):
-    """Calls that end whole elsewhere, and crash a host a moment later."""
+class GuardCase(testtools.TestCase):
+    """Runs calls on which hosts crash."""
 
     def make_guard(self) -> CrashGuard:
         """Create a guard that knows no crash."""
@@ -35,9 +37,14 @@
     async def crash(self, guard: CrashGuard, call: Call) -> int:
         """Let a host crash on a call; return how many crashes count then."""
         crashes = CallCrashes(guard, CrashedHosts(), call)
-        await crashes.record_if_crashed(HostState(HOST), 0, began=True)
+        sent_ms = guard.group.clock.now_ms()
+        await crashes.record_if_crashed(HostState(HOST), sent_ms, began=True)
         return guard.crashes(call)
 
+
+class AcquittalTest(GuardCase):
+    """Calls that end whole elsewhere, and crash a host a moment later."""
+
     @virtual
     async def test_read_that_just_ended_is_not_blamed(self) -> None:
         # Guards against a busy read that is given up beside others that crash hosts.
@@ -72,3 +79,32 @@
         guard.record_completion(call)
         guard.learn([report._replace(host='i/0/1')])
         self.assertEqual(0, guard.crashes(call))
+
+
+class RetrialTest(GuardCase):
+    """Calls that were given up, perhaps wrongly."""
+
+    @virtual
+    async def test_innocent_is_not_given_up_for_ever(self) -> None:
+        # Guards against a busy read that nobody runs, so that nothing can clear it.
+        guard = self.make_guard()
+        call = make_call(ROUTE)
+        for _ in range(MAX_CRASHES):
+            await guard.group.clock.sleep_ms(1000)
+            await self.crash(guard, call)
+        self.assertRaises(Refusal, guard.check, call)
+        await guard.group.clock.sleep_ms(RETRIAL_AFTER_MS[0])
+        guard.check(call)
+        guard.record_completion(call)
+        self.assertEqual(0, guard.crashes(call))
+
+    @virtual
+    async def test_no_attempt_without_the_word_of_a_keeper(self) -> None:
+        guard = self.make_guard()
+        call = make_call(ROUTE)
+        for crashes in range(1, MAX_CRASHES + 1):
+            await guard.group.clock.sleep_ms(1000)
+            await self.crash(guard, call)
+            digest = guard.suspect_digest(call)
+            granted = await guard.begin_trial(call, digest, 'a')
+            self.assertEqual(crashes < MAX_CRASHES, granted)
