--- a/pollenwalk/request/unary.py
+++ b/pollenwalk/request/unary.py
@@ -1,5 +1,7 @@
 """Unary calls: each answer is forwarded to the caller when it is complete."""
 
+from typing import NamedTuple
+
 from pollenwalk.errors import BrokenAnswer, Outcome, Refusal, RefusalCode
 from pollenwalk.request.call_sender import CallSender
 from pollenwalk.request.exchange import Exchange
@@ -10,6 +12,18 @@
 from pollenwalk.request.reply import Reply
 
 
+class UnaryAnswer(NamedTuple):
+    """A complete answer.
+
+    Attributes:
+        head: status and headers.
+        body: the whole body.
+    """
+
+    head: AnswerHead
+    body: bytes
+
+
 async def run_unary(context: ForwardingContext, call: Call, reply: Reply) -> None:
     """Run a call and forward its answer once it is complete.
 
@@ -26,12 +40,12 @@
         return
     sender = CallSender(context, call, call.request.body)
     with sender.trial:
-        head, body = await obtain_answer(sender)
-    await reply.send_complete(head.status, head.headers, body)
+        answer = await obtain_answer(sender)
+    await reply.send_complete(answer.head.status, answer.head.headers, answer.body)
 
 
-async def obtain_answer(sender: CallSender) -> tuple[AnswerHead, bytes]:
-    """Send a call until a host gives a complete answer; return its head and body.
+async def obtain_answer(sender: CallSender) -> UnaryAnswer:
+    """Send a call until a host gives a complete answer, and return the answer.
 
     Raises:
         Refusal: no host gave a complete answer.
@@ -42,7 +56,7 @@
         if body is not None:
             sender.record_run_time(exchange.state)
             sender.crashes.record_completion()
-            return exchange.head, body
+            return UnaryAnswer(exchange.head, body)
         if not sender.may_send():
             raise Refusal(
                 RefusalCode.UPSTREAM_FAILED,
