--- a/pollenwalk/connection/trial_messages.py
+++ b/pollenwalk/connection/trial_messages.py
@@ -13,7 +13,7 @@
     """Asks a keeper whether a call on which hosts have crashed may be sent now.
 
     Attributes:
-        request: digest of the call.
+        request: digest of the call, as in `CrashReport`.
         attempt: tells the attempt of the call from all others.
         duration_ms: the longest time for which it may run.
     """
--- a/pollenwalk/policy/crash_verdict.py
+++ b/pollenwalk/policy/crash_verdict.py
@@ -4,13 +4,14 @@
 each run takes a host and all other calls there away. A host that crashes cuts innocent
 calls as well, and a caller sees no difference. But an innocent call ends at its next
 host as a rule, while the one to blame never ends anywhere. So only crashes without a
-complete run in between count. Many hosts that crash at once are one event.
+complete run in between count. Many hosts that crash at once are one event. A request that
+is given up is tried again a few times, as nothing else could show that it is innocent.
 """
 
 from collections.abc import Iterable
 from typing import NamedTuple
 
-# Crashes after which a request is no longer sent to any host.
+# Crashes in a row after which a request is given up.
 MAX_CRASHES = 3
 # Times after the last crash at which a request that was given up is sent once more, as it may
 # be innocent or hosts may run another version. The platform allows three such sends.
