Show that one odd header stops all turns of a gateway

Cause: a number of tokens that no message can hold ends the task that writes to a keeper, and all requests on that connection wait for their timeout. Change: a case for the review, and a plain server among its stand-ins. Nothing of the product is changed.

--- a/review/standins2/platform.py
+++ b/review/standins2/platform.py
@@ -67,8 +67,26 @@
             'retain_history': False,
             'resumable': True,
         },
+        {
+            'name': 'stock-lookup',
+            'host': 'shop.example',
+            'path_prefix': '/stock/',
+            'kind': 'safe',
+            'timeout_ms': 1500,
+            'target_latency_ms': 400,
+            'priority': 2,
+            'service': 'comptoir',
+            'max_attempts': 2,
+        },
     ],
     'services': [
+        {
+            'name': 'comptoir',
+            'health_path': '/health',
+            'max_conns': 100,
+            'protocol': 'h1',
+            'tls': False,
+        },
         {
             'name': 'conseiller',
             'health_path': '/health',
@@ -89,7 +107,7 @@
                 'handle_s': 5.0,
                 'models': [{'name': 'm'}],
             },
-        }
+        },
     ],
     'limits': {
         'max_header_bytes': 16384,
--- a/review/standins2/server.py
+++ b/review/standins2/server.py
@@ -100,3 +100,22 @@
             await writer.drain()
         writer.write(b'0\r\n\r\n')
         await writer.drain()
+
+
+class PlainServer(ModelServer):
+    """A server of a plain service: a short answer for each request that it runs."""
+
+    async def answer(
+        self, head: Head, body: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        """Run a request for 50 ms."""
+        attempt = head.headers.get('x-pollenwalk-request-id', '')
+        self.runs.append(Run(attempt, 0, body))
+        await asyncio.sleep(0.05)
+        text = f'answer to {attempt}'
+        writer.write(
+            f'HTTP/1.1 200 OK\r\nX-Pollenwalk-Request-Id: {attempt}\r\n'
+            f'X-Pollenwalk-Server-Signature: {self.name}.{attempt}\r\n'
+            f'Content-Length: {len(text)}\r\n\r\n{text}'.encode()
+        )
+        await writer.drain()
