--- a/review/standins2/platform.py
+++ b/review/6/standins2/platform.py
@@ -21,7 +21,7 @@
 from standins2.http import Head, read_head
 from standins2.store import Store
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[3]
 REGIONS = {
     'rimouski': 'quebec-est',
     'saguenay': 'quebec-est',
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+sys.path.insert(0, str(FOLDER.parent / '6'))
 
 from standins2.http import Client, new_id, turn_headers  # noqa: E402
 from standins2.platform import (  # noqa: E402
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 python3 - <<'CHECK'
 import pathlib
 
-for path in sorted(pathlib.Path().glob('standins2/*.py')):
+for path in sorted(pathlib.Path().glob('6/standins2/*.py')):
     compile(path.read_text('utf-8'), str(path), 'exec')
 for path in sorted(pathlib.Path().glob('*/case.py')):
     compile(path.read_text('utf-8'), str(path), 'exec')
