Deny a turn only by a list of keepers that was read after the question

Callers that went on at a gateway which had just woken from a freeze of 3.2 s got 404 for turns that had been answered whole at another gateway, and their programs ended.

Cause: `KeeperGroup.find_chain` counts the listed keepers that deny a turn. The gateway's list was as old as its freeze and lacked a keeper that had been added meanwhile and had one of the two copies. The keeper with the other copy counted as lost, so two denials of three listed keepers seemed to prove that there was no such turn. The same happens without a freeze to any process that learns of a new keeper late.

Now an absence counts only by a list that was read from the store after the turn was asked for, directly or through a keeper, and by answers to questions that were sent after that reading and soon enough that no keeper can have lost its disk and joined again meanwhile. A turn that was answered before the question is at f + 1 keepers of such a list, or was handed to some before their object was deleted, so all but f of them can't deny it. If nobody can read the list the answer is 503.

--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -170,6 +170,7 @@
             clock,
             self.tasks,
             settings.tolerated_losses,
+            store,
         )
         self.feed = KeeperFeed(
             store, self.links, clock, self.host_table.record_store_failure
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -2,12 +2,13 @@
 
 If f keepers may be lost at the same time, a turn is stored once it is on f + 1
 disks, and a turn does not exist if all keepers but f report that they don't
-have it. Budgets are decided with the answers of a majority of all keepers; only
+have it. For that the list of keepers must have been read after the turn was asked for,
+as one that was stored before may be at keepers that an older list lacks. Budgets are decided with the answers of a majority of all keepers; only
 a turn that is far from its budget may begin with fewer.
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Iterator
 from typing import Any, NamedTuple, TypeVar
 
 from loguru import logger
@@ -18,8 +19,9 @@
 from pollenwalk.process.keeper_broadcast import Broadcast
 from pollenwalk.process.keeper_links import OTHER_REGION, KeeperLink, KeeperLinks
 from pollenwalk.process.keeper_quorum import SPARE_KEEPERS, Quorum
+from pollenwalk.process.member_readings import MemberReadings
 from pollenwalk.process.retry_advisor import RetryAdvisor
-from pollenwalk.process.store import Changes, StoredObject
+from pollenwalk.process.store import Changes, FollowedStore, StoredObject
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.process.turn_replication import TurnReplication, keepers_unavailable
 from pollenwalk.process.turn_retention import TurnRetention
@@ -40,6 +42,9 @@
 # Pause before the retry of an operation that too few keepers acknowledged. It is
 # half of the interval at which lost keepers are probed.
 RETRY_INTERVAL_MS = 100.0
+# How long after the beginning of the reading of the list keepers' answers may prove that
+# a turn does not exist. A keeper that loses its disk takes longer to be complete again.
+MAX_PROOF_MS = 2500.0
 
 Result = TypeVar('Result')
 
@@ -56,6 +61,18 @@
     asked: set[str]
 
 
+class Search(NamedTuple):
+    """What some keepers answered about a turn.
+
+    Attributes:
+        chain: the part of its chain that one of them has; None if none has the turn.
+        denials: how many have all their records and not the turn.
+    """
+
+    chain: Chain | None
+    denials: int
+
+
 class KeeperGroup:
     """Stores and finds records at all keepers that the store lists.
 
@@ -65,6 +82,7 @@
             keepers.
         queued_settlements: settlements that will be sent with the next batch.
         retention: tells the keepers which turns are used.
+        readings: read the list of keepers as it is now.
     """
 
     def __init__(
@@ -73,6 +91,7 @@
         clock: Clock,
         tasks: TaskSet,
         tolerated_losses: int,
+        store: FollowedStore,
     ) -> None:
         """Create a group of the keepers behind `links`.
 
@@ -82,6 +101,7 @@
             tasks: run the sending of settlements.
             tolerated_losses: how many keepers may be lost at the same time
                 without loss of data.
+            store: has the list of keepers.
         """
         self.links = links
         self.clock = clock
@@ -93,6 +113,7 @@
         self.retention = TurnRetention(
             links, clock, tasks, self.required_copies, self.store_turn
         )
+        self.readings = MemberReadings(store, clock, tasks, self.read_prefix)
 
     @property
     def required_copies(self) -> int:
@@ -226,18 +247,54 @@
                 know whether it does.
         """
         links = self.links.ordered()
-        without_turn = 0
-        for asked in search_rounds(links):
+        search = await self.search(search_rounds(links), turn)
+        if search.chain is not None:
+            return search.chain
+        self.require_denials(turn, search.denials, len(links))
+        return await self.find_by_new_list(turn)
+
+    async def find_by_new_list(self, turn: str) -> Chain:
+        """Return the part of a turn's chain that any keeper has that is listed now.
+
+        Raises:
+            Refusal: the turn does not exist, or that is not known.
+        """
+        reading = await self.readings.read()
+        if reading is None:
+            raise keepers_unavailable('the list of keepers could not be read')
+        links = self.links.order(reading.members)
+        search = await self.search([links], turn)
+        if search.chain is not None:
+            logger.info('found_by_new_list', turn=turn, keepers=len(links))
+            return search.chain
+        self.require_denials(turn, search.denials, reading.count)
+        took_ms = self.clock.boot_ms() - reading.began_ms
+        if took_ms > MAX_PROOF_MS:
+            raise keepers_unavailable(f'the keepers answered after {took_ms:.0f} ms')
+        logger.info('unknown_turn', turn=turn, keepers=len(links))
+        raise unknown_turn(turn)
+
+    async def search(self, rounds: Iterable[list[KeeperLink]], turn: str) -> Search:
+        """Ask keepers for a turn, one round after the other, until one has it."""
+        denials = 0
+        for asked in rounds:
             async for found in self.request_each(asked, FindChain(turn)):
                 if found.turns:
-                    return found
-                without_turn += int(found.complete)
-        if links and without_turn >= len(links) - self.tolerated_losses:
-            raise unknown_turn(turn)
-        raise keepers_unavailable(
-            f'only {without_turn} of {len(links)} keepers confirm that there is no '
-            f'turn {turn}',
-        )
+                    return Search(found, denials)
+                denials += int(found.complete)
+        return Search(None, denials)
+
+    def require_denials(self, turn: str, denials: int, keepers: int) -> None:
+        """Check that enough keepers deny a turn.
+
+        Raises:
+            Refusal: too few do, so that the turn may exist.
+        """
+        if not keepers or denials < keepers - self.tolerated_losses:
+            raise keepers_unavailable(
+                f'only {denials} of {keepers} keepers confirm that there is no turn '
+                f'{turn}',
+            )
 
     async def read_prefix(self, prefix: str) -> Changes | None:
         """List a prefix of the store through the nearest keeper that reaches it.
--- a/test/request/test_forwarding.py
+++ b/test/request/test_forwarding.py
@@ -39,6 +39,7 @@
     not_run,
     stream_head,
 )
+from standin.store import MemoryStore
 from test.helper import on_loop
 
 ROUTE = Route(
@@ -216,7 +217,7 @@
     """Return the part of a gateway that uses keepers, of which there are none."""
     tasks = TaskSet()
     links = KeeperLinks(TcpNetwork(), clock, tasks, 'here', {'here': 'east'})
-    return KeeperGroup(links, clock, tasks, 1)
+    return KeeperGroup(links, clock, tasks, 1, MemoryStore(clock))
 
 
 def make_call(route: Route) -> Call:
