Let what arrived during a pause be read before timeouts count

After a freeze a gateway regarded all keepers as lost that it had asked just before, though their answers had long arrived. It then went on without the nearest keepers, and callers got 503 or, with an old list, 404.

Cause: at the wake all timers are due at once. The event loop runs them before the tasks that take what arrived on the connections, so each open question ended by its timeout.

Now a timer that fires over 300 ms late, which shows that the process was paused, lets the loop work for 100 ms first. It holds for all timeouts of `Clock.timeout_ms`; the questions to several keepers use that as well.

--- a/pollenwalk/process/clock.py
+++ b/pollenwalk/process/clock.py
@@ -14,6 +14,10 @@
 
 MS_PER_SECOND = 1000
 NS_PER_MS = 1_000_000
+# A timer that fires so much later than it is due shows that the process was paused.
+PAUSE_S = 0.3
+# Time in which the event loop then passes on what has arrived.
+CATCH_UP_S = 0.1
 
 
 class Clock(Protocol):
@@ -71,6 +75,50 @@
 
     @contextlib.asynccontextmanager
     async def timeout_ms(self, duration_ms: float) -> AsyncIterator[None]:
-        """Bound the block to `duration_ms` by the event loop's timer."""
-        async with asyncio.timeout(max(duration_ms, 0) / MS_PER_SECOND):
-            yield
+        """Bound the block to `duration_ms` by the event loop's timer.
+
+        After a pause of the process the block gets a little longer.
+        """
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(None) as scope:
+            timer = LateTimer(loop, duration_ms / MS_PER_SECOND, scope)
+            try:
+                yield
+            finally:
+                timer.cancel()
+
+
+class LateTimer:
+    """Ends a block once its time is up, but not on what it could not read in a pause.
+
+    At the end of a pause all timers are due at once, before the loop has passed on what
+    has arrived meanwhile. So one that is very late first lets the loop do that.
+
+    Attributes:
+        due_s: when the time is up, on the clock of the event loop.
+        handle: the timer of the event loop.
+    """
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, duration_s: float, scope: asyncio.Timeout
+    ) -> None:
+        """Start the timer for the block of a timeout."""
+        self.loop = loop
+        self.scope = scope
+        self.due_s = loop.time() + max(duration_s, 0)
+        self.handle = loop.call_at(self.due_s, self.on_due)
+
+    def on_due(self) -> None:
+        """End the block; wait a little more if the process was paused."""
+        if self.loop.time() - self.due_s > PAUSE_S:
+            self.handle = self.loop.call_later(CATCH_UP_S, self.end)
+        else:
+            self.end()
+
+    def end(self) -> None:
+        """End the block."""
+        self.scope.reschedule(self.loop.time())
+
+    def cancel(self) -> None:
+        """Leave the block as it is."""
+        self.handle.cancel()
--- a/pollenwalk/process/keeper_broadcast.py
+++ b/pollenwalk/process/keeper_broadcast.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
@@ -123,7 +124,9 @@
 
     async def expire(self, names: list[str]) -> None:
         """Regard the keepers as lost that have not answered within the timeout."""
-        await self.links.clock.sleep_ms(REQUEST_TIMEOUT_MS)
+        with contextlib.suppress(TimeoutError):
+            async with self.links.clock.timeout_ms(REQUEST_TIMEOUT_MS):
+                await asyncio.get_running_loop().create_future()
         for name in names:
             request = self.open.get(name)
             if request is not None:
