Keep turns on a keeper's disk and only where they are in memory

With turns of 100 kB, 12 a second, two keepers of 170 MB were ended every 5.5 s for their memory, and callers got 503 meanwhile. A keeper whose log had grown to 115 MB ended while it read that, and never came back.

Cause: every turn was in memory for as long as it was kept, its log was read one whole segment at a time, and a compaction had all live records in memory three times over: encoded, framed and joined for one write.

A keeper now has an index in memory: for each turn its place on the disk and what expiry and chains need, and a cache of the records that were used last (12 MB). Records are read where they are, with their checksum, in a thread of its own; a damaged one is not denied. Segments end at 4 MB. A start reads one record at a time. A compaction takes one segment after the other of which at most half is needed, reads it in batches of 256 KB, appends what is needed and deletes the segment once that is synced, so a power loss at any moment loses nothing. A long chain is answered in parts of 1 MB; gateways asked for missing parts before. Copies for joining, retiring and removal are read in batches, too. The format on disk and the messages stay as they are.

--- a/pollenwalk/commands/experiment.py
+++ b/pollenwalk/commands/experiment.py
@@ -10,6 +10,7 @@
 from pollenwalk.process.logs import set_up_logs
 
 EXPERIMENTS = (
+    'keeper_log',
     'limits',
     'overhead',
     'placement',
--- a/pollenwalk/process/departure.py
+++ b/pollenwalk/process/departure.py
@@ -74,4 +74,4 @@
             await keeper.quota_borrowing.wait_for_end()
         keeper.retired = True
         await self.retirement.leave_list()
-        logger.info('departed', turns=len(keeper.state.turns.records))
+        logger.info('departed', turns=len(keeper.state.turns))
--- a/pollenwalk/process/joining.py
+++ b/pollenwalk/process/joining.py
@@ -37,7 +37,7 @@
             await keeper.clock.sleep_ms(FETCH_INTERVAL_MS)
         keeper.waits.update('records', [])
         keeper.state.log.mark_complete()
-        logger.info('joined', turns=len(keeper.state.turns.records))
+        logger.info('joined', turns=len(keeper.state.turns))
 
     async def fetch_all(self) -> bool:
         """Fetch all records once, if enough other keepers are complete.
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from typing import Any, NamedTuple
 
 from loguru import logger
@@ -35,7 +35,6 @@
 from pollenwalk.process.keeper_state import KeeperState
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
 from pollenwalk.process.quota_borrowing import QuotaBorrowing
-from pollenwalk.process.record_batches import batched
 from pollenwalk.process.share_borrowing import ShareBorrowing
 from pollenwalk.process.store import Backoff, ObjectStore
 from pollenwalk.process.store_mirror import StoreMirrors
@@ -223,7 +222,7 @@
     async def answer(self, _: Hello, message: Any) -> AsyncIterator[Any]:
         """Yield the answers to a message of a gateway or of another keeper."""
         if isinstance(message, PullAccounts | PullTurns):
-            for batch in batched(self.records_to_send(message)):
+            async for batch in self.state.record_batches(message):
                 yield RecordBatch(self.state.complete, batch)
             return
         started_ms = self.clock.now_ms()
@@ -236,7 +235,7 @@
 
     def refresh_metrics(self) -> None:
         """Update the gauges."""
-        self.metrics.turns.set({}, len(self.state.turns.records))
+        self.metrics.turns.set({}, len(self.state.turns))
         self.metrics.turn_bytes.set({}, self.state.turns.size_bytes)
         self.metrics.unreadable.set({}, self.links.members.unreadable.total)
         self.metrics.accounts.set({}, len(self.state.ledger.accounts))
@@ -248,12 +247,6 @@
             known = len(quotas.shares.by_organisation)
             self.metrics.quota_organisations.set({}, known)
 
-    def records_to_send(self, message: PullAccounts | PullTurns) -> Iterator[bytes]:
-        """Return the encoded records that another keeper asks for."""
-        if isinstance(message, PullTurns):
-            return self.state.encoded_turns(message.turns)
-        return self.state.account_records()
-
     async def answer_single(self, message: Any) -> Any:
         """Return the answer to a message that has a single answer.
 
@@ -265,7 +258,7 @@
             entries = await self.state.reserve(message)
             return Spent(self.state.complete, entries)
         if isinstance(message, FindChain):
-            return self.state.find_chain(message.turn)
+            return await self.state.find_chain(message.turn)
         if isinstance(message, CopyMessage):
             return await self.answer_about_copies(message)
         if isinstance(message, FollowPrefix | ReadPrefix):
@@ -279,7 +272,7 @@
         """Return the answer to a process that ensures that turns have enough copies."""
         if isinstance(message, KeepTurns):
             return Missing(self.state.turns.keep(message.turns))
-        turns = self.state.turns.records
+        turns = self.state.turns
         if isinstance(message, FindMissing):
             return Missing([turn for turn in message.turns if turn not in turns])
         if isinstance(message, ListTurns):
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -107,7 +107,7 @@
         self.clock = clock
         self.tasks = tasks
         self.tolerated_losses = tolerated_losses
-        self.cache = TurnIndex(clock, CACHE_BYTES)
+        self.cache: TurnIndex[TurnRecord] = TurnIndex(clock, CACHE_BYTES)
         self.retry_advisor = RetryAdvisor(clock)
         self.queued_settlements: list[QueuedSettlement] = []
         self.retention = TurnRetention(
@@ -225,13 +225,15 @@
             Refusal: a turn does not exist, or too few keepers answered to know
                 whether it does.
         """
-        found = self.cache.touch_chain(turn)
-        turns = found.turns
-        while found.missing:
-            found = await self.find_chain(found.missing)
+        cached = self.cache.use_chain(turn)
+        turns = cached.turns
+        missing = cached.missing
+        while missing:
+            found = await self.find_chain(missing)
             for record in found.turns:
                 self.cache.put(record)
             turns = [*found.turns, *turns]
+            missing = found.missing
         self.retention.use(turns)
         return turns
 
--- a/pollenwalk/process/keeper_state.py
+++ b/pollenwalk/process/keeper_state.py
@@ -1,31 +1,32 @@
 """The turns and token accounts of one keeper, in memory and on disk."""
 
 import asyncio
-from collections.abc import Iterable, Iterator
+from collections.abc import AsyncIterator, Iterable, Iterator
 from typing import Any
 
 from loguru import logger
 
 from pollenwalk.connection.crash_messages import CrashNote
 from pollenwalk.connection.wire import decode_datagram, encode_datagram
-from pollenwalk.errors import PollenwalkError
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.crash_records import CrashRecords
+from pollenwalk.process.log_compaction import LogCompaction, decode_or_log
+from pollenwalk.process.record_batches import batched
 from pollenwalk.process.record_log import RecordDisk
-from pollenwalk.program.ledger import Ledger
-from pollenwalk.program.turn_index import TurnIndex
+from pollenwalk.process.segment_files import Location
+from pollenwalk.process.stored_turns import StoredTurns
+from pollenwalk.process.turn_reader import TurnReader
+from pollenwalk.program.ledger import Ledger, entry_to_record
 from pollenwalk.program.turns import (
     Chain,
+    PullAccounts,
+    PullTurns,
     ReserveTokens,
     SettleTokens,
     TokenEntry,
     TurnRecord,
 )
 
-# The log is compacted once this much has been written to it. Expired records may
-# thus fill about a tenth of the smallest disk of any deployment, which has 350 MB.
-COMPACTION_THRESHOLD_BYTES = 32_000_000
-
 
 class KeeperState:
     """The records of one keeper.
@@ -33,16 +34,22 @@
     Attributes:
         log: the records on disk.
         turns: the turns in memory.
+        reader: reads turns from memory and disk.
         ledger: the token accounts in memory.
         crashes: requests on which hosts crash.
+        compaction: keeps the log small.
     """
 
     def __init__(self, disk: RecordDisk, clock: Clock) -> None:
         """Create an empty state, whose records are stored on `disk`."""
         self.log = disk
-        self.turns = TurnIndex(clock)
+        self.turns = StoredTurns(clock)
+        self.reader = TurnReader(disk, self.turns)
         self.ledger = Ledger(clock)
         self.crashes = CrashRecords(clock)
+        self.compaction = LogCompaction(
+            disk, clock, self.turns, self.reader, self.ledger, self.crashes
+        )
 
     @property
     def complete(self) -> bool:
@@ -61,56 +68,86 @@
         """
         count = 0
         crash_notes: list[CrashNote] = []
-        for record in self.log.open():
+        for stored in self.log.open():
             count += 1
-            message = self.decode_or_log(record)
+            message = decode_or_log(stored.record)
             if isinstance(message, CrashNote):
                 crash_notes.append(message)
-            else:
-                self.apply(message)
+            self.restore(message, stored.location)
         self.crashes.restore(crash_notes)
         if first_start and not self.complete:
             self.log.mark_complete()
         logger.info(
             'records_read',
             records=count,
-            turns=len(self.turns.records),
+            turns=len(self.turns),
             crashes=self.crashes.size,
             complete=self.complete,
         )
 
-    def decode_or_log(self, record: bytes) -> Any:
-        """Decode a record from the disk; log an unreadable one and return None."""
-        try:
-            return decode_datagram(record)
-        except PollenwalkError as error:
-            logger.error('record_unreadable', reason=error.message)
-            return None
-
-    def apply(self, message: Any) -> None:
-        """Apply a record to the turns and accounts in memory."""
+    def restore(self, message: Any, location: Location) -> None:
+        """Apply a record that has been read from the disk."""
         if isinstance(message, TurnRecord):
-            self.turns.put(message)
-            settled = SettleTokens(
-                message.program,
-                message.turn,
-                message.tokens,
-                message.retention_ms,
-            )
-            self.ledger.settle(settled)
-        elif isinstance(message, ReserveTokens):
+            self.turns.add_from_disk(message, location)
+            self.settle_turn(message)
+            return
+        self.apply_tokens(message)
+        self.note_small(message, location)
+
+    def note_small(self, message: Any, location: Location) -> None:
+        """Note where a record is that is not a turn."""
+        self.compaction.note_small(location, getattr(message, 'retention_ms', 0))
+
+    def apply_tokens(self, message: Any) -> None:
+        """Apply a reservation or settlement to the accounts in memory."""
+        if isinstance(message, ReserveTokens):
             self.ledger.reserve(message)
         elif isinstance(message, SettleTokens):
             self.ledger.settle(message)
 
+    def settle_turn(self, record: TurnRecord) -> None:
+        """Settle the tokens of a turn in the accounts in memory."""
+        settled = SettleTokens(
+            record.program, record.turn, record.tokens, record.retention_ms
+        )
+        self.ledger.settle(settled)
+
     async def store_record(self, message: Any) -> None:
         """Apply a record and wait until it is synced to disk."""
-        self.apply(message)
-        await self.log.append(encode_datagram(message))
+        if isinstance(message, TurnRecord):
+            await self.store_turn(message)
+            return
+        self.apply_tokens(message)
+        await self.append_small(message)
+
+    async def store_turn(self, record: TurnRecord) -> None:
+        """Add a turn and wait until it is synced to disk, unless it is already.
+
+        It is counted at once, so that a handover that begins now includes it.
+        """
+        self.settle_turn(record)
+        if self.turns.is_synced(record.turn):
+            self.turns.index.use_chain(record.turn)
+            return
+        self.turns.add_unsynced(record)
+        synced = self.log.append(encode_datagram(record))
+        synced.add_done_callback(lambda future: self.place(record.turn, future))
+        # The record is written even if nobody waits for it any more.
+        await asyncio.shield(synced)
+
+    def place(self, turn: str, synced: asyncio.Future[Location]) -> None:
+        """Note where a turn has been written, if it has."""
+        if not synced.cancelled() and synced.exception() is None:
+            self.turns.place(turn, synced.result())
+
+    async def append_small(self, message: Any) -> None:
+        """Append a record that is not a turn, and wait until it is synced."""
+        synced = self.log.append(encode_datagram(message))
+        self.note_small(message, await asyncio.shield(synced))
 
     async def store_crash(self, note: CrashNote) -> None:
         """Store a report of a crash, which is known in memory already, on disk."""
-        await self.log.append(encode_datagram(note))
+        await self.append_small(note)
 
     async def reserve(self, message: ReserveTokens) -> list[TokenEntry]:
         """Reserve tokens for a turn.
@@ -120,15 +157,30 @@
             synced to disk.
         """
         entries = self.ledger.reserve(message)
-        await self.log.append(encode_datagram(message))
+        await self.append_small(message)
         return entries
 
-    def find_chain(self, turn: str) -> Chain:
+    async def find_chain(self, turn: str) -> Chain:
         """Return a turn and its predecessors, as far as this keeper has them.
 
         The returned turns are marked as just used.
         """
-        return self.turns.touch_chain(turn)._replace(complete=self.complete)
+        return await self.reader.find_chain(turn, self.complete)
+
+    async def record_batches(
+        self, message: PullAccounts | PullTurns
+    ) -> AsyncIterator[list[bytes]]:
+        """Yield the encoded records that another keeper asks for, in batches.
+
+        There is at least one batch; the last one may be empty.
+        """
+        if isinstance(message, PullAccounts):
+            for batch in batched(self.account_records()):
+                yield batch
+            return
+        async for records in self.reader.batches(message.turns):
+            yield list(map(encode_datagram, records))
+        yield []
 
     def account_records(self) -> Iterator[bytes]:
         """Yield the encoded reservations and settlements of all accounts."""
@@ -138,61 +190,35 @@
                     entry_to_record(program, entry, account.retention_ms)
                 )
 
-    def encoded_turns(self, turns: Iterable[str]) -> Iterator[bytes]:
-        """Yield those of the given turns that this keeper has, encoded."""
-        records = map(self.turns.records.get, turns)
-        return (encode_datagram(record) for record in records if record is not None)
-
     async def add_records(self, records: Iterable[bytes]) -> int:
         """Store those of another keeper's records that are new.
 
         Returns:
             The number of new records, once they are synced to disk.
         """
-        new: list[bytes] = []
-        for record in records:
-            message = decode_datagram(record)
-            if self.is_new(message):
-                self.apply(message)
-                new.append(record)
-        await asyncio.gather(*map(self.log.append, new))
+        messages = map(decode_datagram, records)
+        new = [message for message in messages if self.is_new(message)]
+        await asyncio.gather(*map(self.store_record, new))
         return len(new)
 
     def is_new(self, message: Any) -> bool:
         """Return whether a record adds a turn, a reservation or a settlement."""
         if isinstance(message, TurnRecord):
-            return message.turn not in self.turns.records
+            return not self.turns.is_synced(message.turn)
         account = self.ledger.accounts.get(message.program)
         entry = account.entries.get(message.turn) if account else None
         settles = isinstance(message, SettleTokens)
         return entry is None or (settles and not entry.settled)
 
     async def compact(self) -> None:
-        """Rewrite the log with the live records once it has grown enough."""
-        if self.log.bytes_since_compaction < COMPACTION_THRESHOLD_BYTES:
-            return
-        await self.log.start_compaction()
-        live_records = (
-            *self.account_records(),
-            *self.encoded_turns(list(self.turns.records)),
-            *map(encode_datagram, list(self.crashes.notes())),
-        )
-        await asyncio.gather(*map(self.log.append, live_records))
-        await self.log.finish_compaction()
-        logger.info('compacted', records=len(live_records))
+        """Rewrite the parts of the log of which little is needed."""
+        await self.compaction.run()
 
     def expire(self) -> None:
         """Remove the expired turns and accounts from memory."""
-        turns = len(self.turns.expire())
+        turns = self.turns.expire()
         accounts = len(self.ledger.accounts)
         self.ledger.expire()
         accounts -= len(self.ledger.accounts)
         if turns or accounts:
             logger.info('expired', turns=turns, accounts=accounts)
-
-
-def entry_to_record(program: str, entry: TokenEntry, retention_ms: float) -> Any:
-    """Return the record that creates an account entry."""
-    if entry.settled:
-        return SettleTokens(program, entry.turn, entry.tokens, retention_ms)
-    return ReserveTokens(program, entry.turn, entry.tokens, retention_ms)
--- a/pollenwalk/process/record_fetch.py
+++ b/pollenwalk/process/record_fetch.py
@@ -55,13 +55,13 @@
             wanted = missing.intersection(answer.turns)
             if wanted:
                 await self.fetch(member, PullTurns(sorted(wanted)))
-            missing.difference_update(self.keeper.state.turns.records)
+            missing.difference_update(self.keeper.state.turns)
         return not missing
 
     def missing_turns(self, lists: Iterable[TurnList]) -> Iterator[str]:
         """Yield the turns that too few keepers have, and this one neither."""
         held = Counter(turn for answer in lists for turn in answer.turns)
-        own = self.keeper.state.turns.records
+        own = self.keeper.state.turns
         required = self.keeper.required_copies
         return (
             turn for turn, count in held.items() if count < required and turn not in own
--- a/pollenwalk/process/record_log.py
+++ b/pollenwalk/process/record_log.py
@@ -2,23 +2,33 @@
 
 A record is durable once its bytes are synced. Records that arrive during a sync
 are written and synced together afterwards. Each start begins a new segment, as
-the end of the last one may be torn.
+the end of the last one may be torn. Segments are bounded, so that each can be rewritten
+and deleted by itself.
 """
 
 import asyncio
 import os
-import struct
-import zlib
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol, TypeVar
+
+from pollenwalk.process.segment_files import (
+    Location,
+    SegmentFolder,
+    StoredRecord,
+    frame_size,
+    make_frame,
+    write_synced,
+)
 
-# Length in bytes and CRC-32 of the record that follows.
-FRAME_HEADER = struct.Struct('<II')
-SEGMENT_PREFIX = 'segment-'
-SEGMENT_SUFFIX = '.log'
 COMPLETE_MARKER = 'complete'
+# A segment ends with the batch that exceeds this size.
+SEGMENT_BYTES = 4_000_000
+# Frames are written together up to this size.
+WRITE_BYTES = 262_144
+
+Result = TypeVar('Result')
 
 
 class RecordDisk(Protocol):
@@ -27,18 +37,17 @@
     Attributes:
         complete: whether the disk has all records that the keeper has ever
             acknowledged.
-        bytes_since_compaction: bytes written since the last compaction started,
-            or, before the first one, also those found on disk.
+        pending_bytes: size of the records that are not synced yet.
     """
 
     complete: bool
-    bytes_since_compaction: int
+    pending_bytes: int
 
-    def open(self) -> Iterator[bytes]:
+    def open(self) -> Iterator[StoredRecord]:
         """Yield each record, then prepare for appending."""
 
-    async def append(self, record: bytes) -> None:
-        """Append a record and wait until it is synced."""
+    def append(self, record: bytes) -> asyncio.Future[Location]:
+        """Append a record; the result is where it is, once it is synced."""
 
     async def run(self) -> None:
         """Write the appended records until cancelled.
@@ -47,11 +56,19 @@
             OSError: the disk failed.
         """
 
-    async def start_compaction(self) -> None:
-        """Separate the records that are appended from now on from older ones."""
+    async def read_each(self, locations: list[Location]) -> list[bytes | None]:
+        """Return the records at some locations; None for one that can't be read."""
+
+    async def read_batch(
+        self, segment: int, offset: int, max_bytes: int
+    ) -> list[StoredRecord]:
+        """Return records of a segment from an offset on; none at its end."""
 
-    async def finish_compaction(self) -> None:
-        """Delete the records from before the last `start_compaction`."""
+    def closed_segments(self) -> dict[int, int]:
+        """Return the sizes of the segments that get no more records, by number."""
+
+    async def delete_segment(self, segment: int) -> None:
+        """Delete a closed segment."""
 
     def mark_complete(self) -> None:
         """Record on disk that the disk is complete."""
@@ -61,64 +78,57 @@
 
 
 class PendingRecord(NamedTuple):
-    """A framed record that is not synced yet.
+    """A record that is not synced yet.
 
     Attributes:
         frame: the record with its header.
-        synced: done once the record is synced.
+        synced: gets the location of the record once it is synced.
     """
 
     frame: bytes
-    synced: asyncio.Future[None]
+    synced: asyncio.Future[Location]
 
 
 class RecordLog:
     """The log of one keeper; implements `RecordDisk`.
 
     Attributes:
+        files: the segments.
         segment: number of the segment to which records are appended.
-        descriptor: file descriptor of that segment; -1 while there is none.
+        size: its size in bytes.
+        closed: sizes of the other segments, by number.
+        descriptor: file descriptor of the current segment; -1 while there is none.
         complete: whether the folder has the marker file of a complete disk.
         pending: the records that are not written yet.
         wake: set when a record has been added to `pending`.
-        executor: the only thread that writes and deletes segments, once the
+        writer: the only thread that writes and deletes segments, once the
             first one has been begun.
+        reader: the thread that reads records, so that no reading waits for a sync.
     """
 
     def __init__(self, folder: Path) -> None:
         """Create a log with its segments in `folder`, without opening it."""
         self.folder = folder
+        self.files = SegmentFolder(folder)
         self.segment = 0
-        self.bytes_since_compaction = 0
+        self.size = 0
+        self.closed: dict[int, int] = {}
         self.descriptor = -1
         self.complete = False
         self.pending: list[PendingRecord] = []
+        self.pending_bytes = 0
         self.wake = asyncio.Event()
-        self.executor = ThreadPoolExecutor(1, thread_name_prefix='disk')
+        self.writer = ThreadPoolExecutor(1, thread_name_prefix='disk')
+        self.reader = ThreadPoolExecutor(1, thread_name_prefix='disk_read')
 
-    def segments(self) -> list[int]:
-        """Return the numbers of the segments on disk, the oldest first."""
-        names = (
-            path.name for path in self.folder.glob(f'{SEGMENT_PREFIX}*{SEGMENT_SUFFIX}')
-        )
-        numbers = (
-            name.removeprefix(SEGMENT_PREFIX).removesuffix(SEGMENT_SUFFIX)
-            for name in names
-        )
-        return sorted(int(number) for number in numbers if number.isdecimal())
-
-    def path(self, segment: int) -> Path:
-        """Return the path of a segment."""
-        return self.folder / f'{SEGMENT_PREFIX}{segment:08d}{SEGMENT_SUFFIX}'
-
-    def open(self) -> Iterator[bytes]:
+    def open(self) -> Iterator[StoredRecord]:
         """Yield each record on disk, the oldest first, then begin a new segment."""
         self.folder.mkdir(parents=True, exist_ok=True)
         self.complete = COMPLETE_MARKER in os.listdir(self.folder)
-        for segment in self.segments():
-            payload = self.path(segment).read_bytes()
-            self.bytes_since_compaction += len(payload)
-            yield from read_frames(payload)
+        for segment in self.files.numbers():
+            self.closed[segment] = self.files.size(segment)
+            yield from self.files.read(segment)
+        self.segment = max(self.closed, default=0)
         self.begin_segment()
 
     def mark_complete(self) -> None:
@@ -127,45 +137,42 @@
         write_synced(self.folder / COMPLETE_MARKER, b'1')
 
     def begin_segment(self) -> None:
-        """Create and open the next segment; its name survives a power loss."""
+        """Close the current segment, if there is one, and create the next one."""
         if self.descriptor >= 0:
             os.close(self.descriptor)
-        self.segment = max(self.segments(), default=0) + 1
-        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
-        self.descriptor = os.open(self.path(self.segment), flags)
-        os.fsync(self.descriptor)
-        sync_directory(self.folder)
-
-    async def start_compaction(self) -> None:
-        """Begin a new segment after the write in progress."""
-        await self.run_in_executor(self.begin_segment)
-        self.bytes_since_compaction = 0
-
-    async def finish_compaction(self) -> None:
-        """Delete all segments but the current one."""
-        await self.run_in_executor(self.delete_older_segments)
-
-    def delete_older_segments(self) -> None:
-        """Delete all segments but the current one, in the writer's thread."""
-        for segment in self.segments():
-            if segment < self.segment:
-                self.path(segment).unlink()
-        sync_directory(self.folder)
-
-    async def run_in_executor(
-        self, function: Callable[..., None], *arguments: Any
-    ) -> None:
-        """Run a function in the thread that writes and deletes segments."""
-        loop = asyncio.get_running_loop()
-        await loop.run_in_executor(self.executor, function, *arguments)
-
-    async def append(self, record: bytes) -> None:
-        """Append a record and wait until it is synced."""
-        synced: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        frame = FRAME_HEADER.pack(len(record), zlib.crc32(record)) + record
-        self.pending.append(PendingRecord(frame, synced))
+            self.closed[self.segment] = self.size
+        self.segment += 1
+        self.size = 0
+        self.descriptor = self.files.create(self.segment)
+
+    def closed_segments(self) -> dict[int, int]:
+        """Return the sizes of the segments that get no more records, by number."""
+        return dict(self.closed)
+
+    async def delete_segment(self, segment: int) -> None:
+        """Delete a closed segment, in the writer's thread."""
+        await run_in(self.writer, self.files.delete, segment)
+        self.closed.pop(segment)
+
+    async def read_each(self, locations: list[Location]) -> list[bytes | None]:
+        """Return the records at some locations; None for one that can't be read."""
+        return await run_in(self.reader, self.files.read_each, locations)
+
+    async def read_batch(
+        self, segment: int, offset: int, max_bytes: int
+    ) -> list[StoredRecord]:
+        """Return records of a segment from an offset on; none at its end."""
+        return await run_in(
+            self.reader, self.files.read_batch, segment, offset, max_bytes
+        )
+
+    def append(self, record: bytes) -> asyncio.Future[Location]:
+        """Append a record; the result is where it is, once it is synced."""
+        synced: asyncio.Future[Location] = asyncio.get_running_loop().create_future()
+        self.pending.append(PendingRecord(make_frame(record), synced))
+        self.pending_bytes += frame_size(record)
         self.wake.set()
-        await synced
+        return synced
 
     async def run(self) -> None:
         """Write and sync the appended records in batches, until cancelled.
@@ -178,57 +185,64 @@
             self.wake.clear()
             batch = self.pending
             self.pending = []
-            await self.run_in_executor(
-                self.write, b''.join(record.frame for record in batch)
+            locations = await run_in(
+                self.writer, self.write, [one.frame for one in batch]
             )
-            for record in batch:
-                if not record.synced.done():
-                    record.synced.set_result(None)
-
-    def write(self, payload: bytes) -> None:
-        """Append bytes to the current segment and sync it."""
-        view = memoryview(payload)
-        while view:
-            view = view[os.write(self.descriptor, view) :]
+            for one, location in zip(batch, locations, strict=True):
+                self.pending_bytes -= len(one.frame)
+                if not one.synced.done():
+                    one.synced.set_result(location)
+
+    def write(self, frames: list[bytes]) -> list[Location]:
+        """Append frames to the current segment and sync it; return where they are."""
+        if self.size >= SEGMENT_BYTES:
+            self.begin_segment()
+        locations: list[Location] = []
+        for frame in frames:
+            locations.append(Location(self.segment, self.size, len(frame)))
+            self.size += len(frame)
+        for payload in joined(frames):
+            write_all(self.descriptor, payload)
         os.fdatasync(self.descriptor)
-        self.bytes_since_compaction += len(payload)
+        return locations
 
     def close(self) -> None:
-        """Stop the writing thread and close the current segment."""
-        self.executor.shutdown(wait=False)
+        """Stop the threads, and close the current segment after a write in progress."""
+        self.writer.submit(self.close_segment)
+        self.writer.shutdown(wait=False)
+        self.reader.shutdown(wait=False)
+
+    def close_segment(self) -> None:
+        """Close the current segment, in the writer's thread."""
         if self.descriptor >= 0:
             os.close(self.descriptor)
             self.descriptor = -1
 
 
-def read_frames(payload: bytes) -> Iterator[bytes]:
-    """Yield the records of a segment up to the first torn or damaged one."""
-    position = 0
-    while position + FRAME_HEADER.size <= len(payload):
-        length, checksum = FRAME_HEADER.unpack_from(payload, position)
-        position += FRAME_HEADER.size
-        record = payload[position : position + length]
-        # Zero bytes would otherwise pass as empty records: the CRC-32 of no bytes
-        # is 0.
-        if len(record) < length or zlib.crc32(record) != checksum or not length:
-            return
-        position += length
-        yield record
-
-
-def write_synced(path: Path, payload: bytes) -> None:
-    """Write a small file durably, so that it survives a power loss."""
-    with path.open('wb') as target:
-        target.write(payload)
-        target.flush()
-        os.fsync(target.fileno())
-    sync_directory(path.parent)
-
-
-def sync_directory(folder: Path) -> None:
-    """Sync a directory, so that created and deleted names survive a power loss."""
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
+async def run_in(
+    executor: ThreadPoolExecutor, function: Callable[..., Result], *arguments: Any
+) -> Result:
+    """Run a function in a thread."""
+    loop = asyncio.get_running_loop()
+    return await loop.run_in_executor(executor, function, *arguments)
+
+
+def joined(frames: list[bytes]) -> Iterator[bytes]:
+    """Yield frames put together up to WRITE_BYTES; a larger one stays by itself."""
+    group: list[bytes] = []
+    size_bytes = 0
+    for frame in frames:
+        if group and size_bytes + len(frame) > WRITE_BYTES:
+            yield b''.join(group)
+            group = []
+            size_bytes = 0
+        group.append(frame)
+        size_bytes += len(frame)
+    yield b''.join(group)
+
+
+def write_all(descriptor: int, payload: bytes) -> None:
+    """Write all bytes to a file."""
+    view = memoryview(payload)
+    while view:
+        view = view[os.write(descriptor, view) :]
--- a/pollenwalk/process/retirement.py
+++ b/pollenwalk/process/retirement.py
@@ -96,7 +96,7 @@
         keeper.retired = True
         await self.leave_list()
         await self.report(True)
-        logger.info('retired', turns=len(keeper.state.turns.records))
+        logger.info('retired', turns=len(keeper.state.turns))
 
     async def wait_until_complete(self) -> None:
         """Wait until a lost disk has been restored.
--- a/pollenwalk/process/turn_copies.py
+++ b/pollenwalk/process/turn_copies.py
@@ -18,12 +18,12 @@
 from pollenwalk.process.keeper_members import Member
 from pollenwalk.process.keeper_state import KeeperState
 from pollenwalk.process.record_batches import batched
+from pollenwalk.process.stored_turns import IndexedRecord
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.program.turns import (
     FindMissing,
     Missing,
     PushRecords,
-    TurnRecord,
 )
 
 # How long a keeper that asks for copies waits for each answer. It is shorter than the
@@ -143,22 +143,23 @@
 
     async def push_turns(self, member: Member, staying: list[Member]) -> None:
         """Send another keeper the turns that it is to have and lacks."""
-        updated = (
-            record._replace(replicas=self.choose_replicas(record, staying))
-            for record in list(self.state.turns.records.values())
+        chosen = (
+            (entry.turn, self.choose_replicas(entry, staying))
+            for entry in self.state.turns.entries()
         )
-        records = {
-            record.turn: record for record in updated if member.name in record.replicas
-        }
-        if not records:
+        replicas = {turn: names for turn, names in chosen if member.name in names}
+        if not replicas:
             return
         link = self.links.link(member)
-        missing: Missing = await self.links.request(link, FindMissing(list(records)))
-        await self.push(
-            member, (encode_datagram(records[turn]) for turn in missing.turns)
-        )
-
-    def choose_replicas(self, record: TurnRecord, staying: list[Member]) -> list[str]:
+        missing: Missing = await self.links.request(link, FindMissing(list(replicas)))
+        async for records in self.state.reader.batches(missing.turns):
+            updated = (one._replace(replicas=replicas[one.turn]) for one in records)
+            push = PushRecords(list(map(encode_datagram, updated)))
+            await self.links.request(link, push)
+
+    def choose_replicas(
+        self, record: IndexedRecord, staying: list[Member]
+    ) -> list[str]:
         """Return the names of the keepers that are to have a turn.
 
         Its present replicas among `staying` are preferred, then the first others.
--- a/pollenwalk/program/ledger.py
+++ b/pollenwalk/program/ledger.py
@@ -90,6 +90,14 @@
             self.accounts.pop(program)
 
 
+def entry_to_record(
+    program: str, entry: TokenEntry, retention_ms: float
+) -> ReserveTokens | SettleTokens:
+    """Return the record that creates an account entry."""
+    kind = SettleTokens if entry.settled else ReserveTokens
+    return kind(program, entry.turn, entry.tokens, retention_ms)
+
+
 class BudgetDecision(NamedTuple):
     """How a turn's reservation compares with the program's budget.
 
--- a/pollenwalk/program/turn_index.py
+++ b/pollenwalk/program/turn_index.py
@@ -1,9 +1,10 @@
 """An index of turns by id, from which unused turns expire."""
 
 from collections import OrderedDict
+from typing import Generic, NamedTuple, Protocol, TypeVar
 
 from pollenwalk.process.clock import Clock
-from pollenwalk.program.turns import Chain, TurnRecord
+from pollenwalk.program.turns import TurnRecord
 
 # A turn is kept longer than its retention, as the keepers' clocks, and the times
 # of last use that they have recorded, may differ by some seconds.
@@ -11,8 +12,43 @@
 RETENTION_MARGIN_MS = 30_000.0
 
 
-class TurnIndex:
-    """Turn records in the order of their last use.
+class IndexedTurn(Protocol):
+    """What an index needs to know of a turn; see `TurnRecord`."""
+
+    @property
+    def turn(self) -> str:
+        """Return the id of the turn."""
+
+    @property
+    def previous(self) -> str:
+        """Return the id of the turn that it continues; empty for none."""
+
+    @property
+    def retention_ms(self) -> float:
+        """Return how long the turn is kept after its last use."""
+
+    @property
+    def size_bytes(self) -> int:
+        """Return how many bytes the turn adds to a prompt."""
+
+
+Turn = TypeVar('Turn', bound=IndexedTurn)
+
+
+class UsedChain(NamedTuple, Generic[Turn]):
+    """A turn and its predecessors, as far as an index has them.
+
+    Attributes:
+        turns: the oldest first.
+        missing: id of the turn before the first one; empty if there is none.
+    """
+
+    turns: list[Turn]
+    missing: str
+
+
+class TurnIndex(Generic[Turn]):
+    """Turns in the order of their last use.
 
     Attributes:
         records: by turn id, the least recently used first.
@@ -31,10 +67,10 @@
         self.clock = clock
         self.max_bytes = max_bytes
         self.size_bytes = 0
-        self.records: OrderedDict[str, TurnRecord] = OrderedDict()
+        self.records: OrderedDict[str, Turn] = OrderedDict()
         self.last_used_ms: dict[str, float] = {}
 
-    def put(self, record: TurnRecord) -> bool:
+    def put(self, record: Turn) -> bool:
         """Add a record and mark it and its chain as just used.
 
         Returns:
@@ -44,17 +80,14 @@
         if is_new:
             self.records[record.turn] = record
             self.size_bytes += record.size_bytes
-        self.touch_chain(record.turn)
+        self.use_chain(record.turn)
         self.evict()
         return is_new
 
-    def touch_chain(self, turn: str) -> Chain:
-        """Return a turn and its predecessors, and mark them as just used.
-
-        The chain's `complete` is always True; a keeper replaces it by its own.
-        """
+    def use_chain(self, turn: str) -> UsedChain[Turn]:
+        """Return a turn and its predecessors, and mark them as just used."""
         now_ms = self.clock.now_ms()
-        found: list[TurnRecord] = []
+        found: list[Turn] = []
         missing = turn
         while missing in self.records:
             record = self.records[missing]
@@ -63,7 +96,7 @@
             self.records.move_to_end(missing)
             missing = record.previous
         found.reverse()
-        return Chain(True, found, missing)
+        return UsedChain(found, missing)
 
     def keep(self, turns: list[str]) -> list[str]:
         """Mark turns as just used; return those that are not in the index."""
@@ -80,7 +113,7 @@
         while self.max_bytes is not None and self.size_bytes > self.max_bytes:
             self.remove(next(iter(self.records)))
 
-    def expire(self) -> list[TurnRecord]:
+    def expire(self) -> list[Turn]:
         """Remove the turns whose retention has passed and return them."""
         now_ms = self.clock.now_ms()
         expired = [
--- a/test/process/test_crash_records.py
+++ b/test/process/test_crash_records.py
@@ -17,6 +17,7 @@
 from test.helper import make_clock, virtual
 
 # Hosts and times of their crashes on a clock that has started anew since.
+COMPACTED_MS = 60_000.0
 LATER = (('a', 100_000.0), ('b', 101_000.0), ('c', 102_000.0))
 
 
@@ -126,8 +127,10 @@
         disk = MemoryDisk(clock)
         state = await self.start(clock, disk)
         await self.crash_thrice(clock, state)
-        disk.bytes_since_compaction = 1_000_000_000
+        disk.begin_segment()
+        await clock.sleep_ms(COMPACTED_MS)
         await state.compact()
+        self.assertEqual({}, disk.closed_segments())
         self.assertEqual(3, (await self.start(clock, disk)).crashes.crashes('digest'))
 
     @virtual
--- a/test/process/test_keeper_removal.py
+++ b/test/process/test_keeper_removal.py
@@ -171,4 +171,4 @@
         await cluster.keepers['a'].state.store_record(make_record('t2'))
         while not await copies.ensure_for(names):
             await cluster.wait(100)
-        self.assertIn('t2', cluster.keepers['b'].state.turns.records)
+        self.assertIn('t2', cluster.keepers['b'].state.turns)
--- a/test/process/test_keepers.py
+++ b/test/process/test_keepers.py
@@ -418,9 +418,9 @@
             await keeper.state.store_record(make_record(f't{number}'))
         await cluster.wait(RETENTION_MS * 3)
         await keeper.state.store_record(make_record('young'))
-        cluster.disks['a'].bytes_since_compaction = 1_000_000_000
+        cluster.disks['a'].begin_segment()
         await keeper.state.compact()
-        self.assertEqual(1, len(keeper.state.turns.records))
+        self.assertEqual(1, len(keeper.state.turns))
         left = [one for one in cluster.disks['a'].records if b't1' in one]
         self.assertEqual([], left)
 
--- a/test/process/test_retirement.py
+++ b/test/process/test_retirement.py
@@ -63,7 +63,7 @@
         return {
             name
             for name, keeper in cluster.keepers.items()
-            if turn in keeper.state.turns.records
+            if turn in keeper.state.turns
         }
 
     @virtual
--- a/test/process/test_turn_retention.py
+++ b/test/process/test_turn_retention.py
@@ -62,9 +62,7 @@
 
 def copies(cluster: KeeperCluster, turn: str) -> int:
     """Return how many keepers have a turn in memory."""
-    return sum(
-        turn in keeper.state.turns.records for keeper in cluster.keepers.values()
-    )
+    return sum(turn in keeper.state.turns for keeper in cluster.keepers.values())
 
 
 class RetentionTest(testtools.TestCase):
--- a/test/program/test_ledger.py
+++ b/test/program/test_ledger.py
@@ -124,9 +124,9 @@
         ):
             index.put(turn)
         self.assertEqual(
-            ['a', 'b'], [record.turn for record in index.touch_chain('b').turns]
+            ['a', 'b'], [record.turn for record in index.use_chain('b').turns]
         )
-        chain = index.touch_chain('d')
+        chain = index.use_chain('d')
         self.assertEqual(['a', 'c', 'd'], [record.turn for record in chain.turns])
         self.assertEqual(b'aa!\ncc!\ndd!\nnew', build_prompt(chain.turns, b'new'))
 
@@ -134,9 +134,9 @@
     async def test_missing_predecessor_is_named(self) -> None:
         index = TurnIndex(make_clock())
         index.put(self.turn('b', 'a'))
-        self.assertEqual('a', index.touch_chain('b').missing)
-        self.assertEqual('x', index.touch_chain('x').missing)
-        self.assertEqual([], index.touch_chain('x').turns)
+        self.assertEqual('a', index.use_chain('b').missing)
+        self.assertEqual('x', index.use_chain('x').missing)
+        self.assertEqual([], index.use_chain('x').turns)
 
     @virtual
     async def test_use_of_a_turn_keeps_its_chain(self) -> None:
@@ -148,7 +148,7 @@
         index.put(self.turn('b', 'a'))
         await clock.sleep_ms(25_000)
         self.assertEqual(['x'], [record.turn for record in index.expire()])
-        self.assertEqual('', index.touch_chain('b').missing)
+        self.assertEqual('', index.use_chain('b').missing)
 
     @virtual
     async def test_bounded_index_evicts_least_recently_used(self) -> None:
