Refuse turns while much waits for a keeper's disk

While a disk is slow, the turns that wait to be written piled up in the keeper's memory without a bound, until the keeper was ended.

A keeper now refuses turns while more than 8 MB wait. The gateway then sends them to another keeper at once, as for any refusal. Reservations and settlements are small and still wait.

Evidence: test_keeper_with_a_slow_disk_is_passed_over fails before: the turn is stored at the slow keeper.

--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -70,6 +70,9 @@
 # Longest duration of a watch. A keeper is given at least several seconds to retire, and
 # a stalled watch must end well before.
 WATCH_WAIT_MS = 2500
+# Turns are refused while more than this waits for the disk, so that the gateway sends
+# them to another keeper.
+MAX_PENDING_BYTES = 8_000_000
 CopyMessage = KeepTurns | FindMissing | ListTurns | CheckReachable | EnsureCopies
 
 
@@ -295,6 +298,8 @@
         takes_turns = isinstance(message, TurnRecord | PushRecords)
         if takes_turns and self.own_member.retiring:
             raise Refusal(RefusalCode.RETIRING, 'this keeper is retiring')
+        if takes_turns and self.state.log.pending_bytes > MAX_PENDING_BYTES:
+            raise Refusal(RefusalCode.OVERLOADED, 'the disk is slow')
         if isinstance(message, TurnRecord):
             await self.state.store_record(message)
         elif isinstance(message, Settlements):
--- a/test/process/test_keepers.py
+++ b/test/process/test_keepers.py
@@ -8,7 +8,7 @@
 from pollenwalk.errors import Refusal, RefusalCode
 from pollenwalk.policy.quota_bucket import QuotaBound
 from pollenwalk.process.departure import Departure
-from pollenwalk.process.keeper import Keeper, KeeperSettings
+from pollenwalk.process.keeper import MAX_PENDING_BYTES, Keeper, KeeperSettings
 from pollenwalk.process.keeper_daemon import start_membership_tasks
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_links import KeeperLinks
@@ -216,6 +216,16 @@
         with testtools.ExpectedException(Refusal):
             await group.store_turn(make_record('t1'))
 
+    @virtual
+    async def test_keeper_with_a_slow_disk_is_passed_over(self) -> None:
+        # Guards against turns that pile up in the memory of a keeper whose disk is slow.
+        cluster = KeeperCluster()
+        group = await cluster.start_three_with_group()
+        cluster.disks['a'].pending_bytes = MAX_PENDING_BYTES + 1
+        await group.store_turn(make_record('t1'))
+        self.assertEqual({'b', 'c'}, cluster.keepers_with('t1'))
+        self.assertEqual(0, group.links.without_majority_ms)
+
     @virtual
     async def test_lost_keeper_is_used_again(self) -> None:
         cluster = KeeperCluster()
