Take late requests in a planned stop only if they must end in time

Callers whose stream was sent 5.0 s after the SIGTERM of a gateway, on a connection that they had kept, lost it 2.5 s later, in the middle, though another gateway was ready all the while.

Cause: a stopping gateway took a request if five times the average time of its route fitted into the rest of the grace period. The average was 0.16 s; this stream took 2.8 s, within its deadline.

The factor is there for the first seconds, in which the load balancer may send a refused caller back to the same gateway and use up its retries. Afterwards a refusal costs one try at another gateway, and the longest time of a request is known: until the caller's deadline or the route's timeout. So from 2.5 s after the signal only what ends by then is taken; before that nothing changes.

Evidence: test_late_stream_that_is_longer_than_others fails before (cut after its first event) and passes now.

--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -9,7 +9,7 @@
 from pollenwalk.connection.channel import StreamNetwork
 from pollenwalk.errors import Outcome, Refusal, RefusalCode, StoreUnavailable
 from pollenwalk.platform.documents import CONFIGURATION_PREFIX, HOSTS_PREFIX
-from pollenwalk.policy.drain_admission import may_finish
+from pollenwalk.policy.drain_admission import PlannedStop
 from pollenwalk.policy.host_choice import CallCost, EarliestFinish
 from pollenwalk.policy.own_load import OwnLoad
 from pollenwalk.policy.program_admission import draw_elsewhere_retry_ms
@@ -118,8 +118,7 @@
     Attributes:
         waits: what this gateway waits for, and for whom.
         host_bounds: what may be kept and sent at each host.
-        stop_at_ms: when requests in progress are cut, once the gateway was told to
-            stop; None before that.
+        planned_stop: the planned stop, once the gateway was told to stop.
     """
 
     def __init__(
@@ -145,7 +144,7 @@
             self.active_configuration, bounds_bodies=settings.bound_host_bodies
         )
         self.pool = make_pool(clock, self.host_bounds, settings.memory_mb)
-        self.stop_at_ms: float | None = None
+        self.planned_stop: PlannedStop | None = None
         self.own_load = OwnLoad()
         call_placer = CallPlacer(
             clock,
@@ -216,7 +215,7 @@
         loaded = loaded and self.preparation.serves_organisations
         majority_ok = self.links.without_majority_ms < MAX_WITHOUT_MAJORITY_MS
         has_room = self.own_load.accepts_callers(self.clock.now_ms())
-        return loaded and majority_ok and has_room and self.stop_at_ms is None
+        return loaded and majority_ok and has_room and self.planned_stop is None
 
     def sends_callers_away(self) -> bool:
         """Return whether callers should open their next connection elsewhere."""
@@ -347,20 +346,21 @@
         Raises:
             Refusal: the gateway stops too soon; the call has not run.
         """
-        if self.stop_at_ms is None:
+        if self.planned_stop is None:
             return
         now_ms = self.clock.now_ms()
         placer = self.forwarding_context.call_placer
         cost = CallCost(placer.expected_run_ms(call))
         expected_ms = cost.run_ms + placer.min_wait_ms(call, cost)
-        left_ms = self.stop_at_ms - now_ms
-        if may_finish(call.remaining_ms(now_ms), expected_ms, left_ms):
+        allowed_ms = call.remaining_ms(now_ms)
+        if self.planned_stop.may_finish(now_ms, allowed_ms, expected_ms):
             return
         logger.info(
             'too_late',
             request=call.id,
             route=call.route.name,
-            left_ms=round(left_ms),
+            left_ms=round(self.planned_stop.left_ms(now_ms)),
+            allowed_ms=round(allowed_ms),
             expected_ms=round(expected_ms),
         )
         raise Refusal(
--- a/pollenwalk/process/gateway_daemon.py
+++ b/pollenwalk/process/gateway_daemon.py
@@ -22,6 +22,7 @@
 from pollenwalk.errors import UserError
 from pollenwalk.platform.names import READY_PATH
 from pollenwalk.platform.objects import PlatformStore
+from pollenwalk.policy.drain_admission import BALANCER_REMOVAL_MS, PlannedStop
 from pollenwalk.process import event_loop
 from pollenwalk.process.clock import MS_PER_SECOND, LoopClock
 from pollenwalk.process.gateway import Gateway, GatewaySettings
@@ -32,9 +33,6 @@
 from pollenwalk.process.settings import Settings, read_settings
 from pollenwalk.process.signals import stop_on_signals
 
-# Time from the stop signal until the load balancer sends no new callers: it checks
-# readiness once a second and removes a gateway after two failed checks.
-BALANCER_REMOVAL_MS = 2500.0
 # Part of the grace period that is reserved for closing the servers.
 CLOSE_RESERVE_MS = 700.0
 # Part of it for the requests that still run. Each server takes 0.1 s besides.
@@ -200,7 +198,7 @@
         started_ms = self.clock.now_ms()
         logger.info('stopping', in_progress=self.app.in_progress)
         deadline_at_ms = started_ms + max(grace_ms - CLOSE_RESERVE_MS, 0)
-        self.gateway.stop_at_ms = deadline_at_ms
+        self.gateway.planned_stop = PlannedStop(started_ms, deadline_at_ms)
         self.app.close_connections = True
         await self.clock.sleep_ms(min(BALANCER_REMOVAL_MS, deadline_at_ms - started_ms))
         while self.app.in_progress and self.clock.now_ms() < deadline_at_ms:
--- a/test/policy/test_drain_admission.py
+++ b/test/policy/test_drain_admission.py
@@ -2,9 +2,16 @@
 
 import testtools
 
-from pollenwalk.policy.drain_admission import LONGEST_RUN_FACTOR, may_finish
+from pollenwalk.policy.drain_admission import (
+    BALANCER_REMOVAL_MS,
+    LONGEST_RUN_FACTOR,
+    PlannedStop,
+)
 
 LEFT_MS = 1000.0
+# Just after the stop began, and once callers don't come back.
+EARLY = PlannedStop(0, LEFT_MS)
+LATE = PlannedStop(-BALANCER_REMOVAL_MS, LEFT_MS)
 
 
 class DrainAdmissionTest(testtools.TestCase):
@@ -19,9 +26,15 @@
         )
         for allowed_ms, expected_ms, taken in cases:
             self.assertEqual(
-                taken, may_finish(allowed_ms, expected_ms, LEFT_MS), allowed_ms
+                taken, EARLY.may_finish(0, allowed_ms, expected_ms), allowed_ms
             )
 
+    def test_late_request_is_taken_only_if_it_must_end(self) -> None:
+        # Guards against a stream that is cut though another gateway could have served it.
+        self.assertTrue(LATE.may_finish(0, LEFT_MS, LEFT_MS * 10))
+        self.assertFalse(LATE.may_finish(0, LEFT_MS + 1, 1))
+
     def test_nothing_is_taken_at_the_end(self) -> None:
-        self.assertFalse(may_finish(100, 20, 0))
-        self.assertFalse(may_finish(100, 20, -50))
+        for stop in (EARLY, LATE):
+            self.assertFalse(stop.may_finish(LEFT_MS, 100, 20))
+            self.assertFalse(stop.may_finish(LEFT_MS + 50, 100, 20))
--- a/test/process/test_gateway_daemon.py
+++ b/test/process/test_gateway_daemon.py
@@ -108,6 +108,7 @@
         {**ROUTE, 'name': 'once', 'path_prefix': '/once/', 'kind': 'unsafe'},
         {**ROUTE, 'name': 'again', 'path_prefix': '/again/', 'kind': 'safe'},
         {**ROUTE, 'name': 'stream', 'path_prefix': '/stream/', 'kind': 'streaming'},
+        {**ROUTE, 'name': 'brief', 'path_prefix': '/brief/', 'kind': 'streaming'},
     ],
     'services': [{'name': 'up', 'max_conns': 100}],
     'limits': {'max_body_bytes': 1000},
@@ -116,11 +117,22 @@
 SLOTS = 100
 # How long the host works on each request, and the grace period of the stops.
 WORK_S = 0.9
+LONG_WORK_S = 3.0
+SLOW_PATH = '/brief/slow'
+BRIEF_STREAMS = 20
 GRACE_MS = BALANCER_REMOVAL_MS + CLOSE_RESERVE_MS + 1500.0
 
 
 async def work(line: Line, request: Received) -> None:
-    """Answer after WORK_S, a stream with its first event at once."""
+    """Answer after WORK_S, a stream with its first event at once.
+
+    Streams of the route `brief` end at once, but for one that takes LONG_WORK_S.
+    """
+    if request.target.startswith('/brief/'):
+        line.say(stream_head(request) + chunk(event(1)))
+        await asyncio.sleep(LONG_WORK_S if request.target == SLOW_PATH else 0)
+        line.say(chunk(event(2)) + chunk(b''))
+        return
     if request.target.startswith('/stream/'):
         line.say(stream_head(request) + chunk(event(1)))
         await asyncio.sleep(WORK_S)
@@ -262,6 +274,25 @@
         self.assertNotIn('/once/slow', targets)
         self.assertNotIn('/once/never', targets)
 
+    @on_loop
+    async def test_late_stream_that_is_longer_than_others(self) -> None:
+        # Guards against a stream that is sent once callers have gone, taken as others of
+        # its route are brief, and cut.
+        stop = PlannedStop()
+        await stop.start()
+        for number in range(BRIEF_STREAMS):
+            await stop.exchange(f'/brief/{number}')
+        sent_ms = BALANCER_REMOVAL_MS + 200
+        # Keeps the gateway from having nothing to do, and so from stopping early.
+        stop.send_at(sent_ms - 500, '/once/1')
+        stop.send_at(sent_ms, SLOW_PATH)
+        received = await stop.stop()
+        self.assertEqual(
+            [], [one.raw for one in received if not (one.whole or one.refused)]
+        )
+        targets = [request.target for request in stop.host.received]
+        self.assertNotIn(SLOW_PATH, targets)
+
     @on_loop
     async def test_late_request_on_a_kept_connection(self) -> None:
         stop = PlannedStop()
