Reserve budgets after a pause only by a newly read list of keepers

Two turns of a program could each be given its whole budget: one by a gateway that had been frozen while two keepers were added, the other by one that knew them. The majority of three that the first asked and a majority of five need not have a keeper in common.

Only a change of two keepers or more within the pause shows it, as after one change majorities still overlap.

Now a gateway notices its own pauses (a beat that comes more than 1 s late), and before a majority is counted after one, the list of keepers must be known until then: by the watch, or by a reading that is put into it. An operation that a pause interrupted is repeated, and no turn is permitted early meanwhile. If nobody can read the list the answer is 503, not run. Without a pause nothing is read.

What a watch reports late and the reading had already is ignored, as it would bring the older list back.

--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -229,6 +229,7 @@
     async def start(self) -> None:
         """Start to follow the store, to exchange limits and to report the load."""
         self.tasks.spawn(self.follow_store(), 'follow_store')
+        self.tasks.spawn(self.keepers.pauses.run(), 'watch_pauses')
         self.tasks.spawn(self.watch_waits(), 'watch_waits')
         self.tasks.spawn(self.permits.exchange_limits(), 'exchange_limits')
         self.tasks.spawn(self.quotas.run(), 'return_quotas')
@@ -250,7 +251,7 @@
         )
         settings = self.settings
         membership_wait_ms = settings.leave_notice_ms * MEMBERSHIP_WATCH_SHARE
-        follower.follow(
+        self.keepers.recent.watcher = follower.follow(
             KEEPERS_PREFIX,
             self.links.members.apply_change,
             self.links.members.mark_loaded,
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -20,6 +20,8 @@
 from pollenwalk.process.keeper_links import OTHER_REGION, KeeperLink, KeeperLinks
 from pollenwalk.process.keeper_quorum import SPARE_KEEPERS, Quorum
 from pollenwalk.process.member_readings import MemberReadings
+from pollenwalk.process.pauses import PauseWatch
+from pollenwalk.process.recent_members import RecentMembers
 from pollenwalk.process.retry_advisor import RetryAdvisor
 from pollenwalk.process.store import Changes, FollowedStore, StoredObject
 from pollenwalk.process.tasks import TaskSet
@@ -83,6 +85,8 @@
         queued_settlements: settlements that will be sent with the next batch.
         retention: tells the keepers which turns are used.
         readings: read the list of keepers as it is now.
+        pauses: notices pauses of this gateway; must be run.
+        recent: has what counts keepers go by a list that is newer than any pause.
     """
 
     def __init__(
@@ -114,6 +118,8 @@
             links, clock, tasks, self.required_copies, self.store_turn
         )
         self.readings = MemberReadings(store, clock, tasks, self.read_prefix)
+        self.pauses = PauseWatch(clock)
+        self.recent = RecentMembers(self.readings, self.pauses)
 
     @property
     def required_copies(self) -> int:
--- a/pollenwalk/process/member_readings.py
+++ b/pollenwalk/process/member_readings.py
@@ -31,11 +31,13 @@
 
     Attributes:
         began_ms: when the reading began, on `Clock.boot_ms`.
+        listing: the objects of the keepers.
         members: the keepers.
         unreadable: number of objects that could not be decoded. Each may be a keeper.
     """
 
     began_ms: float
+    listing: Changes
     members: list[Member]
     unreadable: int
 
@@ -89,9 +91,9 @@
         if listing is None:
             return None
         listed = Members(listing.objects)
-        return MemberReading(
-            began_ms, list(listed.by_name.values()), len(listed.unreadable.versions)
-        )
+        members = list(listed.by_name.values())
+        unreadable = len(listed.unreadable.versions)
+        return MemberReading(began_ms, listing, members, unreadable)
 
     async def read_store(self) -> Changes | None:
         """List the keepers in the store; None if it does not answer soon."""
--- a/pollenwalk/process/prefix_watcher.py
+++ b/pollenwalk/process/prefix_watcher.py
@@ -167,11 +167,26 @@
             self.next_revision = None
             return await self.read()
         self.answered_revision = max(self.answered_revision, changes.revision)
-        if changes.objects:
-            self.next_revision = max(self.next_revision, changes.revision)
-        for stored in changes.objects:
+        known_revision = self.next_revision
+        changed = [one for one in changes.objects if one.version > known_revision]
+        if changed:
+            self.next_revision = max(known_revision, changes.revision)
+        for stored in changed:
             self.track_key(stored)
-        return changes
+        return changes._replace(objects=changed)
+
+    def adopt(self, listing: Changes, began_ms: float) -> None:
+        """Apply a listing that was read beside the watch.
+
+        The watch goes on; what it still reports and the listing already had is ignored.
+
+        Args:
+            listing: all objects below the prefix.
+            began_ms: when the reading of it began, on `Clock.boot_ms`.
+        """
+        self.confirm(began_ms, listing)
+        if listing.revision > (self.next_revision or 0):
+            self.notify(self.apply_listing(listing))
 
     def apply_listing(self, listing: Changes) -> list[StoredObject]:
         """Record a listing, and return its objects and the deleted ones.
--- a/pollenwalk/request/reservation.py
+++ b/pollenwalk/request/reservation.py
@@ -126,14 +126,15 @@
                 answered.
         """
         started_ms = self.group.clock.now_ms()
-        known_entries = await self.ask_majority()
+        recent = self.group.recent
+        known_entries = await recent.run(self.ask_majority)
         rounds = 1
         decision = self.decide(known_entries)
         exhausted = decision.settled_tokens + self.max_tokens > self.budget
         if not (exhausted or self.has_headroom(decision, len(known_entries))):
             # A second round sees the turns that were reserved during the first. It
             # is left out if settled turns alone leave too few tokens for this turn.
-            known_entries.extend(await self.ask_majority())
+            known_entries.extend(await recent.run(self.ask_majority))
             rounds = 2
             decision = self.decide(known_entries)
         took_ms = self.group.clock.now_ms() - started_ms
@@ -205,13 +206,16 @@
         """Add one keeper's entries; permit the turn if the answers suffice.
 
         The turn is permitted here only while a majority of the keepers is not
-        lost. Entries of a keeper whose records are incomplete are ignored.
+        lost and their list is newer than the last pause. Entries of a keeper whose
+        records are incomplete are ignored.
         """
         if not spent.complete:
             return
         known_entries.append(spent.entries)
         if self.permitted.done() or not self.group.links.has_majority:
             return
+        if not self.group.recent.are_known:
+            return
         decision = self.decide(known_entries)
         if self.has_headroom(decision, len(known_entries)):
             self.permitted_early = True
--- a/test/process/test_keepers.py
+++ b/test/process/test_keepers.py
@@ -143,9 +143,12 @@
         handlers = WatchHandlers(links.members.apply_change, links.members.mark_loaded)
         follower = PrefixWatcher(self.store, clock, KEEPERS_PREFIX, handlers)
         tasks.spawn(follower.run(), 'follow')
-        return KeeperGroup(
+        group = KeeperGroup(
             links, clock, tasks, self.tolerated_losses, self.store_for(node)
         )
+        group.recent.watcher = follower
+        tasks.spawn(group.pauses.run(), 'watch_pauses')
+        return group
 
     async def start_three_with_group(self, zone: str = 'a') -> KeeperGroup:
         """Start three keepers and a gateway that has read their list."""
--- a/test/process/test_prefix_watcher.py
+++ b/test/process/test_prefix_watcher.py
@@ -100,6 +100,22 @@
         self.assertEqual({'a/y': b'1'}, self.objects)
         watching.cancel()
 
+    @virtual
+    async def test_late_watch_does_not_undo_an_adopted_listing(self) -> None:
+        # Guards against a watch that reports what a listing beside it already has.
+        store = StalledStore(make_clock())
+        await store.put('a/x', b'1', None)
+        watcher = self.watcher(store, wait_ms=5000)
+        watching = asyncio.ensure_future(watcher.run())
+        await store.clock.sleep_ms(100)
+        store.faults = Faults(slow_ms=500)
+        await store.put('a/y', b'1', None)
+        listing = Changes(store.revision + 1, [StoredObject('a/x', b'2', 3)])
+        watcher.adopt(listing, store.clock.boot_ms())
+        await store.clock.sleep_ms(1000)
+        self.assertEqual({'a/x': b'2'}, self.objects)
+        watching.cancel()
+
     @virtual
     async def test_relay_is_used_while_the_store_is_down(self) -> None:
         store = StalledStore(make_clock())
