Store turns at a keeper that was paused only if it is still listed

A keeper that is frozen for seconds can be replaced or removed meanwhile. When it woke it took turns from gateways that still listed it, and each counted its copy until the keeper entered the list again, up to 0.4 s later. A reader that went by the new list did not ask it, so with the other copy's keeper away the turn could be denied (404).

Now a keeper whose beat shows a pause reads the list, once, before it takes the next turn, and refuses turns if it is not in it or another keeper has taken its place; the gateway sends them to the next one. If the store does not answer within 0.5 s the keeper goes on by the list it had: a refusal would then stop all turns after a freeze of all keepers.

--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -33,12 +33,16 @@
 from pollenwalk.process.keeper_memory import KeeperMemory, MemoryMessage
 from pollenwalk.process.keeper_metrics import KeeperMetrics
 from pollenwalk.process.keeper_state import KeeperState
+from pollenwalk.process.member_readings import MemberReadings
+from pollenwalk.process.pauses import PauseWatch
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
 from pollenwalk.process.quota_borrowing import QuotaBorrowing
+from pollenwalk.process.recent_members import RecentMembers
 from pollenwalk.process.share_borrowing import ShareBorrowing
 from pollenwalk.process.store import Backoff, ObjectStore
 from pollenwalk.process.store_mirror import StoreMirrors
 from pollenwalk.process.tasks import TaskSet
+from pollenwalk.process.turn_admission import TurnAdmission
 from pollenwalk.process.turn_copies import TurnCopies
 from pollenwalk.process.waits import Waits
 from pollenwalk.program.turns import (
@@ -70,9 +74,6 @@
 # Longest duration of a watch. A keeper is given at least several seconds to retire, and
 # a stalled watch must end well before.
 WATCH_WAIT_MS = 2500
-# Turns are refused while more than this waits for the disk, so that the gateway sends
-# them to another keeper.
-MAX_PENDING_BYTES = 8_000_000
 CopyMessage = KeepTurns | FindMissing | ListTurns | CheckReachable | EnsureCopies
 
 
@@ -110,6 +111,8 @@
         own_member: this keeper's object in the store, as it should be.
         mirrors: the parts of the store that this keeper follows for others.
         feed: follows the store through the first keeper of the region.
+        recent: reads the list of keepers anew after a pause.
+        admission: decides which turns are stored here.
         copies: copies this keeper's turns to others.
         memory: answers what needs no disk.
         quota_borrowing: borrows the shares of others; None before the start, or if no
@@ -154,6 +157,11 @@
         self.feed = KeeperFeed(
             store, self.links, clock, do_nothing, self.mirrors, settings.name
         )
+        readings = MemberReadings(store, clock, self.tasks)
+        self.recent = RecentMembers(readings, PauseWatch(clock))
+        self.admission = TurnAdmission(
+            settings.name, state, self.links.members, self.recent
+        )
         self.copies = TurnCopies(
             state, self.links, clock, self.tasks, settings.name, self.required_copies
         )
@@ -192,6 +200,8 @@
         watcher = PrefixWatcher(
             self.feed, self.clock, KEEPERS_PREFIX, handlers, WATCH_WAIT_MS
         )
+        self.recent.watcher = watcher
+        self.tasks.spawn(self.recent.pauses.run(), 'watch_pauses')
         self.tasks.spawn(watcher.run(), 'follow_keepers')
         self.tasks.spawn(self.keep_registered(), 'register')
         self.tasks.spawn(self.expire(), 'expire')
@@ -292,14 +302,14 @@
         """Store the records of a message on disk.
 
         Raises:
-            Refusal: the message is not one for keepers, or this keeper is
-                retiring and accepts no new turns.
+            Refusal: the message is not one for keepers, or this keeper stores no
+                turns now.
         """
         takes_turns = isinstance(message, TurnRecord | PushRecords)
         if takes_turns and self.own_member.retiring:
             raise Refusal(RefusalCode.RETIRING, 'this keeper is retiring')
-        if takes_turns and self.state.log.pending_bytes > MAX_PENDING_BYTES:
-            raise Refusal(RefusalCode.OVERLOADED, 'the disk is slow')
+        if takes_turns:
+            await self.admission.check()
         if isinstance(message, TurnRecord):
             await self.state.store_record(message)
         elif isinstance(message, Settlements):
--- a/pollenwalk/process/member_readings.py
+++ b/pollenwalk/process/member_readings.py
@@ -51,7 +51,8 @@
     """Reads the list of keepers on demand; requests at the same time share a reading.
 
     Attributes:
-        read_by_keeper: lists a prefix of the store through a keeper.
+        read_by_keeper: lists a prefix of the store through a keeper; None if nobody
+            reads it for this process.
         due_at_ms: when the next reading may begin.
         pending: the next reading, which has not begun; None if nobody waits for one.
     """
@@ -61,7 +62,7 @@
         store: FollowedStore,
         clock: Clock,
         tasks: TaskSet,
-        read_by_keeper: ReadByKeeper,
+        read_by_keeper: ReadByKeeper | None = None,
     ) -> None:
         """Create readings of which none has been asked for."""
         self.store = store
@@ -87,7 +88,9 @@
         self.pending = None
         self.due_at_ms = self.clock.now_ms() + MIN_INTERVAL_MS
         began_ms = self.clock.boot_ms()
-        listing = await self.read_store() or await self.read_by_keeper(KEEPERS_PREFIX)
+        listing = await self.read_store()
+        if listing is None and self.read_by_keeper is not None:
+            listing = await self.read_by_keeper(KEEPERS_PREFIX)
         if listing is None:
             return None
         listed = Members(listing.objects)
--- a/test/process/test_keepers.py
+++ b/test/process/test_keepers.py
@@ -8,7 +8,7 @@
 from pollenwalk.errors import Refusal, RefusalCode
 from pollenwalk.policy.quota_bucket import QuotaBound
 from pollenwalk.process.departure import Departure
-from pollenwalk.process.keeper import MAX_PENDING_BYTES, Keeper, KeeperSettings
+from pollenwalk.process.keeper import Keeper, KeeperSettings
 from pollenwalk.process.keeper_daemon import start_membership_tasks
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.process.keeper_links import KeeperLinks
@@ -16,6 +16,7 @@
 from pollenwalk.process.keeper_state import KeeperState
 from pollenwalk.process.prefix_watcher import PrefixWatcher, WatchHandlers
 from pollenwalk.process.tasks import TaskSet
+from pollenwalk.process.turn_admission import MAX_PENDING_BYTES
 from pollenwalk.process.turn_replication import NEAR_HEDGE_MS
 from pollenwalk.program.turns import ReserveTokens, SettleTokens, TurnRecord
 from standin.link import REGION_MS, Place
