Let turns after a pause wait only once for a store that does not answer

A keeper that woke while the store was silent let each turn wait 0.5 s for the list. After a failed reading it goes on by the list it has for 2 s.

Evidence: test_silent_store_delays_one_turn fails without it (a second turn waits 0.5 s).

--- a/pollenwalk/process/turn_admission.py
+++ b/pollenwalk/process/turn_admission.py
@@ -11,6 +11,8 @@
 # Turns are refused while more than this waits for the disk, so that the gateway sends
 # them to another keeper.
 MAX_PENDING_BYTES = 8_000_000
+# After a failed reading turns don't wait for another one for this long.
+READING_RETRY_MS = 2000.0
 
 
 class TurnAdmission:
@@ -18,6 +20,7 @@
 
     Attributes:
         recent: reads the list of keepers anew after a pause.
+        read_from_ms: when the list may be read again, on `Clock.boot_ms`.
     """
 
     def __init__(
@@ -28,6 +31,7 @@
         self.state = state
         self.members = members
         self.recent = recent
+        self.read_from_ms = NEVER_MS
 
     async def check(self) -> None:
         """Check that a turn may be stored here now.
@@ -48,8 +52,11 @@
         ended_at_ms = self.recent.pauses.last_end_ms()
         if ended_at_ms == NEVER_MS:
             return False
-        try:
-            await self.recent.confirm(ended_at_ms)
-        except Refusal as refusal:
-            logger.info('own_membership_not_read', reason=refusal.message)
+        clock = self.recent.pauses.clock
+        if clock.boot_ms() >= self.read_from_ms:
+            try:
+                await self.recent.confirm(ended_at_ms)
+            except Refusal as refusal:
+                logger.info('own_membership_not_read', reason=refusal.message)
+                self.read_from_ms = clock.boot_ms() + READING_RETRY_MS
         return not self.members.is_counted(self.own_name)
--- a/test/process/test_turn_admission.py
+++ b/test/process/test_turn_admission.py
@@ -10,7 +10,7 @@
 from pollenwalk.process.pauses import MIN_PAUSE_MS
 from standin.store import Faults
 from test.helper import virtual
-from test.process.test_keepers import KeeperCluster, make_record
+from test.process.test_keepers import SLACK_MS, KeeperCluster, make_record
 
 PAUSE_MS = 2 * MIN_PAUSE_MS
 
@@ -75,3 +75,14 @@
         group = await cluster.start_paused()
         cluster.store.faults = Faults(down=True)
         self.assertEqual('stored', await outcome_at(group, 'b'))
+
+    @virtual
+    async def test_silent_store_delays_one_turn(self) -> None:
+        # Guards against turns that each wait for a store that does not answer.
+        cluster = PausedKeeperCluster()
+        group = await cluster.start_paused()
+        cluster.store.faults = Faults(slow_ms=60_000)
+        self.assertEqual('stored', await outcome_at(group, 'b'))
+        before_ms = cluster.clock.now_ms()
+        self.assertEqual('stored', await outcome_at(group, 'b'))
+        self.assertTrue(cluster.clock.now_ms() - before_ms < SLACK_MS)
