Test turns at a gateway that stood still while a keeper was added

Real processes: two gateways, three keepers and a fourth that is added; eight programs continue at the gateway that was frozen, from turns that were answered at the other one meanwhile.

--- a/standin/platform/daemons.py
+++ b/standin/platform/daemons.py
@@ -88,15 +88,22 @@
         }
         await self.write(f'servers/{host.id}', document)
 
-    def add_keeper(self, name: str, zone: str) -> None:
-        """Start a keeper with an empty disk."""
+    def add_keeper(self, name: str, zone: str, first_start: bool = True) -> None:
+        """Start a keeper with an empty disk.
+
+        Args:
+            name: its name.
+            zone: its zone.
+            first_start: whether it is one of the first; a later one first looks for the
+                records of the others.
+        """
         address = f'{LOOPBACK}:{free_port()}'
         folder = self.folder / name
         folder.mkdir()
         section = (
             f'[keeper]\nname = {name}\nzone = {zone}\naddress = {address}\n'
             f'metrics = {LOOPBACK}:{free_port()}\nfolder = {folder}\n'
-            'tolerated_losses = 1\nfirst_start = true\n'
+            f'tolerated_losses = 1\nfirst_start = {str(first_start).lower()}\n'
         )
         self.daemons[name] = Daemon('keeper', section, address, '')
         self.spawn(name)
@@ -150,6 +157,24 @@
         self.daemons[name] = daemon._replace(section=section)
         self.spawn(name)
 
+    def freeze(self, name: str) -> None:
+        """Let a process stand still."""
+        self.running[name].send_signal(signal.SIGSTOP)
+
+    def wake(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self.running[name].send_signal(signal.SIGCONT)
+
+    async def wait_listed(self, name: str) -> None:
+        """Wait until a keeper has an object of its own in the store.
+
+        Raises:
+            TimeoutError: that takes too long.
+        """
+        async with asyncio.timeout(READY_S):
+            while f'keepers/{name}' not in self.store.objects:
+                await asyncio.sleep(CHECK_S)
+
     async def wait_ready(self) -> None:
         """Wait until all gateways report that they are ready.
 
