Refuse records for which a keeper's disk has no room, and go on

A keeper whose disk was full ended, and ended again after each start, before it could drop anything: all histories on it were out of reach, though they could have been read.

Cause: the writer of the log let every error of the disk end the process. That is right where it is not known what was written, but a full disk is a state that passes as turns expire.

Now a batch that finds no room is taken back to where it began, its records are refused (the gateway asks another keeper), and the keeper goes on to answer and to compact. A turn that was not stored is forgotten, unless another attempt has stored it.

--- a/pollenwalk/process/keeper_state.py
+++ b/pollenwalk/process/keeper_state.py
@@ -8,6 +8,7 @@
 
 from pollenwalk.connection.crash_messages import CrashNote
 from pollenwalk.connection.wire import decode_datagram, encode_datagram
+from pollenwalk.errors import Refusal
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.crash_records import CrashRecords
 from pollenwalk.process.log_compaction import LogCompaction, decode_or_log
@@ -124,6 +125,9 @@
         """Add a turn and wait until it is synced to disk, unless it is already.
 
         It is counted at once, so that a handover that begins now includes it.
+
+        Raises:
+            Refusal: the disk has no room for it.
         """
         self.settle_turn(record)
         if self.turns.is_synced(record.turn):
@@ -131,17 +135,28 @@
             return
         self.turns.add_unsynced(record)
         synced = self.log.append(encode_datagram(record))
-        synced.add_done_callback(lambda future: self.place(record.turn, future))
+        synced.add_done_callback(lambda future: self.place(record, future))
         # The record is written even if nobody waits for it any more.
         await asyncio.shield(synced)
 
-    def place(self, turn: str, synced: asyncio.Future[Location]) -> None:
-        """Note where a turn has been written, if it has."""
-        if not synced.cancelled() and synced.exception() is None:
-            self.turns.place(turn, synced.result())
+    def place(self, record: TurnRecord, synced: asyncio.Future[Location]) -> None:
+        """Note where a turn has been written; forget one that could not be."""
+        if synced.cancelled():
+            return
+        if synced.exception() is None:
+            if record.turn not in self.turns:
+                # An earlier attempt to write it failed.
+                self.turns.add_unsynced(record)
+            self.turns.place(record.turn, synced.result())
+        elif record.turn in self.turns and not self.turns.is_synced(record.turn):
+            self.turns.remove(record.turn)
 
     async def append_small(self, message: Any) -> None:
-        """Append a record that is not a turn, and wait until it is synced."""
+        """Append a record that is not a turn, and wait until it is synced.
+
+        Raises:
+            Refusal: the disk has no room for it.
+        """
         synced = self.log.append(encode_datagram(message))
         self.note_small(message, await asyncio.shield(synced))
 
@@ -211,8 +226,14 @@
         return entry is None or (settles and not entry.settled)
 
     async def compact(self) -> None:
-        """Rewrite the parts of the log of which little is needed."""
-        await self.compaction.run()
+        """Rewrite the parts of the log of which little is needed.
+
+        A segment that finds no room stays until some of the others are deleted.
+        """
+        try:
+            await self.compaction.run()
+        except Refusal as refusal:
+            logger.warning('compaction_failed', reason=refusal.message)
 
     def expire(self) -> None:
         """Remove the expired turns and accounts from memory."""
--- a/pollenwalk/process/record_log.py
+++ b/pollenwalk/process/record_log.py
@@ -7,12 +7,16 @@
 """
 
 import asyncio
+import errno
 import os
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, NamedTuple, Protocol, TypeVar
 
+from loguru import logger
+
+from pollenwalk.errors import Refusal, RefusalCode
 from pollenwalk.process.segment_files import (
     Location,
     SegmentFolder,
@@ -27,6 +31,7 @@
 SEGMENT_BYTES = 4_000_000
 # Frames are written together up to this size.
 WRITE_BYTES = 262_144
+NO_ROOM = frozenset((errno.ENOSPC, errno.EDQUOT))
 
 Result = TypeVar('Result')
 
@@ -47,7 +52,10 @@
         """Yield each record, then prepare for appending."""
 
     def append(self, record: bytes) -> asyncio.Future[Location]:
-        """Append a record; the result is where it is, once it is synced."""
+        """Append a record; the result is where it is, once it is synced.
+
+        The future raises `Refusal` if the disk has no room for it.
+        """
 
     async def run(self) -> None:
         """Write the appended records until cancelled.
@@ -137,13 +145,14 @@
         write_synced(self.folder / COMPLETE_MARKER, b'1')
 
     def begin_segment(self) -> None:
-        """Close the current segment, if there is one, and create the next one."""
+        """Create the next segment, and close the current one, if there is one."""
+        descriptor = self.files.create(self.segment + 1)
         if self.descriptor >= 0:
             os.close(self.descriptor)
             self.closed[self.segment] = self.size
+        self.descriptor = descriptor
         self.segment += 1
         self.size = 0
-        self.descriptor = self.files.create(self.segment)
 
     def closed_segments(self) -> dict[int, int]:
         """Return the sizes of the segments that get no more records, by number."""
@@ -167,7 +176,10 @@
         )
 
     def append(self, record: bytes) -> asyncio.Future[Location]:
-        """Append a record; the result is where it is, once it is synced."""
+        """Append a record; the result is where it is, once it is synced.
+
+        The future raises `Refusal` if the disk has no room for it.
+        """
         synced: asyncio.Future[Location] = asyncio.get_running_loop().create_future()
         self.pending.append(PendingRecord(make_frame(record), synced))
         self.pending_bytes += frame_size(record)
@@ -178,33 +190,59 @@
         """Write and sync the appended records in batches, until cancelled.
 
         Raises:
-            OSError: the disk failed.
+            OSError: the disk failed; that it is full is no failure.
         """
         while True:
             await self.wake.wait()
             self.wake.clear()
             batch = self.pending
             self.pending = []
+            await self.write_batch(batch)
+            self.pending_bytes -= sum(len(one.frame) for one in batch)
+
+    async def write_batch(self, batch: list[PendingRecord]) -> None:
+        """Write records together, and tell those that wait for them.
+
+        Raises:
+            OSError: the disk failed.
+        """
+        waiting = [one.synced for one in batch]
+        try:
             locations = await run_in(
                 self.writer, self.write, [one.frame for one in batch]
             )
-            for one, location in zip(batch, locations, strict=True):
-                self.pending_bytes -= len(one.frame)
-                if not one.synced.done():
-                    one.synced.set_result(location)
+        except OSError as error:
+            if error.errno not in NO_ROOM:
+                raise
+            logger.error('disk_full', segment=self.segment, records=len(batch))
+            refuse_all(waiting)
+            return
+        for synced, location in zip(waiting, locations, strict=True):
+            if not synced.done():
+                synced.set_result(location)
 
     def write(self, frames: list[bytes]) -> list[Location]:
-        """Append frames to the current segment and sync it; return where they are."""
+        """Append frames to the current segment and sync it; return where they are.
+
+        Raises:
+            OSError: that failed; none of the frames is in the segment.
+        """
         if self.size >= SEGMENT_BYTES:
             self.begin_segment()
-        locations: list[Location] = []
+        try:
+            for payload in joined(frames):
+                write_all(self.descriptor, payload)
+            os.fdatasync(self.descriptor)
+        except OSError:
+            os.ftruncate(self.descriptor, self.size)
+            raise
+        return list(self.place(frames))
+
+    def place(self, frames: list[bytes]) -> Iterator[Location]:
+        """Yield the locations of frames that have been appended, and count them."""
         for frame in frames:
-            locations.append(Location(self.segment, self.size, len(frame)))
+            yield Location(self.segment, self.size, len(frame))
             self.size += len(frame)
-        for payload in joined(frames):
-            write_all(self.descriptor, payload)
-        os.fdatasync(self.descriptor)
-        return locations
 
     def close(self) -> None:
         """Stop the threads, and close the current segment after a write in progress."""
@@ -219,6 +257,13 @@
             self.descriptor = -1
 
 
+def refuse_all(waiting: list[asyncio.Future[Location]]) -> None:
+    """Refuse records for which the disk has no room."""
+    for synced in waiting:
+        if not synced.done():
+            synced.set_exception(Refusal(RefusalCode.OVERLOADED, 'the disk is full'))
+
+
 async def run_in(
     executor: ThreadPoolExecutor, function: Callable[..., Result], *arguments: Any
 ) -> Result:
--- a/pollenwalk/process/segment_files.py
+++ b/pollenwalk/process/segment_files.py
@@ -123,8 +123,12 @@
         """Create a segment whose name survives a power loss; return its descriptor."""
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
         descriptor = os.open(self.path(segment), flags)
-        os.fsync(descriptor)
-        sync_directory(self.folder)
+        try:
+            os.fsync(descriptor)
+            sync_directory(self.folder)
+        except OSError:
+            os.close(descriptor)
+            raise
         return descriptor
 
     def delete(self, segment: int) -> None:
