Fetch turns from other keepers in pages that fit into memory

A keeper that joined beside 1500 turns of 100,000 bytes, which one other keeper had, used 186 MB: more than its machine has where the platform gives it 170. It would have been ended, and started from the beginning, each time.

Cause: it asked for all turns at once, and the other sent as fast as the network took it; what the joining keeper had not written yet waited in its memory without a bound, and the same at the sender if the network is slower than its disk.

Now turns are asked for in pages of about 2 MB, by the size of those that have come. So at most one page is under way. A page takes one round trip more.

--- a/pollenwalk/process/record_fetch.py
+++ b/pollenwalk/process/record_fetch.py
@@ -10,6 +10,7 @@
 from pollenwalk.process.keeper import Keeper
 from pollenwalk.process.keeper_members import Member
 from pollenwalk.process.keeper_questions import ask_all
+from pollenwalk.process.turn_pages import TurnPages
 from pollenwalk.program.turns import (
     ListTurns,
     PullAccounts,
@@ -54,7 +55,7 @@
         for member, answer in zip(others, lists, strict=True):
             wanted = missing.intersection(answer.turns)
             if wanted:
-                await self.fetch(member, PullTurns(sorted(wanted)))
+                await self.fetch(member, TurnPages(sorted(wanted)))
             missing.difference_update(self.keeper.state.turns)
         return not missing
 
@@ -69,11 +70,15 @@
 
     async def fetch_accounts(self, others: list[Member]) -> bool:
         """Fetch the accounts of some other keepers; return whether all were fetched."""
-        fetched = [await self.fetch(member, PullAccounts()) for member in others]
+        fetched = [await self.fetch(member) for member in others]
         return all(fetched)
 
-    async def fetch(self, member: Member, request: PullAccounts | PullTurns) -> bool:
-        """Fetch and store what another keeper sends for a request.
+    async def fetch(self, member: Member, pages: TurnPages | None = None) -> bool:
+        """Fetch and store what another keeper has.
+
+        Args:
+            member: the other keeper.
+            pages: the turns to fetch; None to fetch the accounts.
 
         Returns:
             Whether everything was fetched and the other keeper is complete.
@@ -83,7 +88,7 @@
         count = 0
         complete = True
         try:
-            async for batch in self.fetch_batches(peer, request):
+            async for batch in self.fetch_batches(peer, pages):
                 complete = complete and batch.complete
                 count += await keeper.state.add_records(batch.records)
         except (PollenwalkError, TimeoutError) as error:
@@ -94,16 +99,33 @@
         logger.info(
             'fetched',
             keeper=member.name,
-            what=type(request).__name__,
+            what='accounts' if pages is None else 'turns',
             new=count,
             complete=complete,
         )
         return complete
 
     async def fetch_batches(
+        self, peer: Peer, pages: TurnPages | None
+    ) -> AsyncIterator[RecordBatch]:
+        """Yield the batches of records that a keeper sends for the pages; see `fetch`.
+
+        Raises:
+            TimeoutError: the next batch did not arrive within the timeout.
+        """
+        if pages is None:
+            async for batch in self.answers(peer, PullAccounts()):
+                yield batch
+            return
+        for request in pages:
+            async for batch in self.answers(peer, request):
+                yield batch
+                pages.note(batch.records)
+
+    async def answers(
         self, peer: Peer, request: PullAccounts | PullTurns
     ) -> AsyncIterator[RecordBatch]:
-        """Yield the batches of records that a keeper sends.
+        """Yield the batches of records that a keeper sends for one request.
 
         Raises:
             TimeoutError: the next batch did not arrive within the timeout.
--- a/test/process/test_keeper_memory.py
+++ b/test/process/test_keeper_memory.py
@@ -67,9 +67,9 @@
                 continue
             return
 
-    def peak_bytes(self) -> int:
-        """Return the most memory that the keeper has used since its start."""
-        path = Path(f'/proc/{self.running["k1"].pid}/status')
+    def peak_bytes(self, name: str = 'k1') -> int:
+        """Return the most memory that a keeper has used since its start."""
+        path = Path(f'/proc/{self.running[name].pid}/status')
         lines = path.read_text(encoding='ascii').splitlines()
         peak = next(line for line in lines if line.startswith('VmHWM:'))
         return int(peak.split()[1]) * KIB
@@ -120,3 +120,25 @@
             await system.wait_until_served()
         found: Chain = await system.peer.request(FindChain('t0'), REQUEST_TIMEOUT_MS)
         return [while_storing, system.peak_bytes()], found
+
+    @on_loop
+    async def test_joining_keeper_and_its_source(self) -> None:
+        # Guards against a joining keeper, or the one that it fetches from, that is ended for
+        # its memory as one sends faster than the other takes.
+        system = LargeTurns()
+        try:
+            peaks = await self.join(system)
+        finally:
+            await system.end()
+        self.assertTrue(max(peaks.values()) < MACHINE_BYTES, peaks)
+
+    async def join(self, system: LargeTurns) -> dict[str, int]:
+        """Let a keeper fetch turns that only one other has; return the most memory."""
+        await system.start_keeper()
+        system.add_keeper('k2', 'here')
+        await system.wait_until_served()
+        await system.wait_listed('k2')
+        await system.store_turns(range(TURNS))
+        system.add_keeper('k3', 'here', first_start=False)
+        await system.wait_listed('k3')
+        return {name: system.peak_bytes(name) for name in ('k1', 'k3')}
