--- a/test/process/turn_daemons.py
+++ b/test/process/turn_daemons.py
@@ -25,6 +25,10 @@
 TOKEN_BUDGET = 100_000
 EVENTS = 5
 EVENT_PAUSE_S = 0.02
+# Requests that begin with this are answered with a long stream.
+LONG = 'long'
+LONG_EVENTS = 55
+LONG_PAUSE_S = 0.05
 CONFIGURATION = {
     'version': 1,
     'routes': [
@@ -65,11 +69,16 @@
 
 
 class TurnClient:
-    """Sends turns to one gateway, on a connection that it keeps."""
+    """Sends turns to one gateway, on a connection that it keeps.
+
+    Attributes:
+        input: the body of each turn.
+    """
 
     def __init__(self, address: str) -> None:
         """Create a client without a connection."""
         self.address = address
+        self.input = b'in'
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=1),
             timeout=aiohttp.ClientTimeout(total=ANSWER_S),
@@ -90,7 +99,9 @@
         url = f'http://{self.address}/repair/a'
         status = 0
         try:
-            async with self.session.post(url, data=b'in', headers=headers) as response:
+            async with self.session.post(
+                url, data=self.input, headers=headers
+            ) as response:
                 status = response.status
                 await response.read()
         except (aiohttp.ClientError, TimeoutError):
@@ -137,9 +148,11 @@
 
 
 async def stream_events(line: Line, request: Received) -> None:
-    """Stream a few events as the answer."""
+    """Stream a few events as the answer, or many."""
+    is_long = request.id.startswith(LONG)
     line.say(stream_head(request))
-    for number in range(1, EVENTS + 1):
-        await asyncio.sleep(EVENT_PAUSE_S)
+    events = LONG_EVENTS if is_long else EVENTS
+    for number in range(1, events + 1):
+        await asyncio.sleep(LONG_PAUSE_S if is_long else EVENT_PAUSE_S)
         line.say(chunk(event(number)))
     line.say(chunk(b''))
