--- a/pollenwalk/process/keeper_broadcast.py
+++ b/pollenwalk/process/keeper_broadcast.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable
+from collections.abc import AsyncIterator, Iterable
 from typing import Any, NamedTuple
 
 from pollenwalk.connection.peer import Connection
@@ -166,3 +166,22 @@
             request.close()
         for task in list(self.tasks):
             task.cancel()
+
+
+async def request_each(
+    links: KeeperLinks, asked: list[KeeperLink], message: Any
+) -> AsyncIterator[Any]:
+    """Send a message to some keepers and yield the answers as they arrive.
+
+    Keepers that fail or don't answer in time are skipped. Requests that are still
+    open when the caller stops iterating are cancelled.
+    """
+    broadcast = Broadcast(links)
+    broadcast.send_to(asked, message)
+    try:
+        while broadcast.outstanding:
+            answered = await broadcast.next()
+            if answered.answer is not None:
+                yield answered.answer
+    finally:
+        broadcast.close()
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -1,14 +1,12 @@
 """Stores and finds records at the keepers, on behalf of a gateway.
 
 If f keepers may be lost at the same time, a turn is stored once it is on f + 1
-disks, and a turn does not exist if all keepers but f report that they don't
-have it. For that the list of keepers must have been read after the turn was asked for,
-as one that was stored before may be at keepers that an older list lacks. Budgets are decided with the answers of a majority of all keepers; only
-a turn that is far from its budget may begin with fewer.
+disks (`turn_search` finds it there). Budgets are decided with the answers of a majority
+of all keepers; only a turn that is far from its budget may begin with fewer.
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple, TypeVar
 
 from loguru import logger
@@ -16,8 +14,8 @@
 from pollenwalk.connection.store_messages import Listing, ReadPrefix
 from pollenwalk.errors import PollenwalkError, Refusal, RefusalCode
 from pollenwalk.process.clock import Clock
-from pollenwalk.process.keeper_broadcast import Broadcast
-from pollenwalk.process.keeper_links import OTHER_REGION, KeeperLink, KeeperLinks
+from pollenwalk.process.keeper_broadcast import Broadcast, request_each
+from pollenwalk.process.keeper_links import KeeperLink, KeeperLinks
 from pollenwalk.process.keeper_quorum import SPARE_KEEPERS, Quorum
 from pollenwalk.process.member_readings import MemberReadings
 from pollenwalk.process.pauses import PauseWatch
@@ -25,12 +23,11 @@
 from pollenwalk.process.retry_advisor import RetryAdvisor
 from pollenwalk.process.store import Changes, FollowedStore, StoredObject
 from pollenwalk.process.tasks import TaskSet
-from pollenwalk.process.turn_replication import TurnReplication, keepers_unavailable
+from pollenwalk.process.turn_replication import TurnReplication
 from pollenwalk.process.turn_retention import TurnRetention
+from pollenwalk.process.turn_search import TurnSearch
 from pollenwalk.program.turn_index import TurnIndex
 from pollenwalk.program.turns import (
-    Chain,
-    FindChain,
     Settlements,
     SettleTokens,
     TurnRecord,
@@ -44,10 +41,6 @@
 # Pause before the retry of an operation that too few keepers acknowledged. It is
 # half of the interval at which lost keepers are probed.
 RETRY_INTERVAL_MS = 100.0
-# How long after the beginning of the reading of the list keepers' answers may prove that
-# a turn does not exist. A keeper that loses its disk takes longer to be complete again.
-MAX_PROOF_MS = 2500.0
-
 # Retry-After while too few keepers have room. Turns expire and leave room all the time.
 FULL_RETRY_AFTER_MS = 2000
 
@@ -66,18 +59,6 @@
     asked: set[str]
 
 
-class Search(NamedTuple):
-    """What some keepers answered about a turn.
-
-    Attributes:
-        chain: the part of its chain that one of them has; None if none has the turn.
-        denials: how many have all their records and not the turn.
-    """
-
-    chain: Chain | None
-    denials: int
-
-
 class KeeperGroup:
     """Stores and finds records at all keepers that the store lists.
 
@@ -90,6 +71,7 @@
         readings: read the list of keepers as it is now.
         pauses: notices pauses of this gateway; must be run.
         recent: has what counts keepers go by a list that is newer than any pause.
+        turn_search: finds turns at the keepers.
     """
 
     def __init__(
@@ -123,6 +105,7 @@
         self.readings = MemberReadings(store, clock, tasks, self.read_prefix)
         self.pauses = PauseWatch(clock)
         self.recent = RecentMembers(self.readings, self.pauses)
+        self.turn_search = TurnSearch(links, clock, self.readings, tolerated_losses)
 
     @property
     def required_copies(self) -> int:
@@ -135,23 +118,9 @@
         Keepers that fail or don't answer in time are skipped. Requests that are
         still open when the caller stops iterating are cancelled.
         """
-        async for answer in self.request_each(self.links.ordered(), message):
+        async for answer in request_each(self.links, self.links.ordered(), message):
             yield answer
 
-    async def request_each(
-        self, links: list[KeeperLink], message: Any
-    ) -> AsyncIterator[Any]:
-        """Send a message to some keepers and yield the answers as they arrive."""
-        broadcast = Broadcast(self.links)
-        broadcast.send_to(links, message)
-        try:
-            while broadcast.outstanding:
-                answered = await broadcast.next()
-                if answered.answer is not None:
-                    yield answered.answer
-        finally:
-            broadcast.close()
-
     async def request_quorum(
         self, key: str, message: Any, asked: set[str]
     ) -> AsyncIterator[Any]:
@@ -261,7 +230,7 @@
         turns = cached.turns
         missing = cached.missing
         while missing:
-            found = await self.find_chain(missing)
+            found = await self.turn_search.find_chain(missing)
             for record in found.turns:
                 self.cache.put(record)
             turns = [*found.turns, *turns]
@@ -269,67 +238,6 @@
         self.retention.use(turns)
         return turns
 
-    async def find_chain(self, turn: str) -> Chain:
-        """Return the part of a turn's chain that one keeper has.
-
-        The nearest keeper is asked first, then the others of the region together, then
-        all others together: a turn of a caller that has moved is far away, and one that
-        does not exist is nowhere.
-
-        Raises:
-            Refusal: the turn does not exist, or too few keepers answered to
-                know whether it does.
-        """
-        links = self.links.ordered()
-        search = await self.search(search_rounds(links), turn)
-        if search.chain is not None:
-            return search.chain
-        self.require_denials(turn, search.denials, len(links))
-        return await self.find_by_new_list(turn)
-
-    async def find_by_new_list(self, turn: str) -> Chain:
-        """Return the part of a turn's chain that any keeper has that is listed now.
-
-        Raises:
-            Refusal: the turn does not exist, or that is not known.
-        """
-        reading = await self.readings.read()
-        if reading is None:
-            raise keepers_unavailable('the list of keepers could not be read')
-        links = self.links.order(reading.members)
-        search = await self.search([links], turn)
-        if search.chain is not None:
-            logger.info('found_by_new_list', turn=turn, keepers=len(links))
-            return search.chain
-        self.require_denials(turn, search.denials, reading.count)
-        took_ms = self.clock.boot_ms() - reading.began_ms
-        if took_ms > MAX_PROOF_MS:
-            raise keepers_unavailable(f'the keepers answered after {took_ms:.0f} ms')
-        logger.info('unknown_turn', turn=turn, keepers=len(links))
-        raise unknown_turn(turn)
-
-    async def search(self, rounds: Iterable[list[KeeperLink]], turn: str) -> Search:
-        """Ask keepers for a turn, one round after the other, until one has it."""
-        denials = 0
-        for asked in rounds:
-            async for found in self.request_each(asked, FindChain(turn)):
-                if found.turns:
-                    return Search(found, denials)
-                denials += int(found.complete)
-        return Search(None, denials)
-
-    def require_denials(self, turn: str, denials: int, keepers: int) -> None:
-        """Check that enough keepers deny a turn.
-
-        Raises:
-            Refusal: too few do, so that the turn may exist.
-        """
-        if not keepers or denials < keepers - self.tolerated_losses:
-            raise keepers_unavailable(
-                f'only {denials} of {keepers} keepers confirm that there is no turn '
-                f'{turn}',
-            )
-
     async def read_prefix(self, prefix: str) -> Changes | None:
         """List a prefix of the store through the nearest keeper that reaches it.
 
@@ -375,20 +283,6 @@
         await broadcast.finish()
 
 
-def unknown_turn(turn: str) -> Refusal:
-    """Return the refusal of a call that continues a turn that does not exist."""
-    return Refusal(RefusalCode.UNKNOWN_TURN, f'turn {turn} does not exist')
-
-
-def search_rounds(links: list[KeeperLink]) -> Iterator[list[KeeperLink]]:
-    """Yield the nearest keeper, the others of the region, and all others."""
-    near = [link for link in links if link.distance < OTHER_REGION]
-    far = [link for link in links if link.distance >= OTHER_REGION]
-    yield near[:1]
-    yield near[1:]
-    yield far
-
-
 async def answer_or_none(pending: Any) -> Any:
     """Return an answer, or None after a failure.
 
--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -9,7 +9,8 @@
 from pollenwalk.errors import BrokenAnswer, Outcome, Refusal
 from pollenwalk.process.clock import MS_PER_SECOND
 from pollenwalk.process.gateway_metrics import GatewayMetrics
-from pollenwalk.process.keeper_group import KeeperGroup, unknown_turn
+from pollenwalk.process.keeper_group import KeeperGroup
+from pollenwalk.process.turn_search import unknown_turn
 from pollenwalk.program.turn_index import build_prompt
 from pollenwalk.program.turns import SettleTokens, TurnRecord
 from pollenwalk.request.event_stream import Event
