--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -164,7 +164,7 @@
         Raises:
             Refusal: too few keepers answer.
         """
-        links = self.storing()
+        links = self.storage_candidates()
         replicas = [link.member.name for link in links[: self.required_copies]]
         stored = record._replace(replicas=replicas)
         await TurnReplication(
@@ -174,7 +174,7 @@
         self.retention.note_told(stored)
         return replicas
 
-    def storing(self) -> list[KeeperLink]:
+    def storage_candidates(self) -> list[KeeperLink]:
         """Return the keepers that may store a turn, the preferred ones first.
 
         Those that answer come first, then those whose disk has room, then near ones.
@@ -188,7 +188,9 @@
         Raises:
             Refusal: too few keepers have room.
         """
-        answering = [link.member for link in self.storing() if not link.is_lost]
+        answering = [
+            link.member for link in self.storage_candidates() if not link.is_lost
+        ]
         full = [member.name for member in answering if member.full]
         if full and len(answering) - len(full) < self.required_copies:
             raise Refusal(
--- a/pollenwalk/process/recent_members.py
+++ b/pollenwalk/process/recent_members.py
@@ -44,11 +44,11 @@
                 return result
 
     @property
-    def are_known(self) -> bool:
+    def is_current(self) -> bool:
         """Return whether the list is newer than the last pause."""
-        return self.are_known_since(self.pauses.last_end_ms())
+        return self.is_current_since(self.pauses.last_end_ms())
 
-    def are_known_since(self, since_ms: float) -> bool:
+    def is_current_since(self, since_ms: float) -> bool:
         """Return whether all changes until a time on `Clock.boot_ms` are known."""
         if self.watcher is None:
             return True
@@ -60,7 +60,7 @@
         Raises:
             Refusal: it could not be read.
         """
-        if self.watcher is None or self.are_known_since(since_ms):
+        if self.watcher is None or self.is_current_since(since_ms):
             return
         reading = await self.readings.read()
         if reading is None:
--- a/pollenwalk/process/turn_admission.py
+++ b/pollenwalk/process/turn_admission.py
@@ -20,7 +20,7 @@
 
     Attributes:
         recent: reads the list of keepers anew after a pause.
-        read_from_ms: when the list may be read again, on `Clock.boot_ms`.
+        next_reading_ms: when the list may be read again, on `Clock.boot_ms`.
     """
 
     def __init__(
@@ -31,7 +31,7 @@
         self.state = state
         self.members = members
         self.recent = recent
-        self.read_from_ms = NEVER_MS
+        self.next_reading_ms = NEVER_MS
 
     async def check(self) -> None:
         """Check that a turn may be stored here now.
@@ -55,10 +55,10 @@
         if ended_at_ms == NEVER_MS:
             return False
         clock = self.recent.pauses.clock
-        if clock.boot_ms() >= self.read_from_ms:
+        if clock.boot_ms() >= self.next_reading_ms:
             try:
                 await self.recent.confirm(ended_at_ms)
             except Refusal as refusal:
                 logger.info('own_membership_not_read', reason=refusal.message)
-                self.read_from_ms = clock.boot_ms() + READING_RETRY_MS
+                self.next_reading_ms = clock.boot_ms() + READING_RETRY_MS
         return not self.members.is_counted(self.own_name)
--- a/pollenwalk/request/reservation.py
+++ b/pollenwalk/request/reservation.py
@@ -214,7 +214,7 @@
         known_entries.append(spent.entries)
         if self.permitted.done() or not self.group.links.has_majority:
             return
-        if not self.group.recent.are_known:
+        if not self.group.recent.is_current:
             return
         decision = self.decide(known_entries)
         if self.has_headroom(decision, len(known_entries)):
--- a/test/process/test_crash_records.py
+++ b/test/process/test_crash_records.py
@@ -16,8 +16,8 @@
 from standin.memory_disk import MemoryDisk
 from test.helper import make_clock, virtual
 
-# Hosts and times of their crashes on a clock that has started anew since.
 COMPACTED_MS = 60_000.0
+# Hosts and times of their crashes on a clock that has started anew since.
 LATER = (('a', 100_000.0), ('b', 101_000.0), ('c', 102_000.0))
 
 
