--- a/test/process/test_keeper_quorum.py
+++ b/test/process/test_keeper_quorum.py
@@ -211,7 +211,7 @@
         keeper = cluster.keepers['z0']
         for number in range(RECORDS):
             settled = SettleTokens(f'p{number}', f't{number}', 5, RETENTION_MS)
-            keeper.state.apply(settled)
+            keeper.state.apply_tokens(settled)
         await cluster.store.put('retirements/z0', b'{"duration_s": 10}', None)
         began_ms = cluster.clock.now_ms()
         while cluster.store.statuses.get('retirements/z0') != {'state': 'completed'}:
