--- a/review/model_server_3.py
+++ b/review/model_server_3.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from pollenwalk.connection.http_server import free_port
 from review.deployment_3 import LOOPBACK, Deployment
 
 SLOTS = 8
@@ -67,7 +68,7 @@
         self.on_run: Callable[[Run], None] = lambda run: None
         self.on_crash: Callable[[Run], None] = lambda run: None
         self.arrived: list[Run] = []
-        self.address = (LOOPBACK, 0)
+        self.address = (LOOPBACK, free_port())
         self.server: asyncio.Server | None = None
         self.serving: set[asyncio.Task[None]] = set()
         self.sockets: set[socket.socket] = set()
@@ -86,7 +87,6 @@
     async def listen(self) -> None:
         """Accept connections, on the same address after a restart."""
         self.server = await asyncio.start_server(self.accept, *self.address)
-        self.address = self.server.sockets[0].getsockname()[:2]
 
     async def register(self) -> None:
         """Write this server's entry in the store."""
