--- a/review/model_server_3.py
+++ b/review/model_server_3.py
@@ -1,6 +1,7 @@
 """A model server: streams events, runs a few requests at once, queues the others."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 import time
@@ -236,7 +237,9 @@
         if self.server is not None:
             self.server.close()
         for sock in self.sockets:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            # The caller may have reset the connection a moment ago.
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         for task in list(self.serving):
             task.cancel()
 
