--- a/review/case_3.py
+++ b/review/case_3.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -27,9 +28,11 @@
     record = Record(Path(file).with_name('record.txt'))
     record.note(f'disruption: {"yes" if TROUBLE else "no"}')
     status = NOT_RUN
+    # So that the processes are ended, too, if the script is.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         status = HELD if asyncio.run(run(play, record)) else BROKEN
-    except Exception:  # noqa: BLE001
+    except (Exception, KeyboardInterrupt):  # noqa: BLE001
         record.note(traceback.format_exc())
         traceback.print_exc()
     record.note(
