--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,6 +6,7 @@
 test -d target/deps || { echo 'run the build of the deploy file first' >&2; exit 2; }
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="$PWD/target/deps:$PWD" python3 -c '
 import review.case_3
-import review.model_server_3
+import review.memory_watch_3
+import review.plain_server_3
 import standin.platform.store
 '
