Log what expires too early, and what keepers were told

The logs can't tell apart (1) a predecessor that expired by its own retention at keepers that still have the turn, (2) a renewal that was not sent or not answered, and (3) a turn that was stored with the former retention. Change: a keeper logs up to five expired turns that a turn of its own continues (expired: continued), a gateway logs what its keepers were told and which were silent (turns_used), and which predecessor of a turn was not found (predecessor_not_found). One line a decision, as before.

--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -28,6 +28,7 @@
 from pollenwalk.process.turn_search import TurnSearch
 from pollenwalk.program.turn_index import TurnIndex
 from pollenwalk.program.turns import (
+    Chain,
     Settlements,
     SettleTokens,
     TurnRecord,
@@ -232,7 +233,7 @@
         turns = cached.turns
         missing = cached.missing
         while missing:
-            found = await self.turn_search.find_chain(missing)
+            found = await self.find_part(turn, missing)
             for record in found.turns:
                 self.cache.put(record)
             turns = [*found.turns, *turns]
@@ -240,6 +241,24 @@
         self.retention.use(turns)
         return turns
 
+    async def find_part(self, turn: str, missing: str) -> Chain:
+        """Find the part of a turn's chain that ends with a missing turn.
+
+        Raises:
+            Refusal: the missing turn does not exist, or too few keepers answered.
+        """
+        try:
+            return await self.turn_search.find_chain(missing)
+        except Refusal as refusal:
+            if missing != turn:
+                logger.error(
+                    'predecessor_not_found',
+                    turn=turn,
+                    predecessor=missing,
+                    code=refusal.code,
+                )
+            raise
+
     async def read_prefix(self, prefix: str) -> Changes | None:
         """List a prefix of the store through the nearest keeper that reaches it.
 
--- a/pollenwalk/process/keeper_state.py
+++ b/pollenwalk/process/keeper_state.py
@@ -29,6 +29,9 @@
     TurnRecord,
 )
 
+# How many ids of turns one line of the log may have.
+MAX_LOGGED_TURNS = 5
+
 
 class KeeperState:
     """The records of one keeper.
@@ -246,9 +249,22 @@
 
     def expire(self) -> None:
         """Remove the expired turns and accounts from memory."""
-        turns = self.turns.expire()
+        expired = self.turns.expire()
         accounts = len(self.ledger.accounts)
         self.ledger.expire()
         accounts -= len(self.ledger.accounts)
-        if turns or accounts:
-            logger.info('expired', turns=turns, accounts=accounts)
+        if expired or accounts:
+            logger.info(
+                'expired',
+                turns=len(expired),
+                accounts=accounts,
+                continued=continued(expired, self.turns)[:MAX_LOGGED_TURNS],
+            )
+
+
+def continued(expired: list[str], turns: StoredTurns) -> list[str]:
+    """Return those expired turns that a turn which is still there continues."""
+    if not expired:
+        return []
+    previous = {entry.previous for entry in turns.entries()}
+    return [turn for turn in expired if turn in previous]
--- a/pollenwalk/process/stored_turns.py
+++ b/pollenwalk/process/stored_turns.py
@@ -147,14 +147,14 @@
         """Mark turns as just used; return those that this keeper does not have."""
         return self.index.keep(turns)
 
-    def expire(self) -> int:
-        """Remove the turns whose retention has passed; return how many."""
+    def expire(self) -> list[str]:
+        """Remove the turns whose retention has passed; return their ids."""
         expired = self.index.expire()
         for entry in expired:
             self.forget_location(entry)
             self.unsynced.pop(entry.turn, None)
             self.drop_cached(entry.turn)
-        return len(expired)
+        return [one.turn for one in expired]
 
     def in_segment(self, segment: int) -> list[str]:
         """Return the turns whose needed records are in a segment."""
--- a/pollenwalk/process/turn_retention.py
+++ b/pollenwalk/process/turn_retention.py
@@ -109,6 +109,13 @@
             )
         )
         held_by_name = dict(zip(names, told, strict=True))
+        logger.info(
+            'turns_used',
+            turns=len(records),
+            last=records[-1].turn,
+            keepers=[name for name in names if held_by_name[name] is not None],
+            silent=[name for name in names if held_by_name[name] is None],
+        )
         for record in records:
             answers = [held_by_name[name] for name in holders[record.turn]]
             await self.check_copies(record, answers)
