Keep each turn as long as the turns that continue it

Cause: a keeper renewed the time of last use of a turn's predecessors, but removed each by its own retention. Change: the index holds for each turn until when it is kept. That only moves later, and it is at least that of each turn which continues it, in whatever order they were added. Why this works: no turn is removed by a keeper that has one which continues it.

--- a/pollenwalk/process/keeper_state.py
+++ b/pollenwalk/process/keeper_state.py
@@ -88,6 +88,7 @@
                 crash_notes.append(message)
             self.restore(message, stored.location)
         self.crashes.restore(crash_notes)
+        self.turns.index.inherit()
         if first_start and not self.complete:
             self.log.mark_complete()
         logger.info(
--- a/pollenwalk/program/turn_index.py
+++ b/pollenwalk/program/turn_index.py
@@ -48,19 +48,24 @@
 
 
 class TurnIndex(Generic[Turn]):
-    """Turns in the order of their last use.
+    """Turns in the order of their last use, each with the time until which it is kept.
+
+    That time only ever moves later, and a turn is kept at least as long as each turn
+    here that continues it.
 
     Attributes:
         records: by turn id, the least recently used first.
         size_bytes: total size of all inputs and outputs.
-        last_used_ms: time of each turn's last use, by turn id.
+        kept_until_ms: time until which each turn is kept, by turn id.
+        raised_ms: retentions of turns that are needed for longer than their records
+            say, by turn id.
     """
 
     def __init__(self, clock: Clock, max_bytes: int | None = None) -> None:
         """Start empty.
 
         Args:
-            clock: the clock that last uses are measured on.
+            clock: the clock that times are measured on.
             max_bytes: size of inputs and outputs above which the least
                 recently used turns are evicted; None for no limit.
         """
@@ -68,7 +73,8 @@
         self.max_bytes = max_bytes
         self.size_bytes = 0
         self.records: OrderedDict[str, Turn] = OrderedDict()
-        self.last_used_ms: dict[str, float] = {}
+        self.kept_until_ms: dict[str, float] = {}
+        self.raised_ms: dict[str, float] = {}
 
     def put(self, record: Turn) -> bool:
         """Add a record and mark it and its chain as just used.
@@ -80,33 +86,65 @@
         if is_new:
             self.records[record.turn] = record
             self.size_bytes += record.size_bytes
-        self.use_chain(record.turn)
+        self.use_chain(record.turn, record.retention_ms)
         self.evict()
         return is_new
 
-    def use_chain(self, turn: str) -> UsedChain[Turn]:
-        """Return a turn and its predecessors, and mark them as just used."""
+    def use_chain(self, turn: str, retention_ms: float = 0) -> UsedChain[Turn]:
+        """Return a turn and its predecessors, and mark them as just used.
+
+        Args:
+            turn: id of the turn.
+            retention_ms: how long they are needed from now on, if that is longer than
+                their own retention.
+        """
         now_ms = self.clock.now_ms()
         found: list[Turn] = []
         missing = turn
         while missing in self.records:
             record = self.records[missing]
             found.append(record)
-            self.last_used_ms[missing] = now_ms
-            self.records.move_to_end(missing)
+            retention_ms = self.extend(record, retention_ms, now_ms)
             missing = record.previous
         found.reverse()
         return UsedChain(found, missing)
 
-    def keep(self, turns: list[str]) -> list[str]:
-        """Mark turns as just used; return those that are not in the index."""
+    def keep(self, turns: list[str], retention_ms: float = 0) -> list[str]:
+        """Mark turns and their predecessors as just used.
+
+        Args:
+            turns: ids of the turns.
+            retention_ms: see `use_chain`.
+
+        Returns:
+            The ids of those turns that are not in the index.
+        """
         now_ms = self.clock.now_ms()
-        missing = [turn for turn in turns if turn not in self.records]
+        listed = set(turns)
         for turn in turns:
-            if turn in self.records:
-                self.last_used_ms[turn] = now_ms
-                self.records.move_to_end(turn)
-        return missing
+            needed_ms = retention_ms
+            following = turn
+            # A predecessor that is listed itself is marked in its own turn.
+            while following in self.records:
+                record = self.records[following]
+                needed_ms = self.extend(record, needed_ms, now_ms)
+                following = '' if record.previous in listed else record.previous
+        return [one for one in turns if one not in self.records]
+
+    def extend(self, record: Turn, retention_ms: float, now_ms: float) -> float:
+        """Mark a single turn as just used; return how long it is needed from now on."""
+        turn = record.turn
+        needed_ms = max(self.retention_of(record), retention_ms)
+        if needed_ms > record.retention_ms:
+            self.raised_ms[turn] = needed_ms
+        until_ms = now_ms + expiry_delay_ms(needed_ms)
+        self.kept_until_ms[turn] = max(self.kept_until_ms.get(turn, 0), until_ms)
+        self.records.move_to_end(turn)
+        return needed_ms
+
+    def retention_of(self, record: Turn) -> float:
+        """Return how long a turn is kept after its last use, in ms."""
+        return max(record.retention_ms, self.raised_ms.get(record.turn, 0))
 
     def evict(self) -> None:
         """Remove the least recently used turns while the index is too large."""
@@ -114,22 +152,54 @@
             self.remove(next(iter(self.records)))
 
     def expire(self) -> list[Turn]:
-        """Remove the turns whose retention has passed and return them."""
+        """Remove the turns that need not be kept any more and return them."""
         now_ms = self.clock.now_ms()
+        if min(self.kept_until_ms.values(), default=now_ms) >= now_ms:
+            return []
+        self.inherit()
         expired = [
             record
             for record in self.records.values()
-            if self.last_used_ms[record.turn] + expiry_delay_ms(record.retention_ms)
-            < now_ms
+            if self.kept_until_ms[record.turn] < now_ms
         ]
         for record in expired:
             self.remove(record.turn)
         return expired
 
+    def inherit(self) -> None:
+        """Keep each turn as long as those that continue it.
+
+        It already is, unless one of them was added before the turn itself.
+        """
+        for record in self.records.values():
+            following = record
+            while self.extend_previous(following):
+                following = self.records[following.previous]
+
+    def extend_previous(self, record: Turn) -> bool:
+        """Keep the predecessor of a turn as long as the turn itself.
+
+        Returns:
+            Whether the predecessor is here and would have been kept for less.
+        """
+        previous = self.records.get(record.previous)
+        if previous is None:
+            return False
+        until_ms = self.kept_until_ms[record.turn]
+        needed_ms = self.retention_of(record)
+        is_later = until_ms > self.kept_until_ms[previous.turn]
+        is_longer = needed_ms > self.retention_of(previous)
+        if is_later:
+            self.kept_until_ms[previous.turn] = until_ms
+        if is_longer:
+            self.raised_ms[previous.turn] = needed_ms
+        return is_later or is_longer
+
     def remove(self, turn: str) -> None:
         """Remove a turn."""
         self.size_bytes -= self.records.pop(turn).size_bytes
-        self.last_used_ms.pop(turn)
+        self.kept_until_ms.pop(turn)
+        self.raised_ms.pop(turn, None)
 
 
 def expiry_delay_ms(retention_ms: float) -> float:
