Tell the keepers of a history for how long it is needed, before it is answered

What callers saw: the same 404 where the turn is at other keepers than its predecessor, as after a caller has moved; after a restart of the predecessor's keepers; and after a keeper missed the one renewal of a chain's last turn and the other holder died. Cause: KeepTurns says that turns are used, not for how long they are needed; what it changes is in memory alone; it was sent once, beside the turn, and nobody waited for it. Change: ExtendTurns has the retention of the turn that continues. A keeper writes a longer retention to disk before it answers, once for each turn and retention, so the cost doesn't grow with each use. Copies to other keepers have the longer retention. A gateway keeps for each turn until when f + 1 keepers are known to keep it, and ends an answer only once this covers its chain; usually they have answered while the turn ran. Turns whose keepers don't answer then are stored again at others. Releases: a keeper says in its entry of the list that it knows the message; former keepers get KeepTurns as before, and former gateways' KeepTurns renews by what is known.

--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -49,6 +49,7 @@
     CheckReachable,
     CopiesEnsured,
     EnsureCopies,
+    ExtendTurns,
     FindChain,
     FindMissing,
     KeepTurns,
@@ -74,7 +75,9 @@
 # Longest duration of a watch. A keeper is given at least several seconds to retire, and
 # a stalled watch must end well before.
 WATCH_WAIT_MS = 2500
-CopyMessage = KeepTurns | FindMissing | ListTurns | CheckReachable | EnsureCopies
+CopyMessage = (
+    KeepTurns | ExtendTurns | FindMissing | ListTurns | CheckReachable | EnsureCopies
+)
 
 
 class KeeperSettings(NamedTuple):
@@ -177,7 +180,9 @@
         self.memory.permits.on_crash = self.store_crash
         self.quota_borrowing: QuotaBorrowing | None = None
         self.server = PeerServer(clock, self.answer, settings.name, 0)
-        self.own_member = Member(settings.name, settings.address, settings.zone)
+        self.own_member = Member(
+            settings.name, settings.address, settings.zone, extends_turns=True
+        )
         self.was_member = False
         self.admitted = settings.first_start
         self.retired = False
@@ -293,7 +298,9 @@
     async def answer_about_copies(self, message: CopyMessage) -> Any:
         """Return the answer to a process that ensures that turns have enough copies."""
         if isinstance(message, KeepTurns):
-            return Missing(self.state.turns.keep(message.turns))
+            return Missing(self.state.turns.index.keep(message.turns))
+        if isinstance(message, ExtendTurns):
+            return Missing(await self.state.extend_turns(message))
         turns = self.state.turns
         if isinstance(message, FindMissing):
             return Missing([turn for turn in message.turns if turn not in turns])
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -23,7 +23,7 @@
 from pollenwalk.process.retry_advisor import RetryAdvisor
 from pollenwalk.process.store import Changes, FollowedStore, StoredObject
 from pollenwalk.process.tasks import TaskSet
-from pollenwalk.process.turn_replication import TurnReplication
+from pollenwalk.process.turn_replication import TurnReplication, keepers_unavailable
 from pollenwalk.process.turn_retention import TurnRetention
 from pollenwalk.process.turn_search import TurnSearch
 from pollenwalk.program.turn_index import TurnIndex
@@ -44,7 +44,6 @@
 RETRY_INTERVAL_MS = 100.0
 # Retry-After while too few keepers have room. Turns expire and leave room all the time.
 FULL_RETRY_AFTER_MS = 2000
-
 Result = TypeVar('Result')
 
 
@@ -168,11 +167,12 @@
         links = self.storage_candidates()
         replicas = [link.member.name for link in links[: self.required_copies]]
         stored = record._replace(replicas=replicas)
+        sent_ms = self.clock.now_ms()
         await TurnReplication(
             self.links, stored, links, self.required_copies
         ).replicate()
         self.cache.put(stored)
-        self.retention.note_told(stored)
+        self.retention.note_kept(stored.turn, stored.retention_ms, sent_ms)
         return replicas
 
     def storage_candidates(self) -> list[KeeperLink]:
@@ -222,12 +222,60 @@
                     raise
             await self.clock.sleep_ms(RETRY_INTERVAL_MS)
 
-    async def load_chain(self, turn: str) -> list[TurnRecord]:
+    async def load_chain(
+        self, turn: str, retention_ms: float | None = None
+    ) -> list[TurnRecord]:
+        """Return a turn and all its predecessors, which are about to be continued.
+
+        Args:
+            turn: id of the turn.
+            retention_ms: how long they are needed after the new turn; None for as long
+                as the turn itself.
+
+        Returns:
+            The turns, the oldest first.
+
+        Raises:
+            Refusal: the turn does not exist or has a gap before it, or too few keepers
+                answered to know.
+        """
+        turns = await self.read_chain(turn)
+        if retention_ms is None:
+            retention_ms = turns[-1].retention_ms
+        self.retention.use(turns, retention_ms)
+        return turns
+
+    async def confirm_chain(self, turns: list[str], retention_ms: float) -> None:
+        """Wait until enough keepers will keep a chain for its retention from now on.
+
+        Args:
+            turns: ids of all turns of the chain, the oldest first.
+            retention_ms: how long they are needed after an answer that ends now.
+
+        Raises:
+            Refusal: too few keepers answer.
+        """
+        retention = self.retention
+        if not retention.unconfirmed(turns, retention_ms):
+            return
+        await retention.wait_for_renewals(turns)
+        due = set(retention.unconfirmed(turns, retention_ms))
+        if not due:
+            return
+        chain = await self.read_chain(turns[-1])
+        records = [record for record in chain if record.turn in due]
+        await retention.renew(records, retention_ms, at_once=True)
+        if retention.unconfirmed(turns, retention_ms):
+            raise keepers_unavailable(
+                'too few keepers confirm that they keep the chain'
+            )
+
+    async def read_chain(self, turn: str) -> list[TurnRecord]:
         """Return a turn and all its predecessors, the oldest first.
 
         Raises:
-            Refusal: a turn does not exist, or too few keepers answered to know
-                whether it does.
+            Refusal: the turn does not exist or has a gap before it, or too few keepers
+                answered to know.
         """
         cached = self.cache.use_chain(turn)
         turns = cached.turns
@@ -238,7 +286,6 @@
                 self.cache.put(record)
             turns = [*found.turns, *turns]
             missing = found.missing
-        self.retention.use(turns)
         return turns
 
     async def find_part(self, turn: str, missing: str) -> Chain:
--- a/pollenwalk/process/keeper_members.py
+++ b/pollenwalk/process/keeper_members.py
@@ -33,6 +33,7 @@
         successor: the keeper that has taken its place and has a copy of each turn that
             it may have had; None for none.
         full: whether its disk is nearly full.
+        extends_turns: whether it knows the message `ExtendTurns`.
     """
 
     name: str
@@ -41,6 +42,7 @@
     retiring: bool = False
     successor: 'Member | None' = None
     full: bool = False
+    extends_turns: bool = False
 
     @property
     def key(self) -> str:
@@ -61,8 +63,9 @@
         """Return the body of the keeper's object in the store, as JSON."""
         fields = self._asdict()
         fields.pop('successor')
-        if not self.full:
-            fields.pop('full')
+        for name in ('full', 'extends_turns'):
+            if not fields[name]:
+                fields.pop(name)
         if self.successor is not None:
             fields['successor'] = SuccessorObject(
                 name=self.successor.name,
@@ -89,6 +92,7 @@
     retiring: NotRequired[bool]
     successor: NotRequired[SuccessorObject]
     full: NotRequired[bool]
+    extends_turns: NotRequired[bool]
 
 
 MEMBER_DECODER = msgspec.json.Decoder(MemberObject)
--- a/pollenwalk/process/keeper_state.py
+++ b/pollenwalk/process/keeper_state.py
@@ -17,10 +17,12 @@
 from pollenwalk.process.record_log import RecordDisk
 from pollenwalk.process.segment_files import Location
 from pollenwalk.process.stored_turns import StoredTurns
+from pollenwalk.process.turn_extensions import TurnExtensions
 from pollenwalk.process.turn_reader import TurnReader
 from pollenwalk.program.ledger import Ledger, entry_to_record
 from pollenwalk.program.turns import (
     Chain,
+    ExtendTurns,
     PullAccounts,
     PullTurns,
     ReserveTokens,
@@ -40,6 +42,7 @@
         log: the records on disk.
         turns: the turns in memory.
         reader: reads turns from memory and disk.
+        extensions: what keeps turns for longer than their records say.
         ledger: the token accounts in memory.
         crashes: requests on which hosts crash.
         room: how full the disk is.
@@ -58,10 +61,18 @@
         self.room = DiskRoom(disk, disk_bytes)
         self.turns = StoredTurns(clock)
         self.reader = TurnReader(disk, self.turns)
+        self.extensions = TurnExtensions(self.turns)
         self.ledger = Ledger(clock)
         self.crashes = CrashRecords(clock)
         self.compaction = LogCompaction(
-            disk, clock, self.turns, self.reader, self.ledger, self.crashes, self.room
+            disk,
+            clock,
+            self.turns,
+            self.reader,
+            self.extensions,
+            self.ledger,
+            self.crashes,
+            self.room,
         )
 
     @property
@@ -81,14 +92,17 @@
         """
         count = 0
         crash_notes: list[CrashNote] = []
+        extensions: list[ExtendTurns] = []
         for stored in self.log.open():
             count += 1
             message = decode_or_log(stored.record)
             if isinstance(message, CrashNote):
                 crash_notes.append(message)
+            elif isinstance(message, ExtendTurns):
+                extensions.append(message)
             self.restore(message, stored.location)
         self.crashes.restore(crash_notes)
-        self.turns.index.inherit()
+        self.extensions.restore(extensions)
         if first_start and not self.complete:
             self.log.mark_complete()
         logger.info(
@@ -144,7 +158,7 @@
         """
         self.settle_turn(record)
         if self.turns.is_synced(record.turn):
-            self.turns.index.use_chain(record.turn)
+            await self.extend_turns(ExtendTurns([record.turn], record.retention_ms))
             return
         self.turns.add_unsynced(record)
         synced = self.log.append(encode_datagram(record))
@@ -152,6 +166,23 @@
         # The record is written even if nobody waits for it any more.
         await asyncio.shield(synced)
 
+    async def extend_turns(self, message: ExtendTurns) -> list[str]:
+        """Keep turns for as long as they are needed now.
+
+        Returns:
+            The ids of those that this keeper does not have, once it is synced to disk
+            for how long the others are needed.
+
+        Raises:
+            Refusal: the disk has no room for that.
+        """
+        missing = self.turns.index.keep(message.turns, message.retention_ms)
+        unsaved = self.extensions.unsaved(message)
+        if unsaved is not None:
+            await self.append_small(unsaved)
+            self.extensions.note_saved(unsaved)
+        return missing
+
     def place(self, record: TurnRecord, synced: asyncio.Future[Location]) -> None:
         """Note where a turn has been written; forget one that could not be."""
         if synced.cancelled():
@@ -230,9 +261,11 @@
         return len(new)
 
     def is_new(self, message: Any) -> bool:
-        """Return whether a record adds a turn, a reservation or a settlement."""
+        """Return whether a record adds a turn, a retention or an entry of an account."""
         if isinstance(message, TurnRecord):
-            return not self.turns.is_synced(message.turn)
+            extension = ExtendTurns([message.turn], message.retention_ms)
+            is_longer = self.extensions.unsaved(extension) is not None
+            return is_longer or not self.turns.is_synced(message.turn)
         account = self.ledger.accounts.get(message.program)
         entry = account.entries.get(message.turn) if account else None
         settles = isinstance(message, SettleTokens)
--- a/pollenwalk/process/log_compaction.py
+++ b/pollenwalk/process/log_compaction.py
@@ -19,10 +19,16 @@
 from pollenwalk.process.record_log import RecordDisk
 from pollenwalk.process.segment_files import Location, StoredRecord
 from pollenwalk.process.stored_turns import StoredTurns
+from pollenwalk.process.turn_extensions import TurnExtensions
 from pollenwalk.process.turn_reader import TurnReader
 from pollenwalk.program.ledger import Ledger, entry_to_record
 from pollenwalk.program.turn_index import expiry_delay_ms
-from pollenwalk.program.turns import ReserveTokens, SettleTokens, TurnRecord
+from pollenwalk.program.turns import (
+    ExtendTurns,
+    ReserveTokens,
+    SettleTokens,
+    TurnRecord,
+)
 
 # A segment is compacted once at most this share of it is needed, so that the log has at
 # most about twice the size of what is needed.
@@ -60,6 +66,7 @@
         clock: Clock,
         turns: StoredTurns,
         reader: TurnReader,
+        extensions: TurnExtensions,
         ledger: Ledger,
         crashes: CrashRecords,
         room: DiskRoom,
@@ -69,6 +76,7 @@
         self.clock = clock
         self.turns = turns
         self.reader = reader
+        self.extensions = extensions
         self.ledger = ledger
         self.crashes = crashes
         self.room = room
@@ -109,13 +117,16 @@
         offset = 0
         tokens: dict[TokenKey, None] = {}
         has_notes = False
+        extensions: list[ExtendTurns] = []
         while batch := await self.disk.read_batch(segment, offset, BATCH_BYTES):
             offset = batch[-1].location.end
             messages = [decode_or_log(stored.record) for stored in batch]
             moved += await self.move_turns(batch, messages)
             tokens.update(dict.fromkeys(token_keys(messages)))
             has_notes = has_notes or any(isinstance(one, CrashNote) for one in messages)
+            extensions.extend(one for one in messages if isinstance(one, ExtendTurns))
         moved += await self.append_tokens(tokens)
+        moved += await self.append_small(self.extensions.needed(extensions))
         if has_notes:
             moved += await self.append_small(self.crashes.notes())
         # What is left can't be read, as a frame before it is damaged.
@@ -129,7 +140,7 @@
     async def move_turns(self, batch: list[StoredRecord], messages: list[Any]) -> int:
         """Append the needed turns of a batch to the log; return how many."""
         needed = [
-            (message.turn, stored.record)
+            (message.turn, self.updated(message, stored.record))
             for stored, message in zip(batch, messages, strict=True)
             if isinstance(message, TurnRecord)
             and self.turns.is_at(message.turn, stored.location)
@@ -139,6 +150,11 @@
             self.turns.place(turn, await synced)
         return len(needed)
 
+    def updated(self, message: TurnRecord, record: bytes) -> bytes:
+        """Return the encoded record of a turn with the retention that it has by now."""
+        present = self.reader.with_retention(message)
+        return record if present is message else encode_datagram(present)
+
     async def rescue(self, segment: int) -> list[str]:
         """Move turns that are still in a segment; return those that can't be read."""
         left = self.turns.in_segment(segment)
--- a/pollenwalk/process/stored_turns.py
+++ b/pollenwalk/process/stored_turns.py
@@ -23,6 +23,8 @@
     """What a keeper has in memory of each turn; see `TurnRecord` for the other fields.
 
     Attributes:
+        retention_ms: the longest retention that is on disk for the turn itself, in its
+            record or in an `ExtendTurns`.
         location: where the record is on disk; None until it is synced.
     """
 
@@ -143,10 +145,6 @@
         if turn in self.cache.records:
             self.cache.remove(turn)
 
-    def keep(self, turns: list[str]) -> list[str]:
-        """Mark turns as just used; return those that this keeper does not have."""
-        return self.index.keep(turns)
-
     def expire(self) -> list[str]:
         """Remove the turns whose retention has passed; return their ids."""
         expired = self.index.expire()
@@ -174,11 +172,15 @@
         """Return the record of a turn if it is in memory."""
         return self.unsynced.get(turn) or self.cache.records.get(turn)
 
+    def entries_of(self, turns: Iterable[str]) -> Iterator[IndexedRecord]:
+        """Yield what is known in memory of those turns that this keeper has."""
+        entries = map(self.index.records.get, turns)
+        return (entry for entry in entries if entry is not None)
+
     def locations(self, turns: Iterable[str]) -> dict[str, Location]:
         """Return where the records of turns are on disk, by turn."""
-        entries = map(self.index.records.get, turns)
         return {
             entry.turn: entry.location
-            for entry in entries
-            if entry is not None and entry.location is not None
+            for entry in self.entries_of(turns)
+            if entry.location is not None
         }
--- a/pollenwalk/process/turn_reader.py
+++ b/pollenwalk/process/turn_reader.py
@@ -50,7 +50,10 @@
         return Chain(complete and missing not in self.turns.damaged, found, missing)
 
     async def read(self, turns: list[str]) -> Records:
-        """Return the records of those turns that this keeper has and can read."""
+        """Return the records of those turns that this keeper has and can read.
+
+        They have the retentions that the turns have by now.
+        """
         found: Records = {}
         for _ in range(MAX_READS):
             in_memory = ((turn, self.turns.in_memory(turn)) for turn in turns)
@@ -59,7 +62,17 @@
             if not left:
                 break
             found.update(await self.read_from_disk(left))
-        return found
+        return {turn: self.with_retention(record) for turn, record in found.items()}
+
+    def with_retention(self, record: TurnRecord) -> TurnRecord:
+        """Return a record with the retention that the turn has by now."""
+        entry = self.turns.index.records.get(record.turn)
+        if entry is None:
+            return record
+        retention_ms = self.turns.index.retention_of(entry)
+        if retention_ms <= record.retention_ms:
+            return record
+        return record._replace(retention_ms=retention_ms)
 
     async def read_from_disk(self, locations: dict[str, Location]) -> Records:
         """Return the records of turns that can be read where these are expected.
--- a/pollenwalk/program/turns.py
+++ b/pollenwalk/program/turns.py
@@ -18,7 +18,8 @@
         input: the input that this turn added to the prompt.
         output: the data of the answer's events, each followed by a line feed.
         tokens: number of tokens that these events count for.
-        retention_ms: how long the record is kept after its last use.
+        retention_ms: how long the record is kept after its last use, if no turn that
+            continues it is needed for longer.
         replicas: names of the keepers that were asked to keep a copy.
         organisation: name of the organisation that the turn belongs to; empty for
             none.
@@ -151,11 +152,25 @@
 
 
 class KeepTurns(NamedTuple):
-    """Tells a keeper that turns have been used; it answers with those it lacks."""
+    """Tells a keeper that turns have been used; it answers with those it lacks.
+
+    Former gateways send it, and former keepers know no other; see `ExtendTurns`.
+    """
 
     turns: list[str]
 
 
+class ExtendTurns(NamedTuple):
+    """Tells a keeper for how long turns are needed; it answers with those it lacks.
+
+    They and their predecessors are kept for `retention_ms` after each use from now on,
+    or for their own retention if that is longer. It is also the record of this on disk.
+    """
+
+    turns: list[str]
+    retention_ms: float
+
+
 class FindMissing(NamedTuple):
     """Asks a keeper which of the given turns it does not have."""
 
--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -30,6 +30,7 @@
         output: the data of the events so far, each followed by a line feed;
             empty on routes that keep no history.
         tokens: number of tokens that these events count for.
+        chain: ids of the turns that it continues, the oldest first.
         reservation: the turn's reservation; None before `prepare` and for
             requests without a token budget.
     """
@@ -52,6 +53,7 @@
         self.call = call
         self.output = bytearray()
         self.tokens = 0
+        self.chain: list[str] = []
         self.reservation: Reservation | None = None
 
     @property
@@ -132,7 +134,8 @@
         if not self.call.route.keeps_history or not request.metadata.previous:
             return request.body
         previous = request.metadata.previous
-        chain = await self.group.load_chain(previous)
+        chain = await self.group.load_chain(previous, self.call.route.retention_ms)
+        self.chain = [record.turn for record in chain]
         if chain[-1].organisation != self.call.organisation_name:
             raise turn_of_another_organisation(self.call)
         return build_prompt(chain, request.body)
@@ -170,12 +173,15 @@
     async def before_end(self) -> None:
         """Wait until the reservation is recorded and the turn is stored.
 
+        From then on the turn and its chain are kept for the route's retention.
+
         Raises:
             Refusal: the budget does not cover the turn, whose outcome is unknown.
         """
         await self.wait_for_reservation()
         if self.call.route.keeps_history:
             await self.store_turn()
+            await self.confirm_chain()
 
     async def wait_for_reservation(self) -> None:
         """Wait until the reservation is recorded, if there is one.
@@ -233,6 +239,20 @@
             took_ms=round(took_ms),
         )
 
+    async def confirm_chain(self) -> None:
+        """Wait until the turns before this one are kept as long as it is.
+
+        It usually waits for nothing: the keepers were told when the turn began. If too
+        few have answered, they are asked again until the caller's deadline.
+        """
+        if not self.chain:
+            return
+        retention_ms = self.call.route.retention_ms
+        confirming = self.group.retry_until_acknowledged(
+            lambda: self.group.confirm_chain(self.chain, retention_ms)
+        )
+        await self.await_for_running_turn(confirming)
+
     def close(self) -> None:
         """Cancel the reservation's task and settle the tokens of the events.
 
--- a/test/process/test_longer_retention.py
+++ b/test/process/test_longer_retention.py
@@ -11,6 +11,8 @@
 
 SHORT_MS = 10_000.0
 LONG_MS = 60_000.0
+# After which a turn with the short retention is gone if nothing needs it.
+GONE_MS = expiry_delay_ms(SHORT_MS) + 6000
 # Before which the turn with the long retention must be there.
 LATER_MS = 56_000.0
 
@@ -26,11 +28,33 @@
         """Answer a turn on a route with a short retention, in the east."""
         await self.east.store_turn(make_record('t1')._replace(retention_ms=SHORT_MS))
 
+    async def second(self, group: KeeperGroup) -> None:
+        """Answer a turn that continues it, on a route with a long retention."""
+        await answer(group, 't2', 't1', LONG_MS)
+
     async def chain(self, group: KeeperGroup) -> list[str]:
         """Return the chain of the second turn as a gateway finds it at the keepers."""
         await clear_cache(group)
         return [record.turn for record in await group.load_chain('t2')]
 
+    def copies(self, turn: str) -> int:
+        """Return how many keepers have a turn."""
+        keepers = self.cluster.keepers.values()
+        return sum(turn in keeper.state.turns for keeper in keepers)
+
+
+async def answer(
+    group: KeeperGroup, turn: str, previous: str, retention_ms: float
+) -> None:
+    """Store a turn as a gateway does before the end of its answer."""
+    chain = await group.load_chain(previous, retention_ms)
+    record = make_record(turn, previous)._replace(retention_ms=retention_ms)
+    await group.store_turn(record)
+    turns = [one.turn for one in chain]
+    await group.retry_until_acknowledged(
+        lambda: group.confirm_chain(turns, retention_ms)
+    )
+
 
 async def start_story() -> Story:
     """Start two keepers and a gateway in each of two regions."""
@@ -58,6 +82,89 @@
         await story.cluster.wait(LATER_MS)
         self.assertEqual(['t1', 't2'], await story.chain(story.west))
 
+    @virtual
+    async def test_predecessor_is_kept_where_the_turn_is_not(self) -> None:
+        # Guards against keepers that are told of a use, but not for how long.
+        story = await start_story()
+        await story.first()
+        await story.second(story.west)
+        await story.cluster.wait(LATER_MS)
+        self.assertEqual(['t1', 't2'], await story.chain(story.west))
+        self.assertEqual(2, story.copies('t1'))
+
+    @virtual
+    async def test_retention_survives_a_power_loss_of_all(self) -> None:
+        # Guards against a longer retention that is known in memory alone.
+        story = await start_story()
+        await story.first()
+        await story.second(story.west)
+        for name in list(story.cluster.keepers):
+            await story.cluster.kill(name)
+        for name in list(story.cluster.keepers):
+            await story.cluster.start_keeper(name)
+        await story.cluster.wait(LATER_MS)
+        self.assertEqual(['t1', 't2'], await story.chain(story.west))
+
+    @virtual
+    async def test_retention_survives_compactions(self) -> None:
+        # Guards against a retention on disk that goes with the segment it is in.
+        story = await start_story()
+        for disk in story.cluster.disks.values():
+            disk.segment_bytes = 1
+        await story.first()
+        await story.second(story.west)
+        for name in ('z0', 'z2'):
+            state = story.cluster.keepers[name].state
+            for segment in list(state.log.closed_segments()):
+                await state.compaction.compact(segment)
+            await story.cluster.kill(name)
+            await story.cluster.start_keeper(name)
+        await story.cluster.wait(LATER_MS)
+        self.assertEqual(2, story.copies('t1'))
+
+    @virtual
+    async def test_answer_waits_for_keepers_of_its_chain(self) -> None:
+        # Guards against a renewal that a keeper misses while the last turn ends.
+        story = await start_story()
+        await story.first()
+        story.cluster.fabric.cut('west', 'z2')
+        await story.second(story.west)
+        story.cluster.fabric.heal()
+        await story.cluster.wait(GONE_MS)
+        self.assertTrue(story.copies('t1') >= 2)
+
+    @virtual
+    async def test_copies_have_the_longer_retention(self) -> None:
+        # Guards against copies that start anew with the retention of the record.
+        story = await start_story()
+        await story.first()
+        await story.second(story.west)
+        await story.cluster.terminate('z0')
+        for name in ('z2', 'z1', 'z3'):
+            await story.cluster.kill(name)
+            await story.cluster.start_keeper(name)
+        await story.cluster.wait(GONE_MS)
+        self.assertTrue(story.copies('t1') >= 2)
+
+    @virtual
+    async def test_former_keepers_get_what_they_know(self) -> None:
+        story = await start_story()
+        for name in ('z0', 'z2'):
+            keeper = story.cluster.keepers[name]
+            keeper.own_member = keeper.own_member._replace(extends_turns=False)
+        await story.cluster.wait(1000)
+        await story.first()
+        await story.second(story.west)
+        counted = {
+            name: {
+                labels['kind']
+                for labels, _ in keeper.metrics.messages_total.get_all()
+                if labels['kind'] in {'KeepTurns', 'ExtendTurns'}
+            }
+            for name, keeper in story.cluster.keepers.items()
+        }
+        self.assertEqual({'KeepTurns'}, counted['z0'] | counted['z2'])
+
 
 class IndexTest(testtools.TestCase):
     """The order in which an index learns of turns does not matter."""
