Don't deny a turn because its predecessor was not found

What callers saw: 404 'turn turn-1 does not exist' for a turn that named turn-2, which existed; their programs ended at once. Cause: load_chain passed on the answer about the predecessor as that about the turn. If the turn itself has expired at the keepers and is known from a cache alone, it is still denied. Evidence: test_turn_with_a_lost_predecessor_is_not_denied failed on the code before with unknown_turn.

--- a/pollenwalk/errors.py
+++ b/pollenwalk/errors.py
@@ -76,6 +76,7 @@
     PROTOCOL = 'protocol'
     NOT_CONFIGURED = 'not_configured'
     KEEPERS_UNAVAILABLE = 'keepers_unavailable'
+    HISTORY_INCOMPLETE = 'history_incomplete'
     STORAGE_FULL = 'storage_full'
     RETIRING = 'retiring'
     CRASHES_HOSTS = 'crashes_hosts'
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -44,6 +44,10 @@
 RETRY_INTERVAL_MS = 100.0
 # Retry-After while too few keepers have room. Turns expire and leave room all the time.
 FULL_RETRY_AFTER_MS = 2000
+# Retry-After while a predecessor of a turn is at no keeper that answers. One that is away
+# takes seconds to come back.
+INCOMPLETE_RETRY_AFTER_MS = 5000
+
 Result = TypeVar('Result')
 
 
@@ -292,19 +296,18 @@
         """Find the part of a turn's chain that ends with a missing turn.
 
         Raises:
-            Refusal: the missing turn does not exist, or too few keepers answered.
+            Refusal: the turn does not exist or has a gap before it, or too few keepers
+                answered to know.
         """
         try:
             return await self.turn_search.find_chain(missing)
         except Refusal as refusal:
-            if missing != turn:
-                logger.error(
-                    'predecessor_not_found',
-                    turn=turn,
-                    predecessor=missing,
-                    code=refusal.code,
-                )
-            raise
+            if missing == turn or refusal.code != RefusalCode.UNKNOWN_TURN:
+                raise
+        # The turn itself may be known from the cache alone, and have expired, too.
+        await self.turn_search.find_chain(turn)
+        logger.error('history_incomplete', turn=turn, predecessor=missing)
+        raise history_incomplete(turn, missing)
 
     async def read_prefix(self, prefix: str) -> Changes | None:
         """List a prefix of the store through the nearest keeper that reaches it.
@@ -351,6 +354,19 @@
         await broadcast.finish()
 
 
+def history_incomplete(turn: str, predecessor: str) -> Refusal:
+    """Return the refusal of a call that continues a turn with a gap before it.
+
+    It does not deny the turn, which exists. As its predecessor was lost or may be at a
+    keeper that is away, the caller may try again, but not soon.
+    """
+    return Refusal(
+        RefusalCode.HISTORY_INCOMPLETE,
+        f'turn {turn} exists, but its predecessor {predecessor} was not found',
+        retry_after_ms=INCOMPLETE_RETRY_AFTER_MS,
+    )
+
+
 async def answer_or_none(pending: Any) -> Any:
     """Return an answer, or None after a failure.
 
--- a/test/process/test_longer_retention.py
+++ b/test/process/test_longer_retention.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from pollenwalk.errors import Refusal, RefusalCode
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.program.turn_index import TurnIndex, expiry_delay_ms
 from test.helper import virtual
@@ -166,6 +167,43 @@
         self.assertEqual({'KeepTurns'}, counted['z0'] | counted['z2'])
 
 
+class GapTest(testtools.TestCase):
+    """A turn exists, but one before it does not."""
+
+    @virtual
+    async def test_turn_with_a_lost_predecessor_is_not_denied(self) -> None:
+        # Guards against a 404 for a turn that exists.
+        story = await start_story()
+        await story.first()
+        await story.second(story.east)
+        for keeper in story.cluster.keepers.values():
+            if 't1' in keeper.state.turns:
+                keeper.state.turns.remove('t1')
+        refusal = await self.refusal_of(story)
+        self.assertEqual(RefusalCode.HISTORY_INCOMPLETE, refusal.code)
+        self.assertIsNotNone(refusal.retry_after_ms)
+
+    @virtual
+    async def test_expired_turn_in_a_cache_is_denied(self) -> None:
+        story = await start_story()
+        await story.first()
+        await story.second(story.east)
+        await story.cluster.wait(expiry_delay_ms(LONG_MS) + 6000)
+        story.east.cache.remove('t1')
+        refusal = await self.refusal_of(story, clears=False)
+        self.assertEqual(RefusalCode.UNKNOWN_TURN, refusal.code)
+
+    async def refusal_of(self, story: Story, clears: bool = True) -> Refusal:
+        """Return the refusal of a turn that continues the second one."""
+        if clears:
+            await clear_cache(story.east)
+        try:
+            await story.east.load_chain('t2')
+        except Refusal as refusal:
+            return refusal
+        raise AssertionError('the chain was found')
+
+
 class IndexTest(testtools.TestCase):
     """The order in which an index learns of turns does not matter."""
 
