Keep what is kept when a route's retention is raised for the longer time, too

What callers saw: a turn that was answered under a retention of 10 s just before this was raised to 60 s was denied after 45 s. Cause: nobody told the keepers. Change: a gateway that puts a configuration in force which raises retentions tells all keepers the former and the new value, again while one is away. They keep for longer what they keep for at least the former, as a record doesn't name its route, and write it to disk. Accounts of programs are kept for longer, too. A turn that ends after a raise is stored with the longer retention. A lowered retention changes nothing of what is kept. Not covered: a raise that no gateway sees happen, as all of them start after it.

--- a/pollenwalk/process/gateway.py
+++ b/pollenwalk/process/gateway.py
@@ -31,7 +31,7 @@
 from pollenwalk.process.permit_client import PermitClient
 from pollenwalk.process.quota_client import QuotaClient
 from pollenwalk.process.silent_hosts import SilentHosts
-from pollenwalk.process.store import ObjectStore
+from pollenwalk.process.store import ObjectStore, StoredObject
 from pollenwalk.process.stream_registry import StreamRegistry
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.process.waits import Waits
@@ -260,7 +260,7 @@
         await follower.wait_for_keeper(self.links.members)
         self.lease.watcher = follower.follow(
             CONFIGURATION_PREFIX,
-            self.active_configuration.apply,
+            self.apply_configuration,
             self.host_table.record_store_answer,
             self.lease.watch_ms(settings.change_delay_ms * CONFIGURATION_WATCH_SHARE),
             confirm_soon=settings.revocation_ms > 0,
@@ -272,6 +272,11 @@
             membership_wait_ms,
         )
 
+    def apply_configuration(self, stored: StoredObject) -> None:
+        """Put a configuration in force; tell the keepers of retentions it raises."""
+        self.active_configuration.apply(stored)
+        self.keepers.raises.apply(self.active_configuration.current)
+
     def on_hosts_read(self) -> None:
         """Mark the host table as loaded and close connections to removed hosts."""
         self.host_table.loaded = True
--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -13,7 +13,7 @@
 
 from pollenwalk.connection.channel import Listener, StreamNetwork
 from pollenwalk.connection.crash_messages import CrashNote
-from pollenwalk.connection.peer_messages import Hello
+from pollenwalk.connection.peer_messages import Done, Hello
 from pollenwalk.connection.peer_server import PeerServer
 from pollenwalk.connection.store_messages import (
     FollowPrefix,
@@ -58,6 +58,7 @@
     PullAccounts,
     PullTurns,
     PushRecords,
+    RaiseRetention,
     Reachable,
     RecordBatch,
     ReserveTokens,
@@ -75,9 +76,8 @@
 # Longest duration of a watch. A keeper is given at least several seconds to retire, and
 # a stalled watch must end well before.
 WATCH_WAIT_MS = 2500
-CopyMessage = (
-    KeepTurns | ExtendTurns | FindMissing | ListTurns | CheckReachable | EnsureCopies
-)
+RetentionMessage = KeepTurns | ExtendTurns | RaiseRetention
+CopyMessage = FindMissing | ListTurns | CheckReachable | EnsureCopies
 
 
 class KeeperSettings(NamedTuple):
@@ -286,8 +286,8 @@
             return Spent(self.state.complete, entries)
         if isinstance(message, FindChain):
             return await self.state.find_chain(message.turn)
-        if isinstance(message, CopyMessage):
-            return await self.answer_about_copies(message)
+        if isinstance(message, RetentionMessage | CopyMessage):
+            return await self.answer_about_turns(message)
         if isinstance(message, FollowPrefix | ReadPrefix):
             return await self.mirrors.answer(message)
         if isinstance(message, MemoryMessage):
@@ -295,12 +295,23 @@
         await self.store_records(message)
         return Stored(self.state.complete)
 
-    async def answer_about_copies(self, message: CopyMessage) -> Any:
-        """Return the answer to a process that ensures that turns have enough copies."""
+    async def answer_about_turns(self, message: RetentionMessage | CopyMessage) -> Any:
+        """Return the answer to a message about turns that this keeper may have."""
+        if isinstance(message, RetentionMessage):
+            return await self.answer_about_retention(message)
+        return await self.answer_about_copies(message)
+
+    async def answer_about_retention(self, message: RetentionMessage) -> Any:
+        """Return the answer to a process that tells for how long turns are needed."""
         if isinstance(message, KeepTurns):
             return Missing(self.state.turns.index.keep(message.turns))
         if isinstance(message, ExtendTurns):
             return Missing(await self.state.extend_turns(message))
+        await self.state.raise_retention(message)
+        return Done()
+
+    async def answer_about_copies(self, message: CopyMessage) -> Any:
+        """Return the answer to a process that ensures that turns have enough copies."""
         turns = self.state.turns
         if isinstance(message, FindMissing):
             return Missing([turn for turn in message.turns if turn not in turns])
--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -20,6 +20,7 @@
 from pollenwalk.process.member_readings import MemberReadings
 from pollenwalk.process.pauses import PauseWatch
 from pollenwalk.process.recent_members import RecentMembers
+from pollenwalk.process.retention_raises import RetentionRaises
 from pollenwalk.process.retry_advisor import RetryAdvisor
 from pollenwalk.process.store import Changes, FollowedStore, StoredObject
 from pollenwalk.process.tasks import TaskSet
@@ -72,6 +73,7 @@
             keepers.
         queued_settlements: settlements that will be sent with the next batch.
         retention: tells the keepers which turns are used.
+        raises: tells the keepers which retentions are raised.
         readings: read the list of keepers as it is now.
         pauses: notices pauses of this gateway; must be run.
         recent: has what counts keepers go by a list that is newer than any pause.
@@ -106,6 +108,7 @@
         self.retention = TurnRetention(
             links, clock, tasks, self.required_copies, self.store_turn
         )
+        self.raises = RetentionRaises(links, clock, tasks)
         self.readings = MemberReadings(store, clock, tasks, self.read_prefix)
         self.pauses = PauseWatch(clock)
         self.recent = RecentMembers(self.readings, self.pauses)
--- a/pollenwalk/process/keeper_members.py
+++ b/pollenwalk/process/keeper_members.py
@@ -33,7 +33,7 @@
         successor: the keeper that has taken its place and has a copy of each turn that
             it may have had; None for none.
         full: whether its disk is nearly full.
-        extends_turns: whether it knows the message `ExtendTurns`.
+        extends_turns: whether it knows `ExtendTurns` and `RaiseRetention`.
     """
 
     name: str
--- a/pollenwalk/process/keeper_state.py
+++ b/pollenwalk/process/keeper_state.py
@@ -25,6 +25,7 @@
     ExtendTurns,
     PullAccounts,
     PullTurns,
+    RaiseRetention,
     ReserveTokens,
     SettleTokens,
     TokenEntry,
@@ -183,6 +184,17 @@
             self.extensions.note_saved(unsaved)
         return missing
 
+    async def raise_retention(self, message: RaiseRetention) -> None:
+        """Keep turns and accounts for a raised retention; it is on disk afterwards.
+
+        Raises:
+            Refusal: the disk has no room for that.
+        """
+        for extension in self.extensions.raised(message):
+            await self.extend_turns(extension)
+        raised = list(self.ledger.raise_retention(message))
+        await asyncio.gather(*map(self.append_small, raised))
+
     def place(self, record: TurnRecord, synced: asyncio.Future[Location]) -> None:
         """Note where a turn has been written; forget one that could not be."""
         if synced.cancelled():
--- a/pollenwalk/process/turn_extensions.py
+++ b/pollenwalk/process/turn_extensions.py
@@ -7,7 +7,10 @@
 from collections.abc import Iterable, Iterator
 
 from pollenwalk.process.stored_turns import StoredTurns
-from pollenwalk.program.turns import ExtendTurns
+from pollenwalk.program.turns import ExtendTurns, RaiseRetention
+
+# Turns in one record on disk.
+MAX_EXTENDED_TURNS = 1000
 
 
 class TurnExtensions:
@@ -41,6 +44,18 @@
             self.note_saved(message)
         self.turns.index.inherit()
 
+    def raised(self, message: RaiseRetention) -> Iterator[ExtendTurns]:
+        """Yield the extensions by which a raised retention holds for all turns here."""
+        retention_of = self.turns.index.retention_of
+        turns = [
+            entry.turn
+            for entry in self.turns.entries()
+            if message.former_ms <= retention_of(entry) < message.retention_ms
+        ]
+        for start in range(0, len(turns), MAX_EXTENDED_TURNS):
+            part = turns[start : start + MAX_EXTENDED_TURNS]
+            yield ExtendTurns(part, message.retention_ms)
+
     def needed(self, messages: Iterable[ExtendTurns]) -> Iterator[ExtendTurns]:
         """Yield what is still needed of extensions that are on disk."""
         for message in messages:
--- a/pollenwalk/program/ledger.py
+++ b/pollenwalk/program/ledger.py
@@ -9,12 +9,13 @@
 """
 
 import itertools
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from pollenwalk.process.clock import Clock
 from pollenwalk.program.turn_index import expiry_delay_ms
 from pollenwalk.program.turns import (
+    RaiseRetention,
     ReserveTokens,
     SettleTokens,
     TokenEntry,
@@ -78,6 +79,16 @@
         account = self.touch_account(request.program, request.retention_ms)
         account.entries[request.turn] = TokenEntry(request.turn, request.tokens, True)
 
+    def raise_retention(
+        self, message: RaiseRetention
+    ) -> Iterator[ReserveTokens | SettleTokens]:
+        """Keep accounts for a raised retention; yield a record of that for each."""
+        for program, account in list(self.accounts.items()):
+            if message.former_ms <= account.retention_ms < message.retention_ms:
+                account.retention_ms = message.retention_ms
+                entry = next(iter(account.entries.values()))
+                yield entry_to_record(program, entry, message.retention_ms)
+
     def expire(self) -> None:
         """Remove the accounts whose retention has passed."""
         now_ms = self.clock.now_ms()
--- a/pollenwalk/program/turns.py
+++ b/pollenwalk/program/turns.py
@@ -171,6 +171,16 @@
     retention_ms: float
 
 
+class RaiseRetention(NamedTuple):
+    """Tells a keeper that a retention of turns and accounts was raised.
+
+    What is kept for at least `former_ms` is kept for `retention_ms` from now on.
+    """
+
+    former_ms: float
+    retention_ms: float
+
+
 class FindMissing(NamedTuple):
     """Asks a keeper which of the given turns it does not have."""
 
--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -61,6 +61,11 @@
         """Return the size of the output, which is kept until the turn is stored."""
         return len(self.output)
 
+    @property
+    def retention_ms(self) -> float:
+        """Return how long the turn and its chain are needed if it ends now."""
+        return self.group.raises.retention_ms(self.call.route)
+
     @property
     def begins_program(self) -> bool:
         """Return whether no other turn of the program has used or reserved tokens.
@@ -134,7 +139,7 @@
         if not self.call.route.keeps_history or not request.metadata.previous:
             return request.body
         previous = request.metadata.previous
-        chain = await self.group.load_chain(previous, self.call.route.retention_ms)
+        chain = await self.group.load_chain(previous, self.retention_ms)
         self.chain = [record.turn for record in chain]
         if chain[-1].organisation != self.call.organisation_name:
             raise turn_of_another_organisation(self.call)
@@ -218,7 +223,7 @@
             input=self.call.request.body,
             output=bytes(self.output),
             tokens=self.tokens,
-            retention_ms=self.call.route.retention_ms,
+            retention_ms=self.retention_ms,
             replicas=[],
             organisation=self.call.organisation_name,
         )
@@ -247,9 +252,8 @@
         """
         if not self.chain:
             return
-        retention_ms = self.call.route.retention_ms
         confirming = self.group.retry_until_acknowledged(
-            lambda: self.group.confirm_chain(self.chain, retention_ms)
+            lambda: self.group.confirm_chain(self.chain, self.retention_ms)
         )
         await self.await_for_running_turn(confirming)
 
--- a/test/process/test_longer_retention.py
+++ b/test/process/test_longer_retention.py
@@ -7,8 +7,11 @@
 from pollenwalk.errors import Refusal, RefusalCode
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.program.turn_index import TurnIndex, expiry_delay_ms
+from pollenwalk.program.turns import RaiseRetention, ReserveTokens
+from pollenwalk.version.routes import CallerLimits, RoutingConfiguration
 from test.helper import virtual
 from test.process.test_keepers import KeeperCluster, clear_cache, make_record
+from test.request.test_forwarding import STREAM
 
 SHORT_MS = 10_000.0
 LONG_MS = 60_000.0
@@ -29,6 +32,10 @@
         """Answer a turn on a route with a short retention, in the east."""
         await self.east.store_turn(make_record('t1')._replace(retention_ms=SHORT_MS))
 
+    async def second_alone(self) -> None:
+        """Answer a turn without predecessors on a route with a long retention."""
+        await self.east.store_turn(make_record('t2')._replace(retention_ms=LONG_MS))
+
     async def second(self, group: KeeperGroup) -> None:
         """Answer a turn that continues it, on a route with a long retention."""
         await answer(group, 't2', 't1', LONG_MS)
@@ -57,6 +64,12 @@
     )
 
 
+def configuration(version: int, retention_ms: float) -> RoutingConfiguration:
+    """Return a version with one route."""
+    route = STREAM._replace(keeps_history=True, retention_ms=retention_ms)
+    return RoutingConfiguration(version, {'h': (route,)}, {}, CallerLimits(0))
+
+
 async def start_story() -> Story:
     """Start two keepers and a gateway in each of two regions."""
     cluster = KeeperCluster()
@@ -167,6 +180,58 @@
         self.assertEqual({'KeepTurns'}, counted['z0'] | counted['z2'])
 
 
+class RaiseTest(testtools.TestCase):
+    """The retention of a route is raised after the last turn."""
+
+    @virtual
+    async def test_raise_holds_for_turns_that_are_kept(self) -> None:
+        # Guards against a turn that expires by the retention at the time of its answer.
+        story = await start_story()
+        story.east.raises.apply(configuration(1, SHORT_MS))
+        await story.first()
+        story.east.raises.apply(configuration(2, LONG_MS))
+        await story.cluster.wait(1000)
+        for name in ('z0', 'z2'):
+            await story.cluster.kill(name)
+            await story.cluster.start_keeper(name)
+        await story.cluster.wait(LATER_MS)
+        self.assertEqual(2, story.copies('t1'))
+
+    @virtual
+    async def test_keeper_that_is_away_learns_it_later(self) -> None:
+        # Guards against a raise that a keeper misses.
+        story = await start_story()
+        story.east.raises.apply(configuration(1, SHORT_MS))
+        await story.first()
+        story.cluster.fabric.cut('east', 'z0')
+        story.east.raises.apply(configuration(2, LONG_MS))
+        await story.cluster.wait(20_000)
+        story.cluster.fabric.heal()
+        await story.cluster.wait(LATER_MS - 20_000)
+        self.assertEqual(2, story.copies('t1'))
+
+    @virtual
+    async def test_raise_holds_for_accounts(self) -> None:
+        # Guards against a stopped program that returns to a fresh budget.
+        story = await start_story()
+        state = story.cluster.keepers['z0'].state
+        await state.reserve(ReserveTokens('p', 't1', 5, SHORT_MS))
+        await state.raise_retention(RaiseRetention(SHORT_MS, LONG_MS))
+        await story.cluster.kill('z0')
+        keeper = await story.cluster.start_keeper('z0')
+        await story.cluster.wait(LATER_MS)
+        self.assertIn('p', keeper.state.ledger.accounts)
+
+    @virtual
+    async def test_lowered_retention_changes_nothing(self) -> None:
+        story = await start_story()
+        story.east.raises.apply(configuration(1, LONG_MS))
+        await story.second_alone()
+        story.east.raises.apply(configuration(2, SHORT_MS))
+        await story.cluster.wait(LATER_MS)
+        self.assertEqual(2, story.copies('t2'))
+
+
 class GapTest(testtools.TestCase):
     """A turn exists, but one before it does not."""
 
