Say for how long a turn is needed where its copy comes to count

Cause: a keeper that hands over or copies its turns asked another one which it lacks. One that had a copy, from a hedged write for example, was counted from then on, but had not been told of later uses or of a longer retention, as it was no holder. Change: the question is ExtendTurns, by how long each turn is needed now; former keepers get KeepTurns. Evidence: test_copy_counts_after_a_planned_stop failed on the code before: one copy left 51 s after the stop where two are needed.

--- a/pollenwalk/process/turn_copies.py
+++ b/pollenwalk/process/turn_copies.py
@@ -21,7 +21,7 @@
 from pollenwalk.process.stored_turns import IndexedRecord
 from pollenwalk.process.tasks import TaskSet
 from pollenwalk.program.turns import (
-    FindMissing,
+    KeepTurns,
     Missing,
     PushRecords,
 )
@@ -152,12 +152,28 @@
         if not replicas:
             return
         link = self.links.link(member)
-        missing: Missing = await self.links.request(link, FindMissing(list(replicas)))
-        async for records in self.state.reader.batches(missing.turns):
+        missing = await self.extend_at(member, list(replicas))
+        async for records in self.state.reader.batches(missing):
             updated = (one._replace(replicas=replicas[one.turn]) for one in records)
             push = PushRecords(list(map(encode_datagram, updated)))
             await self.links.request(link, push)
 
+    async def extend_at(self, member: Member, turns: list[str]) -> list[str]:
+        """Have another keeper keep turns from now on for as long as they are needed.
+
+        It may have a copy that nobody told of later uses, as it counts for nothing yet.
+
+        Returns:
+            The ids of those that it does not have.
+        """
+        link = self.links.link(member)
+        missing: list[str] = []
+        for message in self.state.extensions.present(turns):
+            known = message if member.extends_turns else KeepTurns(message.turns)
+            answer: Missing = await self.links.request(link, known)
+            missing.extend(answer.turns)
+        return missing
+
     def choose_replicas(
         self, record: IndexedRecord, staying: list[Member]
     ) -> list[str]:
--- a/pollenwalk/process/turn_extensions.py
+++ b/pollenwalk/process/turn_extensions.py
@@ -9,7 +9,7 @@
 from pollenwalk.process.stored_turns import StoredTurns
 from pollenwalk.program.turns import ExtendTurns, RaiseRetention
 
-# Turns in one record on disk.
+# Turns in one message, and in one record on disk.
 MAX_EXTENDED_TURNS = 1000
 
 
@@ -52,9 +52,16 @@
             for entry in self.turns.entries()
             if message.former_ms <= retention_of(entry) < message.retention_ms
         ]
-        for start in range(0, len(turns), MAX_EXTENDED_TURNS):
-            part = turns[start : start + MAX_EXTENDED_TURNS]
-            yield ExtendTurns(part, message.retention_ms)
+        yield from in_parts(turns, message.retention_ms)
+
+    def present(self, turns: Iterable[str]) -> Iterator[ExtendTurns]:
+        """Yield the extensions that say for how long turns are needed by now."""
+        retention_of = self.turns.index.retention_of
+        by_retention: dict[float, list[str]] = {}
+        for entry in self.turns.entries_of(turns):
+            by_retention.setdefault(retention_of(entry), []).append(entry.turn)
+        for retention_ms, needed in by_retention.items():
+            yield from in_parts(needed, retention_ms)
 
     def needed(self, messages: Iterable[ExtendTurns]) -> Iterator[ExtendTurns]:
         """Yield what is still needed of extensions that are on disk."""
@@ -62,3 +69,9 @@
             turns = [turn for turn in message.turns if turn in self.turns]
             if turns:
                 yield message._replace(turns=turns)
+
+
+def in_parts(turns: list[str], retention_ms: float) -> Iterator[ExtendTurns]:
+    """Yield extensions of turns that fit a message each."""
+    for start in range(0, len(turns), MAX_EXTENDED_TURNS):
+        yield ExtendTurns(turns[start : start + MAX_EXTENDED_TURNS], retention_ms)
--- a/test/process/test_longer_retention.py
+++ b/test/process/test_longer_retention.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from pollenwalk.connection.wire import encode_datagram
 from pollenwalk.errors import Refusal, RefusalCode
 from pollenwalk.process.keeper_group import KeeperGroup
 from pollenwalk.program.turn_index import TurnIndex, expiry_delay_ms
@@ -232,6 +233,26 @@
         self.assertEqual(2, story.copies('t2'))
 
 
+class UntoldCopyTest(testtools.TestCase):
+    """A keeper beside those that are told has a copy, which comes to count later."""
+
+    @virtual
+    async def test_copy_counts_after_a_planned_stop(self) -> None:
+        # Guards against a copy that counts for a stopped keeper and soon expires.
+        story = await start_story()
+        for name in ('z4', 'z5'):
+            await story.cluster.start_keeper(name, True)
+        await story.cluster.wait(1000)
+        await story.first()
+        record = make_record('t1')._replace(retention_ms=SHORT_MS)
+        await story.cluster.keepers['z4'].state.add_records([encode_datagram(record)])
+        await story.second(story.west)
+        await story.cluster.terminate('z0')
+        story.cluster.keepers.pop('z0')
+        await story.cluster.wait(GONE_MS)
+        self.assertEqual(2, story.copies('t1'))
+
+
 class GapTest(testtools.TestCase):
     """A turn exists, but one before it does not."""
 
