Have the copies that a joining keeper counts be kept from then on

Cause: a keeper that takes the place of a lost one fetches what too few others have. A copy that it counts may be one that nobody told of later uses, and expire soon after. Change: before it has joined, all keepers that it counts are told that their turns are used. A copy whose holder was never told of a longer retention still counts with its own.

--- a/pollenwalk/process/record_fetch.py
+++ b/pollenwalk/process/record_fetch.py
@@ -1,5 +1,6 @@
 """Fetching of the records that a keeper lacks from other keepers."""
 
+import asyncio
 from collections import Counter
 from collections.abc import AsyncIterator, Iterable, Iterator
 
@@ -9,9 +10,10 @@
 from pollenwalk.errors import PollenwalkError
 from pollenwalk.process.keeper import Keeper
 from pollenwalk.process.keeper_members import Member
-from pollenwalk.process.keeper_questions import ask_all
-from pollenwalk.process.turn_pages import TurnPages
+from pollenwalk.process.keeper_questions import ask, ask_all
+from pollenwalk.process.turn_pages import MAX_PAGE_TURNS, TurnPages
 from pollenwalk.program.turns import (
+    KeepTurns,
     ListTurns,
     PullAccounts,
     PullTurns,
@@ -57,7 +59,31 @@
             if wanted:
                 await self.fetch(member, TurnPages(sorted(wanted)))
             missing.difference_update(self.keeper.state.turns)
-        return not missing
+        return not missing and await self.extend_held(others, lists)
+
+    async def extend_held(self, others: list[Member], lists: list[TurnList]) -> bool:
+        """Have the other keepers keep what they hold from now on.
+
+        A copy that counts here may be one that nobody told of later uses.
+
+        Returns:
+            Whether all have answered.
+        """
+        answers = await asyncio.gather(
+            *(
+                self.keep_all(member, answer.turns)
+                for member, answer in zip(others, lists, strict=True)
+            )
+        )
+        return all(answers)
+
+    async def keep_all(self, member: Member, turns: list[str]) -> bool:
+        """Tell another keeper that turns are used; return whether it has answered."""
+        for start in range(0, len(turns), MAX_PAGE_TURNS):
+            message = KeepTurns(turns[start : start + MAX_PAGE_TURNS])
+            if await ask(self.keeper.links, member, message) is None:
+                return False
+        return True
 
     def missing_turns(self, lists: Iterable[TurnList]) -> Iterator[str]:
         """Yield the turns that too few keepers have, and this one neither."""
--- a/test/process/test_longer_retention.py
+++ b/test/process/test_longer_retention.py
@@ -18,6 +18,9 @@
 LONG_MS = 60_000.0
 # After which a turn with the short retention is gone if nothing needs it.
 GONE_MS = expiry_delay_ms(SHORT_MS) + 6000
+# For so long, in so many turns, a history goes on while a keeper with a copy isn't told.
+UNTOLD_MS = 100_000.0
+UNTOLD_TURNS = 20
 # Before which the turn with the long retention must be there.
 LATER_MS = 56_000.0
 
@@ -236,6 +239,17 @@
 class UntoldCopyTest(testtools.TestCase):
     """A keeper beside those that are told has a copy, which comes to count later."""
 
+    async def start_with_untold_copy(self) -> Story:
+        """Let a history go on for long while another keeper has its first turn."""
+        story = await start_story()
+        await story.east.store_turn(make_record('t1'))
+        record = encode_datagram(make_record('t1'))
+        await story.cluster.keepers['z1'].state.add_records([record])
+        for number in range(2, UNTOLD_TURNS):
+            await story.cluster.wait(UNTOLD_MS / UNTOLD_TURNS)
+            await answer(story.east, f't{number}', f't{number - 1}', LONG_MS)
+        return story
+
     @virtual
     async def test_copy_counts_after_a_planned_stop(self) -> None:
         # Guards against a copy that counts for a stopped keeper and soon expires.
@@ -252,6 +266,16 @@
         await story.cluster.wait(GONE_MS)
         self.assertEqual(2, story.copies('t1'))
 
+    @virtual
+    async def test_copy_counts_after_a_replacement(self) -> None:
+        # Guards against a copy that counts for a lost keeper and soon expires.
+        story = await self.start_with_untold_copy()
+        await story.cluster.lose_host('z0')
+        story.cluster.keepers.pop('z0')
+        await story.cluster.start_keeper('z4')
+        await story.cluster.wait(LATER_MS)
+        self.assertTrue(story.copies('t1') >= 2)
+
 
 class GapTest(testtools.TestCase):
     """A turn exists, but one before it does not."""
