Send keepers what they lack of a program's account

What callers saw: nothing yet. In virtual time a program with a retention of 10 s had spent 840 tokens, and the two keepers that were left knew of 420, so the other half could be spent again (BUDGET). Cause: as with turns, a keeper drops an account some time after its last use there. Two of three that were away in turn, each for longer than that, made a majority that knew half. Change: a gateway compares the answers to a reservation. If one lacks a settled turn that another has, it sends the entries that are lacking to the keepers that it has asked, as a read repair. So after each turn a majority knows all turns of the program.

--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -6,12 +6,13 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from typing import Any, NamedTuple, TypeVar
 
 from loguru import logger
 
 from pollenwalk.connection.store_messages import Listing, ReadPrefix
+from pollenwalk.connection.wire import encode_datagram
 from pollenwalk.errors import PollenwalkError, Refusal, RefusalCode
 from pollenwalk.process.clock import Clock
 from pollenwalk.process.keeper_broadcast import Broadcast, request_each
@@ -20,6 +21,7 @@
 from pollenwalk.process.member_readings import MemberReadings
 from pollenwalk.process.pauses import PauseWatch
 from pollenwalk.process.recent_members import RecentMembers
+from pollenwalk.process.record_batches import batched
 from pollenwalk.process.retention_raises import RetentionRaises
 from pollenwalk.process.retry_advisor import RetryAdvisor
 from pollenwalk.process.store import Changes, FollowedStore, StoredObject
@@ -30,6 +32,7 @@
 from pollenwalk.program.turn_index import TurnIndex
 from pollenwalk.program.turns import (
     Chain,
+    PushRecords,
     Settlements,
     SettleTokens,
     TurnRecord,
@@ -157,8 +160,12 @@
 
     async def tell_all(self, message: Any) -> None:
         """Send a message to all keepers, and wait for those that answer."""
+        await self.tell(self.links.ordered(), message)
+
+    async def tell(self, links: list[KeeperLink], message: Any) -> None:
+        """Send a message to some keepers, and wait for those that answer."""
         broadcast = Broadcast(self.links)
-        broadcast.send_to(self.links.ordered(), message)
+        broadcast.send_to(links, message)
         await broadcast.finish()
 
     async def store_turn(self, record: TurnRecord) -> list[str]:
@@ -332,6 +339,13 @@
                 return Changes(listing.revision, objects)
         return None
 
+    def push_records(self, records: Iterable[Any], names: set[str]) -> None:
+        """Send records to some keepers, which store those that are new to them."""
+        links = [link for link in self.links.ordered() if link.member.name in names]
+        for batch in batched(map(encode_datagram, records)):
+            if batch:
+                self.tasks.spawn(self.tell(links, PushRecords(batch)), 'push_records')
+
     def settle(self, message: SettleTokens, asked: set[str]) -> None:
         """Queue a settlement for the keepers that were asked to reserve."""
         self.queued_settlements.append(QueuedSettlement(message, asked))
--- a/pollenwalk/program/ledger.py
+++ b/pollenwalk/program/ledger.py
@@ -5,11 +5,13 @@
 the tokens of the events that were sent to the caller. Tokens that were
 generated but not sent are not counted. A gateway merges the accounts of a
 majority of the keepers. Any two majorities have a keeper in common, so of any
-two turns at least one sees the other.
+two turns at least one sees the other. A keeper that was not asked for long has dropped
+the account of a program that goes on elsewhere, so what an answer lacks is sent to it:
+after each turn a majority knows all turns of the program.
 """
 
 import itertools
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 from pollenwalk.process.clock import Clock
@@ -144,16 +146,39 @@
         max_tokens: the most tokens that the turn may generate.
         budget: tokens that all turns of the program may generate.
     """
-    merged: dict[str, TokenEntry] = {}
-    for entry in itertools.chain.from_iterable(entries_by_keeper):
-        if entry.settled or entry.turn not in merged:
-            merged[entry.turn] = entry
+    merged = merge_entries(entries_by_keeper)
     merged.pop(turn, None)
     others = sum(other.tokens for other in merged.values())
     unsettled = sum(other.tokens for other in merged.values() if not other.settled)
     return BudgetDecision(others, unsettled, others + max_tokens <= budget)
 
 
+def merge_entries(
+    entries_by_keeper: Iterable[Iterable[TokenEntry]],
+) -> dict[str, TokenEntry]:
+    """Return the entries of several keepers by turn, settled ones where there are any."""
+    merged: dict[str, TokenEntry] = {}
+    for entry in itertools.chain.from_iterable(entries_by_keeper):
+        if entry.settled or entry.turn not in merged:
+            merged[entry.turn] = entry
+    return merged
+
+
+def entries_to_repair(
+    entries_by_keeper: Sequence[Sequence[TokenEntry]],
+) -> list[TokenEntry]:
+    """Return what some of the keepers that answered lack of a program's account.
+
+    That is nothing unless one lacks a turn that is settled. A turn that is just being
+    reserved reaches the others by itself.
+    """
+    merged = merge_entries(entries_by_keeper)
+    known = [{entry.turn for entry in entries} for entries in entries_by_keeper]
+    common = set.intersection(*known)
+    lacking = [entry for turn, entry in merged.items() if turn not in common]
+    return lacking if any(entry.settled for entry in lacking) else []
+
+
 class AnswerCount(NamedTuple):
     """How many keepers have answered a reservation.
 
--- a/pollenwalk/request/reservation.py
+++ b/pollenwalk/request/reservation.py
@@ -13,6 +13,8 @@
     AnswerCount,
     BudgetDecision,
     decide_reservation,
+    entries_to_repair,
+    entry_to_record,
     fits_with_hidden_turns,
 )
 from pollenwalk.program.turns import ReserveTokens, Spent, TokenEntry
@@ -140,12 +142,31 @@
         took_ms = self.group.clock.now_ms() - started_ms
         self.metrics.reserve_seconds.observe({}, took_ms / MS_PER_SECOND)
         self.log_decision(decision, len(known_entries), rounds)
+        self.repair(known_entries)
         self.other_tokens = decision.others
         if not decision.fits:
             raise Refusal(
                 RefusalCode.BUDGET_EXHAUSTED, 'the budget does not cover the turn'
             )
 
+    def repair(self, known_entries: list[list[TokenEntry]]) -> None:
+        """Send the keepers that were asked what some of them lack of the account."""
+        lacking = entries_to_repair(known_entries)
+        if not lacking:
+            return
+        logger.info(
+            'account_repaired',
+            request=self.call.id,
+            program=self.message.program,
+            turns=len(lacking),
+        )
+        message = self.message
+        records = (
+            entry_to_record(message.program, entry, message.retention_ms)
+            for entry in lacking
+        )
+        self.group.push_records(records, self.asked)
+
     def log_decision(self, decision: BudgetDecision, answers: int, rounds: int) -> None:
         """Log the decision on the reservation and what it rests on.
 
