Let the host of a measured stream answer at a pace

Cause: its host sent all events at once, so the whole turn took 1.3 ms, and where forwarding had more than a quarter of that (0.33 to 0.97 ms), the product rightly doesn't measure the host by it. The host now sends an event each 20 ms; what is checked is the same.

--- a/test/process/test_load_admission.py
+++ b/test/process/test_load_admission.py
@@ -1,5 +1,6 @@
 """Which calls a gateway applies the policies of urgency and admission to."""
 
+import asyncio
 import random
 
 import testtools
@@ -14,6 +15,7 @@
 from pollenwalk.version.active_configuration import ActiveConfiguration
 from pollenwalk.version.organisations import Organisation, index_keys
 from pollenwalk.version.routes import CallerLimits, RoutingConfiguration, index_routes
+from standin.platform.host import Line, Received, chunk, event, stream_head
 from test.helper import on_loop
 from test.request.test_forwarding import (
     RESUMABLE,
@@ -22,9 +24,9 @@
     RecordedReply,
     answers_hello,
     make_call,
-    streams_to_end,
 )
 
+EVENT_PAUSE_S = 0.02
 PRIORITY_HEADER = 'x-pollenwalk-request-priority'
 ACME = Organisation('acme', ('k1',), 1)
 
@@ -50,6 +52,15 @@
     return admission
 
 
+async def streams_at_a_pace(line: Line, request: Received) -> None:
+    """Stream four events as an engine does, one after the other."""
+    line.say(stream_head(request))
+    for number in range(1, 5):
+        await asyncio.sleep(EVENT_PAUSE_S)
+        line.say(chunk(event(number)))
+    line.say(chunk(b''))
+
+
 class FirstTurn(StandaloneTurn):
     """A turn of which the first keepers know no earlier one of its program."""
 
@@ -130,7 +141,7 @@
     @on_loop
     async def test_streams_are_measured(self) -> None:
         # Guards against admission that never learns how long turns take.
-        hosts = Hosts(streams_to_end)
+        hosts = Hosts(streams_at_a_pace)
         admission = make_admission(make_configuration())
         measured: list[TurnTime] = []
         admission.record_turn = measured.append
