--- a/pollenwalk/process/turn_retention.py
+++ b/pollenwalk/process/turn_retention.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from typing import Any, NamedTuple
 
 from loguru import logger
@@ -111,14 +111,14 @@
             chain: the turns of the history.
             retention_ms: how long they are needed after the next turn.
         """
-        if not any(self.is_due(record.turn, retention_ms, 0) for record in chain):
+        turns = [record.turn for record in chain]
+        spare_ms = RETENTION_MARGIN_MS
+        if next(self.kept_for_less(turns, retention_ms + spare_ms), None) is None:
             return
-        due = [
-            record
-            for record in chain
-            if self.is_due(record.turn, retention_ms, EARLY_SHARE)
-            and record.turn not in self.renewals
-        ]
+        spare_ms += retention_ms * EARLY_SHARE
+        early = set(self.kept_for_less(turns, retention_ms + spare_ms))
+        early.difference_update(self.renewals)
+        due = [record for record in chain if record.turn in early]
         if not due:
             return
         renewal = self.tasks.spawn(self.renew(due, retention_ms), 'keep_turns')
@@ -131,21 +131,13 @@
         for turn in turns:
             self.renewals.pop(turn, None)
 
-    def is_due(self, turn: str, retention_ms: float, early_share: float) -> bool:
-        """Return whether the keepers of a turn are to be told of its use.
-
-        Args:
-            turn: id of the turn.
-            retention_ms: for how long it is needed.
-            early_share: share of the retention by which they may be told early.
-        """
-        spare_ms = RETENTION_MARGIN_MS + retention_ms * early_share
-        return not self.is_kept(turn, retention_ms + spare_ms)
-
-    def is_kept(self, turn: str, duration_ms: float) -> bool:
-        """Return whether enough keepers are known to keep a turn for a time from now."""
-        kept = self.kept.get(turn)
-        return kept is not None and kept.until_ms > self.clock.now_ms() + duration_ms
+    def kept_for_less(self, turns: Iterable[str], duration_ms: float) -> Iterator[str]:
+        """Yield the turns that too few keepers are known to keep for a time from now."""
+        until_ms = self.clock.now_ms() + duration_ms
+        for turn in turns:
+            kept = self.kept.get(turn)
+            if kept is None or kept.until_ms <= until_ms:
+                yield turn
 
     def unconfirmed(self, turns: list[str], retention_ms: float) -> list[str]:
         """Return the turns that too few keepers are known to keep for long enough.
@@ -154,8 +146,7 @@
             turns: ids of turns.
             retention_ms: for how long they are needed after an answer that ends now.
         """
-        duration_ms = retention_ms + DELIVERY_MS
-        return [turn for turn in turns if not self.is_kept(turn, duration_ms)]
+        return list(self.kept_for_less(turns, retention_ms + DELIVERY_MS))
 
     async def wait_for_renewals(self, turns: list[str]) -> None:
         """Wait until the renewals of some turns that are under way have ended."""
--- a/pollenwalk/program/turn_index.py
+++ b/pollenwalk/program/turn_index.py
@@ -1,6 +1,7 @@
 """An index of turns by id, from which unused turns expire."""
 
 from collections import OrderedDict
+from collections.abc import Iterator
 from typing import Generic, NamedTuple, Protocol, TypeVar
 
 from pollenwalk.process.clock import Clock
@@ -98,14 +99,8 @@
             retention_ms: how long they are needed from now on, if that is longer than
                 their own retention.
         """
-        now_ms = self.clock.now_ms()
-        found: list[Turn] = []
-        missing = turn
-        while missing in self.records:
-            record = self.records[missing]
-            found.append(record)
-            retention_ms = self.extend(record, retention_ms, now_ms)
-            missing = record.previous
+        found = list(self.mark_used(turn, retention_ms, self.clock.now_ms()))
+        missing = found[-1].previous if found else turn
         found.reverse()
         return UsedChain(found, missing)
 
@@ -122,29 +117,34 @@
         now_ms = self.clock.now_ms()
         listed = set(turns)
         for turn in turns:
-            needed_ms = retention_ms
-            following = turn
-            # A predecessor that is listed itself is marked in its own turn.
-            while following in self.records:
-                record = self.records[following]
-                needed_ms = self.extend(record, needed_ms, now_ms)
-                following = '' if record.previous in listed else record.previous
+            for record in self.mark_used(turn, retention_ms, now_ms):
+                # A predecessor that is listed itself is marked in its own turn.
+                if record.previous in listed:
+                    break
         return [one for one in turns if one not in self.records]
 
-    def extend(self, record: Turn, retention_ms: float, now_ms: float) -> float:
-        """Mark a single turn as just used; return how long it is needed from now on."""
-        turn = record.turn
-        needed_ms = max(self.retention_of(record), retention_ms)
-        if needed_ms > record.retention_ms:
-            self.raised_ms[turn] = needed_ms
-        until_ms = now_ms + expiry_delay_ms(needed_ms)
-        self.kept_until_ms[turn] = max(self.kept_until_ms.get(turn, 0), until_ms)
-        self.records.move_to_end(turn)
-        return needed_ms
+    def mark_used(
+        self, turn: str, retention_ms: float, now_ms: float
+    ) -> Iterator[Turn]:
+        """Mark a turn and its predecessors as used at a time, and yield each."""
+        until_ms = now_ms + expiry_delay_ms(retention_ms)
+        while turn in self.records:
+            record = self.records[turn]
+            known_ms = self.retention_of(record)
+            if known_ms < retention_ms:
+                self.raised_ms[turn] = retention_ms
+            elif known_ms > retention_ms:
+                retention_ms = known_ms
+                until_ms = now_ms + expiry_delay_ms(retention_ms)
+            if self.kept_until_ms.get(turn, 0) < until_ms:
+                self.kept_until_ms[turn] = until_ms
+            self.records.move_to_end(turn)
+            yield record
+            turn = record.previous
 
     def retention_of(self, record: Turn) -> float:
         """Return how long a turn is kept after its last use, in ms."""
-        return max(record.retention_ms, self.raised_ms.get(record.turn, 0))
+        return self.raised_ms.get(record.turn, record.retention_ms)
 
     def evict(self) -> None:
         """Remove the least recently used turns while the index is too large."""
