Let a turn's own retention begin at the end of its answer

Cause: a turn is stored before its answer ends. If what follows took long, as when keepers of its chain had to be asked again until the caller's deadline, its time had begun before. Change: the turn itself is among those that are confirmed last; usually nothing is asked. Evidence: test_answer_that_ends_late_is_kept_from_then_on, new.

--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -245,15 +245,14 @@
         )
 
     async def confirm_chain(self) -> None:
-        """Wait until the turns before this one are kept as long as it is.
+        """Wait until the turn and those before it are kept for the retention from now.
 
         It usually waits for nothing: the keepers were told when the turn began. If too
         few have answered, they are asked again until the caller's deadline.
         """
-        if not self.chain:
-            return
+        turns = [*self.chain, self.call.request.metadata.id]
         confirming = self.group.retry_until_acknowledged(
-            lambda: self.group.confirm_chain(self.chain, self.retention_ms)
+            lambda: self.group.confirm_chain(turns, self.retention_ms)
         )
         await self.await_for_running_turn(confirming)
 
--- a/test/process/retention_search.py
+++ b/test/process/retention_search.py
@@ -156,10 +156,9 @@
             chain = [record.turn for record in loaded]
         record = make_record(turn, previous)._replace(retention_ms=retention_ms)
         await group.retry_until_acknowledged(lambda: group.store_turn(record))
-        if chain:
-            await group.retry_until_acknowledged(
-                lambda: group.confirm_chain(chain, retention_ms)
-            )
+        await group.retry_until_acknowledged(
+            lambda: group.confirm_chain([*chain, turn], retention_ms)
+        )
         return chain
 
     def check_refusal(self, error: Exception, previous: str) -> None:
--- a/test/process/test_longer_retention.py
+++ b/test/process/test_longer_retention.py
@@ -62,7 +62,7 @@
     chain = await group.load_chain(previous, retention_ms)
     record = make_record(turn, previous)._replace(retention_ms=retention_ms)
     await group.store_turn(record)
-    turns = [one.turn for one in chain]
+    turns = [*(one.turn for one in chain), turn]
     await group.retry_until_acknowledged(
         lambda: group.confirm_chain(turns, retention_ms)
     )
@@ -151,6 +151,16 @@
         await story.cluster.wait(GONE_MS)
         self.assertTrue(story.copies('t1') >= 2)
 
+    @virtual
+    async def test_answer_that_ends_late_is_kept_from_then_on(self) -> None:
+        # Guards against a retention that begins when a turn is stored.
+        story = await start_story()
+        await story.first()
+        await story.cluster.wait(GONE_MS - 10_000)
+        await story.east.confirm_chain(['t1'], SHORT_MS)
+        await story.cluster.wait(SHORT_MS + 10_000)
+        self.assertEqual(2, story.copies('t1'))
+
     @virtual
     async def test_copies_have_the_longer_retention(self) -> None:
         # Guards against copies that start anew with the retention of the record.
