--- a/test/process/test_raised_retention.py
+++ b/test/process/test_raised_retention.py
@@ -1,15 +1,13 @@
 """A retention that is raised while programs go on; real processes."""
 
 import asyncio
-import copy
 from http import HTTPStatus
-from typing import Any
 
 import testtools
 
 from pollenwalk.platform.documents import CONFIGURATION_KEY
 from test.helper import on_loop
-from test.process.turn_daemons import CONFIGURATION, KEEPERS, Turn, TurnDaemons
+from test.process.turn_daemons import KEEPERS, Turn, TurnDaemons, changed_configuration
 
 FORMER_S = 1.0
 RETENTION_S = 50.0
@@ -25,11 +23,11 @@
     async def run(self) -> Turn:
         """Return how the turn ended that came shortly before the retention's end."""
         await self.start_all()
-        await self.write(CONFIGURATION_KEY, configuration(2, FORMER_S))
+        await self.write(CONFIGURATION_KEY, changed_configuration(2, FORMER_S))
         await asyncio.sleep(APPLIED_S)
         here, there = self.client('g1'), self.client('g2')
         await here.send('going', 'going-1')
-        await self.write(CONFIGURATION_KEY, configuration(3, RETENTION_S))
+        await self.write(CONFIGURATION_KEY, changed_configuration(3, RETENTION_S))
         await asyncio.sleep(APPLIED_S)
         await here.send('going', 'going-2', 'going-1')
         for name, _ in KEEPERS:
@@ -40,14 +38,6 @@
         return await there.send('going', 'going-3', 'going-2')
 
 
-def configuration(version: int, retention_s: float) -> dict[str, Any]:
-    """Return a version with a retention."""
-    changed = copy.deepcopy(CONFIGURATION)
-    changed['version'] = version
-    changed['routes'][0]['retention_s'] = retention_s
-    return changed
-
-
 class RaisedRetentionTest(testtools.TestCase):
     """Turns are kept for the retention that is in force."""
 
--- a/test/process/turn_daemons.py
+++ b/test/process/turn_daemons.py
@@ -1,9 +1,10 @@
 """Gateways and keepers as processes, and programs whose turns continue each other."""
 
 import asyncio
+import copy
 import time
 from http import HTTPStatus
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import aiohttp
 
@@ -31,7 +32,7 @@
 LONG = 'long'
 LONG_EVENTS = 40
 LONG_PAUSE_S = 0.05
-CONFIGURATION = {
+CONFIGURATION: dict[str, Any] = {
     'version': 1,
     'routes': [
         {
@@ -51,6 +52,14 @@
 }
 
 
+def changed_configuration(version: int, retention_s: float) -> dict[str, Any]:
+    """Return a version with another retention."""
+    changed = copy.deepcopy(CONFIGURATION)
+    changed['version'] = version
+    changed['routes'][0]['retention_s'] = retention_s
+    return changed
+
+
 class Turn(NamedTuple):
     """How a turn ended.
 
--- a/test/process/turn_soak.py
+++ b/test/process/turn_soak.py
@@ -18,9 +18,17 @@
 
 from loguru import logger
 
+from pollenwalk.platform.documents import CONFIGURATION_KEY
 from standin.platform.daemons import is_ready
 from test.process.soaking import end_all, forever
-from test.process.turn_daemons import GATEWAYS, LONG, Turn, TurnClient, TurnDaemons
+from test.process.turn_daemons import (
+    GATEWAYS,
+    LONG,
+    Turn,
+    TurnClient,
+    TurnDaemons,
+    changed_configuration,
+)
 
 FAULTS_S = 12.0
 RECOVER_S = 12.0
@@ -34,6 +42,8 @@
 LONGEST_FREEZE_S = 3.2
 STOP_S = 8.5
 MAX_ADDED = 2
+# A turn is continued sooner than the shortest is over.
+RETENTIONS_S = (20.0, 60.0, 600.0)
 
 
 class Outcome(NamedTuple):
@@ -79,6 +89,7 @@
         self.last: dict[str, str] = {}
         self.turns: list[Turn] = []
         self.denied = 0
+        self.version = 1
         self.ended_alone = 0
         self.faults: list[asyncio.Task[None]] = []
         self.disturbed: set[str] = set()
@@ -154,7 +165,7 @@
 
     async def cause_fault(self) -> None:
         """Let something happen to a process; the next may begin before its end."""
-        planned = (self.stop_one, self.reload_one, self.add_one)
+        planned = (self.stop_one, self.reload_one, self.add_one, self.change_retention)
         rough = (self.kill_one, self.freeze_one, self.freeze_one)
         fault = self.rng.choice(planned if self.is_planned else (*planned, *rough))
         name = self.rng.choice(list(self.daemons))
@@ -212,6 +223,13 @@
         if self.daemons[name].ready:
             self.running[name].send_signal(signal.SIGHUP)
 
+    async def change_retention(self, _name: str) -> None:
+        """Raise or lower how long turns are kept."""
+        self.version += 1
+        retention_s = self.rng.choice(RETENTIONS_S)
+        changed = changed_configuration(self.version, retention_s)
+        await self.write(CONFIGURATION_KEY, changed)
+
     async def add_one(self, _name: str) -> None:
         """Add a keeper, unless enough have been added."""
         added = sum(name.startswith('k0') for name in self.daemons)
