--- a/pollenwalk/process/keeper_group.py
+++ b/pollenwalk/process/keeper_group.py
@@ -26,20 +26,17 @@
 from pollenwalk.process.retry_advisor import RetryAdvisor
 from pollenwalk.process.store import Changes, FollowedStore, StoredObject
 from pollenwalk.process.tasks import TaskSet
-from pollenwalk.process.turn_replication import TurnReplication, keepers_unavailable
+from pollenwalk.process.turn_chains import TurnChains
+from pollenwalk.process.turn_replication import TurnReplication
 from pollenwalk.process.turn_retention import TurnRetention
 from pollenwalk.process.turn_search import TurnSearch
-from pollenwalk.program.turn_index import TurnIndex
 from pollenwalk.program.turns import (
-    Chain,
     PushRecords,
     Settlements,
     SettleTokens,
     TurnRecord,
 )
 
-# Size of a gateway's cache of turns. The smallest gateway has 128 MB of memory.
-CACHE_BYTES = 16_000_000
 # Settlements are sent in batches at this interval. It is much shorter than the
 # second for which a finished turn may still count with its whole reservation.
 SETTLE_INTERVAL_MS = 30.0
@@ -48,10 +45,6 @@
 RETRY_INTERVAL_MS = 100.0
 # Retry-After while too few keepers have room. Turns expire and leave room all the time.
 FULL_RETRY_AFTER_MS = 2000
-# Retry-After while a predecessor of a turn is at no keeper that answers. One that is away
-# takes seconds to come back.
-INCOMPLETE_RETRY_AFTER_MS = 5000
-
 Result = TypeVar('Result')
 
 
@@ -68,10 +61,10 @@
 
 
 class KeeperGroup:
-    """Stores and finds records at all keepers that the store lists.
+    """Stores records at the keepers that the store lists, and asks them.
 
     Attributes:
-        cache: the turns that this gateway used last.
+        chains: reads chains of turns and has them kept.
         retry_advisor: sets Retry-After of refusals because of unavailable
             keepers.
         queued_settlements: settlements that will be sent with the next batch.
@@ -80,7 +73,6 @@
         readings: read the list of keepers as it is now.
         pauses: notices pauses of this gateway; must be run.
         recent: has what counts keepers go by a list that is newer than any pause.
-        turn_search: finds turns at the keepers.
     """
 
     def __init__(
@@ -105,7 +97,6 @@
         self.clock = clock
         self.tasks = tasks
         self.tolerated_losses = tolerated_losses
-        self.cache: TurnIndex[TurnRecord] = TurnIndex(clock, CACHE_BYTES)
         self.retry_advisor = RetryAdvisor(clock)
         self.queued_settlements: list[QueuedSettlement] = []
         self.retention = TurnRetention(
@@ -115,7 +106,8 @@
         self.readings = MemberReadings(store, clock, tasks, self.read_prefix)
         self.pauses = PauseWatch(clock)
         self.recent = RecentMembers(self.readings, self.pauses)
-        self.turn_search = TurnSearch(links, clock, self.readings, tolerated_losses)
+        search = TurnSearch(links, clock, self.readings, tolerated_losses)
+        self.chains = TurnChains(clock, search, self.retention)
 
     @property
     def required_copies(self) -> int:
@@ -185,7 +177,7 @@
         await TurnReplication(
             self.links, stored, links, self.required_copies
         ).replicate()
-        self.cache.put(stored)
+        self.chains.cache.put(stored)
         self.retention.note_kept(stored.turn, stored.retention_ms, sent_ms)
         return replicas
 
@@ -236,89 +228,6 @@
                     raise
             await self.clock.sleep_ms(RETRY_INTERVAL_MS)
 
-    async def load_chain(
-        self, turn: str, retention_ms: float | None = None
-    ) -> list[TurnRecord]:
-        """Return a turn and all its predecessors, which are about to be continued.
-
-        Args:
-            turn: id of the turn.
-            retention_ms: how long they are needed after the new turn; None for as long
-                as the turn itself.
-
-        Returns:
-            The turns, the oldest first.
-
-        Raises:
-            Refusal: the turn does not exist or has a gap before it, or too few keepers
-                answered to know.
-        """
-        turns = await self.read_chain(turn)
-        if retention_ms is None:
-            retention_ms = turns[-1].retention_ms
-        self.retention.use(turns, retention_ms)
-        return turns
-
-    async def confirm_chain(self, turns: list[str], retention_ms: float) -> None:
-        """Wait until enough keepers will keep a chain for its retention from now on.
-
-        Args:
-            turns: ids of all turns of the chain, the oldest first.
-            retention_ms: how long they are needed after an answer that ends now.
-
-        Raises:
-            Refusal: too few keepers answer.
-        """
-        retention = self.retention
-        if not retention.unconfirmed(turns, retention_ms):
-            return
-        await retention.wait_for_renewals(turns)
-        due = set(retention.unconfirmed(turns, retention_ms))
-        if not due:
-            return
-        chain = await self.read_chain(turns[-1])
-        records = [record for record in chain if record.turn in due]
-        await retention.renew(records, retention_ms, at_once=True)
-        if retention.unconfirmed(turns, retention_ms):
-            raise keepers_unavailable(
-                'too few keepers confirm that they keep the chain'
-            )
-
-    async def read_chain(self, turn: str) -> list[TurnRecord]:
-        """Return a turn and all its predecessors, the oldest first.
-
-        Raises:
-            Refusal: the turn does not exist or has a gap before it, or too few keepers
-                answered to know.
-        """
-        cached = self.cache.use_chain(turn)
-        turns = cached.turns
-        missing = cached.missing
-        while missing:
-            found = await self.find_part(turn, missing)
-            for record in found.turns:
-                self.cache.put(record)
-            turns = [*found.turns, *turns]
-            missing = found.missing
-        return turns
-
-    async def find_part(self, turn: str, missing: str) -> Chain:
-        """Find the part of a turn's chain that ends with a missing turn.
-
-        Raises:
-            Refusal: the turn does not exist or has a gap before it, or too few keepers
-                answered to know.
-        """
-        try:
-            return await self.turn_search.find_chain(missing)
-        except Refusal as refusal:
-            if missing == turn or refusal.code != RefusalCode.UNKNOWN_TURN:
-                raise
-        # The turn itself may be known from the cache alone, and have expired, too.
-        await self.turn_search.find_chain(turn)
-        logger.error('history_incomplete', turn=turn, predecessor=missing)
-        raise history_incomplete(turn, missing)
-
     async def read_prefix(self, prefix: str) -> Changes | None:
         """List a prefix of the store through the nearest keeper that reaches it.
 
@@ -371,19 +280,6 @@
         await broadcast.finish()
 
 
-def history_incomplete(turn: str, predecessor: str) -> Refusal:
-    """Return the refusal of a call that continues a turn with a gap before it.
-
-    It does not deny the turn, which exists. As its predecessor was lost or may be at a
-    keeper that is away, the caller may try again, but not soon.
-    """
-    return Refusal(
-        RefusalCode.HISTORY_INCOMPLETE,
-        f'turn {turn} exists, but its predecessor {predecessor} was not found',
-        retry_after_ms=INCOMPLETE_RETRY_AFTER_MS,
-    )
-
-
 async def answer_or_none(pending: Any) -> Any:
     """Return an answer, or None after a failure.
 
--- a/pollenwalk/request/program_turn.py
+++ b/pollenwalk/request/program_turn.py
@@ -139,7 +139,7 @@
         if not self.call.route.keeps_history or not request.metadata.previous:
             return request.body
         previous = request.metadata.previous
-        chain = await self.group.load_chain(previous, self.retention_ms)
+        chain = await self.group.chains.load(previous, self.retention_ms)
         self.chain = [record.turn for record in chain]
         if chain[-1].organisation != self.call.organisation_name:
             raise turn_of_another_organisation(self.call)
@@ -252,7 +252,7 @@
         """
         turns = [*self.chain, self.call.request.metadata.id]
         confirming = self.group.retry_until_acknowledged(
-            lambda: self.group.confirm_chain(turns, self.retention_ms)
+            lambda: self.group.chains.confirm(turns, self.retention_ms)
         )
         await self.await_for_running_turn(confirming)
 
--- a/test/process/membership_search.py
+++ b/test/process/membership_search.py
@@ -371,10 +371,10 @@
         await group.store_turn(make_record('last'))
         for turn in self.acknowledged:
             await clear_cache(group)
-            chain = await group.load_chain(turn)
+            chain = await group.chains.load(turn)
             assert [one.turn for one in chain] == [turn], turn
         try:
-            await group.load_chain('never')
+            await group.chains.load('never')
         except Refusal as refusal:
             assert refusal.code == RefusalCode.UNKNOWN_TURN, refusal.message
 
--- a/test/process/retention_search.py
+++ b/test/process/retention_search.py
@@ -152,12 +152,12 @@
         retention_ms = self.retentions_ms[route]
         chain: list[str] = []
         if previous:
-            loaded = await group.load_chain(previous, retention_ms)
+            loaded = await group.chains.load(previous, retention_ms)
             chain = [record.turn for record in loaded]
         record = make_record(turn, previous)._replace(retention_ms=retention_ms)
         await group.retry_until_acknowledged(lambda: group.store_turn(record))
         await group.retry_until_acknowledged(
-            lambda: group.confirm_chain([*chain, turn], retention_ms)
+            lambda: group.chains.confirm([*chain, turn], retention_ms)
         )
         return chain
 
@@ -271,7 +271,7 @@
         for turn, promised in list(self.answered.items()):
             if promised.until_ms <= self.now_ms:
                 continue
-            found = await group.load_chain(turn)
+            found = await group.chains.load(turn)
             if [record.turn for record in found] != promised.chain:
                 raise AssertionError(f'{turn} was found with another chain')
 
--- a/test/process/test_departure.py
+++ b/test/process/test_departure.py
@@ -43,7 +43,7 @@
             await cluster.wait(1000)
             for turn in TURNS:
                 await clear_cache(group)
-                chain = await group.load_chain(turn)
+                chain = await group.chains.load(turn)
                 self.assertEqual([turn], [one.turn for one in chain])
 
     @virtual
--- a/test/process/test_keeper_quorum.py
+++ b/test/process/test_keeper_quorum.py
@@ -187,7 +187,7 @@
         await cluster.wait(1500)
         await other.store_turn(make_record('t1'))
         began_ms = cluster.clock.now_ms()
-        chain = await group.load_chain('t1')
+        chain = await group.chains.load('t1')
         self.assertEqual(['t1'], [one.turn for one in chain])
         self.assertTrue(cluster.clock.now_ms() - began_ms < CALM_MS)
 
@@ -197,7 +197,7 @@
         group = await cluster.start_with_group(24)
         began_ms = cluster.clock.now_ms()
         with testtools.ExpectedException(Refusal):
-            await group.load_chain('never')
+            await group.chains.load('never')
         self.assertTrue(cluster.clock.now_ms() - began_ms < CALM_MS)
 
 
--- a/test/process/test_keeper_removal.py
+++ b/test/process/test_keeper_removal.py
@@ -55,7 +55,7 @@
         self.assertTrue(keeper.state.complete)
         for number in range(10):
             await clear_cache(group)
-            chain = await group.load_chain(f't{number}')
+            chain = await group.chains.load(f't{number}')
             self.assertEqual([f't{number}'], [one.turn for one in chain])
 
     @virtual
@@ -99,7 +99,7 @@
         await cluster.wait(2 * REMOVED_MS)
         self.assertEqual(''.join(names), listed(cluster))
         with testtools.ExpectedException(Refusal):
-            await group.load_chain('t1')
+            await group.chains.load('t1')
 
     @virtual
     async def test_lost_keeper_stays_if_too_few_would_remain(self) -> None:
@@ -137,7 +137,7 @@
         cluster.keepers['a'].retired = True
         await cluster.wait(2 * REMOVED_MS)
         self.assertEqual('bcd', listed(cluster))
-        chain = await group.load_chain('t1')
+        chain = await group.chains.load('t1')
         self.assertEqual(['t1'], [one.turn for one in chain])
         cluster.keepers['a'].retired = False
         cluster.fabric.heal()
@@ -151,7 +151,7 @@
         await cluster.wait(REMOVED_MS)
         code = None
         try:
-            await group.load_chain('never')
+            await group.chains.load('never')
         except Refusal as refusal:
             code = refusal.code
         self.assertEqual(RefusalCode.UNKNOWN_TURN, code)
--- a/test/process/test_keepers.py
+++ b/test/process/test_keepers.py
@@ -177,8 +177,8 @@
 
 async def clear_cache(group: KeeperGroup) -> None:
     """Empty a gateway's cache of turns."""
-    for turn in list(group.cache.records):
-        group.cache.remove(turn)
+    for turn in list(group.chains.cache.records):
+        group.chains.cache.remove(turn)
 
 
 class ReplicationTest(testtools.TestCase):
@@ -260,7 +260,7 @@
         await first.store_turn(make_record('t1'))
         await first.store_turn(make_record('t2', 't1'))
         await second.store_turn(make_record('t3', 't2'))
-        chain = await second.load_chain('t3')
+        chain = await second.chains.load('t3')
         self.assertEqual(['t1', 't2', 't3'], [one.turn for one in chain])
 
     @virtual
@@ -274,7 +274,7 @@
         for name in 'abc':
             await cluster.start_keeper(name)
         await cluster.wait(2000)
-        chain = await group.load_chain('t1')
+        chain = await group.chains.load('t1')
         self.assertEqual(['t1'], [one.turn for one in chain])
 
     @virtual
@@ -286,7 +286,7 @@
             if victim != 'none':
                 await cluster.kill(victim)
             try:
-                await group.load_chain('never')
+                await group.chains.load('never')
             except Refusal as refusal:
                 codes.append(refusal.code)
         self.assertEqual(
@@ -312,7 +312,7 @@
         await cluster.wait(500)
         error = None
         try:
-            await group.load_chain('t1')
+            await group.chains.load('t1')
         except Refusal as refusal:
             error = refusal
         assert error is not None
@@ -335,7 +335,7 @@
         self.assertTrue(keeper.state.complete)
         self.assertEqual({'a', 'b'}, cluster.keepers_with('t1'))
         await cluster.kill('b')
-        chain = await group.load_chain('t1')
+        chain = await group.chains.load('t1')
         self.assertEqual(['t1'], [one.turn for one in chain])
 
     @virtual
@@ -401,7 +401,7 @@
         await cluster.kill('a')
         await cluster.kill('b')
         cluster.disks['b'].wipe()
-        chain = await group.load_chain('t1')
+        chain = await group.chains.load('t1')
         self.assertEqual(['t1'], [one.turn for one in chain])
 
     @virtual
--- a/test/process/test_longer_retention.py
+++ b/test/process/test_longer_retention.py
@@ -47,7 +47,7 @@
     async def chain(self, group: KeeperGroup) -> list[str]:
         """Return the chain of the second turn as a gateway finds it at the keepers."""
         await clear_cache(group)
-        return [record.turn for record in await group.load_chain('t2')]
+        return [record.turn for record in await group.chains.load('t2')]
 
     def copies(self, turn: str) -> int:
         """Return how many keepers have a turn."""
@@ -59,12 +59,12 @@
     group: KeeperGroup, turn: str, previous: str, retention_ms: float
 ) -> None:
     """Store a turn as a gateway does before the end of its answer."""
-    chain = await group.load_chain(previous, retention_ms)
+    chain = await group.chains.load(previous, retention_ms)
     record = make_record(turn, previous)._replace(retention_ms=retention_ms)
     await group.store_turn(record)
     turns = [*(one.turn for one in chain), turn]
     await group.retry_until_acknowledged(
-        lambda: group.confirm_chain(turns, retention_ms)
+        lambda: group.chains.confirm(turns, retention_ms)
     )
 
 
@@ -94,7 +94,7 @@
         story = await start_story()
         await story.first()
         await story.cluster.wait(3500)
-        await story.east.load_chain('t1')
+        await story.east.chains.load('t1')
         record = make_record('t2', 't1')._replace(retention_ms=LONG_MS)
         await story.east.store_turn(record)
         await story.cluster.wait(LATER_MS)
@@ -157,7 +157,7 @@
         story = await start_story()
         await story.first()
         await story.cluster.wait(GONE_MS - 10_000)
-        await story.east.confirm_chain(['t1'], SHORT_MS)
+        await story.east.chains.confirm(['t1'], SHORT_MS)
         await story.cluster.wait(SHORT_MS + 10_000)
         self.assertEqual(2, story.copies('t1'))
 
@@ -309,7 +309,7 @@
         await story.first()
         await story.second(story.east)
         await story.cluster.wait(expiry_delay_ms(LONG_MS) + 6000)
-        story.east.cache.remove('t1')
+        story.east.chains.cache.remove('t1')
         refusal = await self.refusal_of(story, clears=False)
         self.assertEqual(RefusalCode.UNKNOWN_TURN, refusal.code)
 
@@ -318,7 +318,7 @@
         if clears:
             await clear_cache(story.east)
         try:
-            await story.east.load_chain('t2')
+            await story.east.chains.load('t2')
         except Refusal as refusal:
             return refusal
         raise AssertionError('the chain was found')
--- a/test/process/test_member_readings.py
+++ b/test/process/test_member_readings.py
@@ -40,7 +40,7 @@
 async def outcome_of(group: KeeperGroup, turn: str) -> str:
     """Return `found`, or the code of the refusal."""
     try:
-        await group.load_chain(turn)
+        await group.chains.load(turn)
     except Refusal as refusal:
         return str(refusal.code)
     return 'found'
--- a/test/process/test_retirement.py
+++ b/test/process/test_retirement.py
@@ -76,7 +76,7 @@
         await self.remove_completed(cluster, 'z0', 'z2')
         self.assert_copies(cluster, 'z4 z6')
         await clear_cache(group)
-        chain = await group.load_chain('t0')
+        chain = await group.chains.load('t0')
         self.assertEqual(['t0'], [one.turn for one in chain])
 
     @virtual
--- a/test/process/test_succession.py
+++ b/test/process/test_succession.py
@@ -43,7 +43,7 @@
             self.assertTrue(cluster.keepers[name].state.complete, name)
         await clear_cache(group)
         for turn in TURNS:
-            chain = await group.load_chain(turn)
+            chain = await group.chains.load(turn)
             self.assertEqual([turn], [one.turn for one in chain])
             self.assertTrue(len(cluster.keepers_with(turn) - {'a'}) >= 2, turn)
         await cluster.wait(REMOVE_AFTER_MS + LIST_SETTLED_MS + CATCH_UP_MS)
--- a/test/process/test_turn_retention.py
+++ b/test/process/test_turn_retention.py
@@ -36,7 +36,7 @@
         """Add one turn through a gateway."""
         previous = self.turns[-1] if self.turns else ''
         if previous:
-            await group.load_chain(previous)
+            await group.chains.load(previous)
         # Fixed width, as tests look for ids in the bytes of records.
         turn = f't{len(self.turns):04}'
         await group.store_turn(make_record(turn, previous))
@@ -87,7 +87,7 @@
         await line.go_on(east)
         await line.go_on_for(west, LONG_MS)
         await clear_cache(west)
-        chain = await west.load_chain(line.turns[-1])
+        chain = await west.chains.load(line.turns[-1])
         self.assertEqual(line.turns, [one.turn for one in chain])
         self.assertEqual(2, copies(cluster, line.turns[0]))
 
@@ -106,7 +106,7 @@
             await cluster.wait(5000)
         await line.go_on_for(group, LONG_MS)
         await clear_cache(group)
-        chain = await group.load_chain(line.turns[-1])
+        chain = await group.chains.load(line.turns[-1])
         self.assertEqual(line.turns, [one.turn for one in chain])
 
     @virtual
@@ -140,7 +140,7 @@
         self.assertEqual(0, copies(cluster, line.turns[0]))
         await clear_cache(west)
         with testtools.ExpectedException(Refusal):
-            await west.load_chain(line.turns[-1])
+            await west.chains.load(line.turns[-1])
 
     @virtual
     async def test_short_history_costs_no_messages(self) -> None:
--- a/test/request/test_program_turn.py
+++ b/test/request/test_program_turn.py
@@ -453,7 +453,7 @@
             if has_event:
                 await second.before_end()
             second.close()
-            stored = (await group.load_chain('t2'))[-1]
+            stored = (await group.chains.load('t2'))[-1]
             self.assertEqual(b'out\n' if has_event else b'', stored.output)
 
     @virtual
@@ -472,7 +472,7 @@
         cluster.fabric.heal()
         await cluster.wait(1000)
         await ending
-        self.assertEqual(['t1'], [one.turn for one in await group.load_chain('t1')])
+        self.assertEqual(['t1'], [one.turn for one in await group.chains.load('t1')])
         turn.close()
 
     @virtual
