--- a/pollenwalk/program/turn_index.py
+++ b/pollenwalk/program/turn_index.py
@@ -154,13 +154,19 @@
     def expire(self) -> list[Turn]:
         """Remove the turns that need not be kept any more and return them."""
         now_ms = self.clock.now_ms()
-        if min(self.kept_until_ms.values(), default=now_ms) >= now_ms:
+        due = {
+            turn: until_ms
+            for turn, until_ms in self.kept_until_ms.items()
+            if until_ms < now_ms
+        }
+        if not due:
             return []
-        self.inherit()
+        # A turn that is due is kept if one that is not due continues it.
+        for record in self.records.values():
+            if record.previous in due and record.turn not in due:
+                self.extend_predecessors(record)
         expired = [
-            record
-            for record in self.records.values()
-            if self.kept_until_ms[record.turn] < now_ms
+            self.records[turn] for turn in due if self.kept_until_ms[turn] < now_ms
         ]
         for record in expired:
             self.remove(record.turn)
@@ -172,9 +178,12 @@
         It already is, unless one of them was added before the turn itself.
         """
         for record in self.records.values():
-            following = record
-            while self.extend_previous(following):
-                following = self.records[following.previous]
+            self.extend_predecessors(record)
+
+    def extend_predecessors(self, record: Turn) -> None:
+        """Keep the predecessors of a turn as long as the turn itself."""
+        while self.extend_previous(record):
+            record = self.records[record.previous]
 
     def extend_previous(self, record: Turn) -> bool:
         """Keep the predecessor of a turn as long as the turn itself.
