Name in a successor's entry that it knows longer retentions

A keeper that has just taken a place has no entry of its own for up to 0.4 s, in which gateways told it only that turns are used, and counted that as kept.

--- a/pollenwalk/process/keeper_members.py
+++ b/pollenwalk/process/keeper_members.py
@@ -71,6 +71,7 @@
                 name=self.successor.name,
                 address=self.successor.address,
                 zone=self.successor.zone,
+                extends_turns=self.successor.extends_turns,
             )
         return msgspec.json.encode(fields)
 
@@ -81,6 +82,7 @@
     name: str
     address: str
     zone: str
+    extends_turns: NotRequired[bool]
 
 
 class MemberObject(TypedDict):
