Raise the retention of accounts in memory once it is on disk

If the disk refused the record, the next try of the gateway found the account raised and wrote nothing, so the longer retention was lost with a restart.

--- a/pollenwalk/process/keeper_state.py
+++ b/pollenwalk/process/keeper_state.py
@@ -192,8 +192,10 @@
         """
         for extension in self.extensions.raised(message):
             await self.extend_turns(extension)
-        raised = list(self.ledger.raise_retention(message))
+        raised = list(self.ledger.raised(message))
         await asyncio.gather(*map(self.append_small, raised))
+        for record in raised:
+            self.apply_tokens(record)
 
     def place(self, record: TurnRecord, synced: asyncio.Future[Location]) -> None:
         """Note where a turn has been written; forget one that could not be."""
--- a/pollenwalk/program/ledger.py
+++ b/pollenwalk/program/ledger.py
@@ -81,13 +81,10 @@
         account = self.touch_account(request.program, request.retention_ms)
         account.entries[request.turn] = TokenEntry(request.turn, request.tokens, True)
 
-    def raise_retention(
-        self, message: RaiseRetention
-    ) -> Iterator[ReserveTokens | SettleTokens]:
-        """Keep accounts for a raised retention; yield a record of that for each."""
-        for program, account in list(self.accounts.items()):
+    def raised(self, message: RaiseRetention) -> Iterator[ReserveTokens | SettleTokens]:
+        """Yield a record for each account that a raised retention is to hold for."""
+        for program, account in self.accounts.items():
             if message.former_ms <= account.retention_ms < message.retention_ms:
-                account.retention_ms = message.retention_ms
                 entry = next(iter(account.entries.values()))
                 yield entry_to_record(program, entry, message.retention_ms)
 
