--- a/test/process/test_longer_retention.py
+++ b/test/process/test_longer_retention.py
@@ -25,7 +25,7 @@
 LATER_MS = 56_000.0
 
 
-class Story(NamedTuple):
+class TwoRegions(NamedTuple):
     """A cluster with a gateway in each region."""
 
     cluster: KeeperCluster
@@ -74,7 +74,7 @@
     return RoutingConfiguration(version, {'h': (route,)}, {}, CallerLimits(0))
 
 
-async def start_story() -> Story:
+async def start_two_regions() -> TwoRegions:
     """Start two keepers and a gateway in each of two regions."""
     cluster = KeeperCluster()
     for name in ('z0', 'z2', 'z1', 'z3'):
@@ -82,7 +82,7 @@
     await cluster.wait(1000)
     groups = cluster.start_group('east', 'z0'), cluster.start_group('west', 'z1')
     await cluster.wait(500)
-    return Story(cluster, *groups)
+    return TwoRegions(cluster, *groups)
 
 
 class LongerRetentionTest(testtools.TestCase):
@@ -91,105 +91,105 @@
     @virtual
     async def test_predecessor_is_kept_after_a_raise(self) -> None:
         # Guards against a predecessor that expires by its own, shorter retention.
-        story = await start_story()
-        await story.first()
-        await story.cluster.wait(3500)
-        await story.east.chains.load('t1')
+        regions = await start_two_regions()
+        await regions.first()
+        await regions.cluster.wait(3500)
+        await regions.east.chains.load('t1')
         record = make_record('t2', 't1')._replace(retention_ms=LONG_MS)
-        await story.east.store_turn(record)
-        await story.cluster.wait(LATER_MS)
-        self.assertEqual(['t1', 't2'], await story.chain(story.west))
+        await regions.east.store_turn(record)
+        await regions.cluster.wait(LATER_MS)
+        self.assertEqual(['t1', 't2'], await regions.chain(regions.west))
 
     @virtual
     async def test_predecessor_is_kept_where_the_turn_is_not(self) -> None:
         # Guards against keepers that are told of a use, but not for how long.
-        story = await start_story()
-        await story.first()
-        await story.second(story.west)
-        await story.cluster.wait(LATER_MS)
-        self.assertEqual(['t1', 't2'], await story.chain(story.west))
-        self.assertEqual(2, story.copies('t1'))
+        regions = await start_two_regions()
+        await regions.first()
+        await regions.second(regions.west)
+        await regions.cluster.wait(LATER_MS)
+        self.assertEqual(['t1', 't2'], await regions.chain(regions.west))
+        self.assertEqual(2, regions.copies('t1'))
 
     @virtual
     async def test_retention_survives_a_power_loss_of_all(self) -> None:
         # Guards against a longer retention that is known in memory alone.
-        story = await start_story()
-        await story.first()
-        await story.second(story.west)
-        for name in list(story.cluster.keepers):
-            await story.cluster.kill(name)
-        for name in list(story.cluster.keepers):
-            await story.cluster.start_keeper(name)
-        await story.cluster.wait(LATER_MS)
-        self.assertEqual(['t1', 't2'], await story.chain(story.west))
+        regions = await start_two_regions()
+        await regions.first()
+        await regions.second(regions.west)
+        for name in list(regions.cluster.keepers):
+            await regions.cluster.kill(name)
+        for name in list(regions.cluster.keepers):
+            await regions.cluster.start_keeper(name)
+        await regions.cluster.wait(LATER_MS)
+        self.assertEqual(['t1', 't2'], await regions.chain(regions.west))
 
     @virtual
     async def test_retention_survives_compactions(self) -> None:
         # Guards against a retention on disk that goes with the segment it is in.
-        story = await start_story()
-        for disk in story.cluster.disks.values():
+        regions = await start_two_regions()
+        for disk in regions.cluster.disks.values():
             disk.segment_bytes = 1
-        await story.first()
-        await story.second(story.west)
+        await regions.first()
+        await regions.second(regions.west)
         for name in ('z0', 'z2'):
-            state = story.cluster.keepers[name].state
+            state = regions.cluster.keepers[name].state
             for segment in list(state.log.closed_segments()):
                 await state.compaction.compact(segment)
-            await story.cluster.kill(name)
-            await story.cluster.start_keeper(name)
-        await story.cluster.wait(LATER_MS)
-        self.assertEqual(2, story.copies('t1'))
+            await regions.cluster.kill(name)
+            await regions.cluster.start_keeper(name)
+        await regions.cluster.wait(LATER_MS)
+        self.assertEqual(2, regions.copies('t1'))
 
     @virtual
     async def test_answer_waits_for_keepers_of_its_chain(self) -> None:
         # Guards against a renewal that a keeper misses while the last turn ends.
-        story = await start_story()
-        await story.first()
-        story.cluster.fabric.cut('west', 'z2')
-        await story.second(story.west)
-        story.cluster.fabric.heal()
-        await story.cluster.wait(GONE_MS)
-        self.assertTrue(story.copies('t1') >= 2)
+        regions = await start_two_regions()
+        await regions.first()
+        regions.cluster.fabric.cut('west', 'z2')
+        await regions.second(regions.west)
+        regions.cluster.fabric.heal()
+        await regions.cluster.wait(GONE_MS)
+        self.assertTrue(regions.copies('t1') >= 2)
 
     @virtual
     async def test_answer_that_ends_late_is_kept_from_then_on(self) -> None:
         # Guards against a retention that begins when a turn is stored.
-        story = await start_story()
-        await story.first()
-        await story.cluster.wait(GONE_MS - 10_000)
-        await story.east.chains.confirm(['t1'], SHORT_MS)
-        await story.cluster.wait(SHORT_MS + 10_000)
-        self.assertEqual(2, story.copies('t1'))
+        regions = await start_two_regions()
+        await regions.first()
+        await regions.cluster.wait(GONE_MS - 10_000)
+        await regions.east.chains.confirm(['t1'], SHORT_MS)
+        await regions.cluster.wait(SHORT_MS + 10_000)
+        self.assertEqual(2, regions.copies('t1'))
 
     @virtual
     async def test_copies_have_the_longer_retention(self) -> None:
         # Guards against copies that start anew with the retention of the record.
-        story = await start_story()
-        await story.first()
-        await story.second(story.west)
-        await story.cluster.terminate('z0')
+        regions = await start_two_regions()
+        await regions.first()
+        await regions.second(regions.west)
+        await regions.cluster.terminate('z0')
         for name in ('z2', 'z1', 'z3'):
-            await story.cluster.kill(name)
-            await story.cluster.start_keeper(name)
-        await story.cluster.wait(GONE_MS)
-        self.assertTrue(story.copies('t1') >= 2)
+            await regions.cluster.kill(name)
+            await regions.cluster.start_keeper(name)
+        await regions.cluster.wait(GONE_MS)
+        self.assertTrue(regions.copies('t1') >= 2)
 
     @virtual
     async def test_former_keepers_get_what_they_know(self) -> None:
-        story = await start_story()
+        regions = await start_two_regions()
         for name in ('z0', 'z2'):
-            keeper = story.cluster.keepers[name]
+            keeper = regions.cluster.keepers[name]
             keeper.own_member = keeper.own_member._replace(extends_turns=False)
-        await story.cluster.wait(1000)
-        await story.first()
-        await story.second(story.west)
+        await regions.cluster.wait(1000)
+        await regions.first()
+        await regions.second(regions.west)
         counted = {
             name: {
                 labels['kind']
                 for labels, _ in keeper.metrics.messages_total.get_all()
                 if labels['kind'] in {'KeepTurns', 'ExtendTurns'}
             }
-            for name, keeper in story.cluster.keepers.items()
+            for name, keeper in regions.cluster.keepers.items()
         }
         self.assertEqual({'KeepTurns'}, counted['z0'] | counted['z2'])
 
@@ -200,91 +200,91 @@
     @virtual
     async def test_raise_holds_for_turns_that_are_kept(self) -> None:
         # Guards against a turn that expires by the retention at the time of its answer.
-        story = await start_story()
-        story.east.raises.apply(configuration(1, SHORT_MS))
-        await story.first()
-        story.east.raises.apply(configuration(2, LONG_MS))
-        await story.cluster.wait(1000)
+        regions = await start_two_regions()
+        regions.east.raises.apply(configuration(1, SHORT_MS))
+        await regions.first()
+        regions.east.raises.apply(configuration(2, LONG_MS))
+        await regions.cluster.wait(1000)
         for name in ('z0', 'z2'):
-            await story.cluster.kill(name)
-            await story.cluster.start_keeper(name)
-        await story.cluster.wait(LATER_MS)
-        self.assertEqual(2, story.copies('t1'))
+            await regions.cluster.kill(name)
+            await regions.cluster.start_keeper(name)
+        await regions.cluster.wait(LATER_MS)
+        self.assertEqual(2, regions.copies('t1'))
 
     @virtual
     async def test_keeper_that_is_away_learns_it_later(self) -> None:
         # Guards against a raise that a keeper misses.
-        story = await start_story()
-        story.east.raises.apply(configuration(1, SHORT_MS))
-        await story.first()
-        story.cluster.fabric.cut('east', 'z0')
-        story.east.raises.apply(configuration(2, LONG_MS))
-        await story.cluster.wait(20_000)
-        story.cluster.fabric.heal()
-        await story.cluster.wait(LATER_MS - 20_000)
-        self.assertEqual(2, story.copies('t1'))
+        regions = await start_two_regions()
+        regions.east.raises.apply(configuration(1, SHORT_MS))
+        await regions.first()
+        regions.cluster.fabric.cut('east', 'z0')
+        regions.east.raises.apply(configuration(2, LONG_MS))
+        await regions.cluster.wait(20_000)
+        regions.cluster.fabric.heal()
+        await regions.cluster.wait(LATER_MS - 20_000)
+        self.assertEqual(2, regions.copies('t1'))
 
     @virtual
     async def test_raise_holds_for_accounts(self) -> None:
         # Guards against a stopped program that returns to a fresh budget.
-        story = await start_story()
-        state = story.cluster.keepers['z0'].state
+        regions = await start_two_regions()
+        state = regions.cluster.keepers['z0'].state
         await state.reserve(ReserveTokens('p', 't1', 5, SHORT_MS))
         await state.raise_retention(RaiseRetention(SHORT_MS, LONG_MS))
-        await story.cluster.kill('z0')
-        keeper = await story.cluster.start_keeper('z0')
-        await story.cluster.wait(LATER_MS)
+        await regions.cluster.kill('z0')
+        keeper = await regions.cluster.start_keeper('z0')
+        await regions.cluster.wait(LATER_MS)
         self.assertIn('p', keeper.state.ledger.accounts)
 
     @virtual
     async def test_lowered_retention_changes_nothing(self) -> None:
-        story = await start_story()
-        story.east.raises.apply(configuration(1, LONG_MS))
-        await story.second_alone()
-        story.east.raises.apply(configuration(2, SHORT_MS))
-        await story.cluster.wait(LATER_MS)
-        self.assertEqual(2, story.copies('t2'))
+        regions = await start_two_regions()
+        regions.east.raises.apply(configuration(1, LONG_MS))
+        await regions.second_alone()
+        regions.east.raises.apply(configuration(2, SHORT_MS))
+        await regions.cluster.wait(LATER_MS)
+        self.assertEqual(2, regions.copies('t2'))
 
 
 class UntoldCopyTest(testtools.TestCase):
     """A keeper beside those that are told has a copy, which comes to count later."""
 
-    async def start_with_untold_copy(self) -> Story:
+    async def start_with_untold_copy(self) -> TwoRegions:
         """Let a history go on for long while another keeper has its first turn."""
-        story = await start_story()
-        await story.east.store_turn(make_record('t1'))
+        regions = await start_two_regions()
+        await regions.east.store_turn(make_record('t1'))
         record = encode_datagram(make_record('t1'))
-        await story.cluster.keepers['z1'].state.add_records([record])
+        await regions.cluster.keepers['z1'].state.add_records([record])
         for number in range(2, UNTOLD_TURNS):
-            await story.cluster.wait(UNTOLD_MS / UNTOLD_TURNS)
-            await answer(story.east, f't{number}', f't{number - 1}', LONG_MS)
-        return story
+            await regions.cluster.wait(UNTOLD_MS / UNTOLD_TURNS)
+            await answer(regions.east, f't{number}', f't{number - 1}', LONG_MS)
+        return regions
 
     @virtual
     async def test_copy_counts_after_a_planned_stop(self) -> None:
         # Guards against a copy that counts for a stopped keeper and soon expires.
-        story = await start_story()
+        regions = await start_two_regions()
         for name in ('z4', 'z5'):
-            await story.cluster.start_keeper(name, True)
-        await story.cluster.wait(1000)
-        await story.first()
+            await regions.cluster.start_keeper(name, True)
+        await regions.cluster.wait(1000)
+        await regions.first()
         record = make_record('t1')._replace(retention_ms=SHORT_MS)
-        await story.cluster.keepers['z4'].state.add_records([encode_datagram(record)])
-        await story.second(story.west)
-        await story.cluster.terminate('z0')
-        story.cluster.keepers.pop('z0')
-        await story.cluster.wait(GONE_MS)
-        self.assertEqual(2, story.copies('t1'))
+        await regions.cluster.keepers['z4'].state.add_records([encode_datagram(record)])
+        await regions.second(regions.west)
+        await regions.cluster.terminate('z0')
+        regions.cluster.keepers.pop('z0')
+        await regions.cluster.wait(GONE_MS)
+        self.assertEqual(2, regions.copies('t1'))
 
     @virtual
     async def test_copy_counts_after_a_replacement(self) -> None:
         # Guards against a copy that counts for a lost keeper and soon expires.
-        story = await self.start_with_untold_copy()
-        await story.cluster.lose_host('z0')
-        story.cluster.keepers.pop('z0')
-        await story.cluster.start_keeper('z4')
-        await story.cluster.wait(LATER_MS)
-        self.assertTrue(story.copies('t1') >= 2)
+        regions = await self.start_with_untold_copy()
+        await regions.cluster.lose_host('z0')
+        regions.cluster.keepers.pop('z0')
+        await regions.cluster.start_keeper('z4')
+        await regions.cluster.wait(LATER_MS)
+        self.assertTrue(regions.copies('t1') >= 2)
 
 
 class GapTest(testtools.TestCase):
@@ -293,32 +293,32 @@
     @virtual
     async def test_turn_with_a_lost_predecessor_is_not_denied(self) -> None:
         # Guards against a 404 for a turn that exists.
-        story = await start_story()
-        await story.first()
-        await story.second(story.east)
-        for keeper in story.cluster.keepers.values():
+        regions = await start_two_regions()
+        await regions.first()
+        await regions.second(regions.east)
+        for keeper in regions.cluster.keepers.values():
             if 't1' in keeper.state.turns:
                 keeper.state.turns.remove('t1')
-        refusal = await self.refusal_of(story)
+        refusal = await self.refusal_of(regions)
         self.assertEqual(RefusalCode.HISTORY_INCOMPLETE, refusal.code)
         self.assertIsNotNone(refusal.retry_after_ms)
 
     @virtual
     async def test_expired_turn_in_a_cache_is_denied(self) -> None:
-        story = await start_story()
-        await story.first()
-        await story.second(story.east)
-        await story.cluster.wait(expiry_delay_ms(LONG_MS) + 6000)
-        story.east.chains.cache.remove('t1')
-        refusal = await self.refusal_of(story, clears=False)
+        regions = await start_two_regions()
+        await regions.first()
+        await regions.second(regions.east)
+        await regions.cluster.wait(expiry_delay_ms(LONG_MS) + 6000)
+        regions.east.chains.cache.remove('t1')
+        refusal = await self.refusal_of(regions, clears=False)
         self.assertEqual(RefusalCode.UNKNOWN_TURN, refusal.code)
 
-    async def refusal_of(self, story: Story, clears: bool = True) -> Refusal:
+    async def refusal_of(self, regions: TwoRegions, clears: bool = True) -> Refusal:
         """Return the refusal of a turn that continues the second one."""
         if clears:
-            await clear_cache(story.east)
+            await clear_cache(regions.east)
         try:
-            await story.east.chains.load('t2')
+            await regions.east.chains.load('t2')
         except Refusal as refusal:
             return refusal
         raise AssertionError('the chain was found')
