Confirm no retention at a keeper whose copies don't count any more

A keeper that is retiring, or was removed from the list in a pause, had handed over its turns and would have confirmed to keep them for longer; who had got the copies didn't learn it. It refuses ExtendTurns now, and the gateway stores the turns at others.

--- a/pollenwalk/process/keeper.py
+++ b/pollenwalk/process/keeper.py
@@ -306,6 +306,7 @@
         if isinstance(message, KeepTurns):
             return Missing(self.state.turns.index.keep(message.turns))
         if isinstance(message, ExtendTurns):
+            await self.check_copies_count()
             return Missing(await self.state.extend_turns(message))
         await self.state.raise_retention(message)
         return Done()
@@ -346,6 +347,16 @@
         else:
             raise Refusal(RefusalCode.PROTOCOL, 'not a message for a keeper')
 
+    async def check_copies_count(self) -> None:
+        """Check that what is kept here counts in the future.
+
+        Raises:
+            Refusal: this keeper is retiring, or no longer listed.
+        """
+        removed = await self.admission.was_removed_in_a_pause()
+        if removed or self.own_member.retiring:
+            raise Refusal(RefusalCode.RETIRING, 'this keeper is retiring')
+
     def on_store_unavailable(self, error: StoreUnavailable) -> None:
         """Record that the store did not answer."""
         self.mirrors.store_unavailable = True
--- a/test/process/test_longer_retention.py
+++ b/test/process/test_longer_retention.py
@@ -174,6 +174,18 @@
         await regions.cluster.wait(GONE_MS)
         self.assertTrue(regions.copies('t1') >= 2)
 
+    @virtual
+    async def test_retiring_keeper_confirms_nothing(self) -> None:
+        # Guards against a retention that is told to a keeper after its handover.
+        regions = await start_two_regions()
+        await regions.first()
+        retiring = regions.cluster.keepers['z0']
+        retiring.own_member = retiring.own_member._replace(retiring=True)
+        await regions.second(regions.west)
+        regions.cluster.keepers.pop('z0')
+        await regions.cluster.wait(GONE_MS)
+        self.assertTrue(regions.copies('t1') >= 2)
+
     @virtual
     async def test_former_keepers_get_what_they_know(self) -> None:
         regions = await start_two_regions()
